--- /dev/null
+++ b/knapweedroad/base/log_line.h
@@ -0,0 +1,44 @@
+// One line of key=value pairs for each event, written through glog.
+//
+//   LogLine("target_left").Add("target", id).Add("in_flight", 2).Info();
+//
+// A value with a space, a quote, an equals sign or a control character is
+// quoted, so that a line stays one line and can be taken apart again.
+
+#ifndef KNAPWEEDROAD_BASE_LOG_LINE_H_
+#define KNAPWEEDROAD_BASE_LOG_LINE_H_
+
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace knapweedroad {
+
+class LogLine {
+ public:
+  explicit LogLine(std::string_view event);
+
+  // Adds a pair; the key is a plain word.
+  LogLine& Add(std::string_view key, std::string_view value);
+  template <typename Value>
+  LogLine& Add(std::string_view key, const Value& value) {
+    std::ostringstream text;
+    text << value;
+    return this->Add(key, std::string_view(text.view()));
+  }
+
+  // Write the line at that level.
+  void Info() const;
+  void Warning() const;
+  void Error() const;
+
+  // The line as it would be written.
+  const std::string& str() const { return this->line; }
+
+ private:
+  std::string line;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_BASE_LOG_LINE_H_
