Load command's sockets: calls, timeline, targets' control addresses

A change of version without a number is the next one, so that a scenario fits a deployment whatever it holds.

--- /dev/null
+++ b/knapweedroad/load/caller.h
@@ -0,0 +1,41 @@
+// Sends calls to the hosts' caller addresses, each to the next host.
+//
+//   Caller caller(runtime, hosts);
+//   caller.Send(call, due_at, leaves_after);
+
+#ifndef KNAPWEEDROAD_LOAD_CALLER_H_
+#define KNAPWEEDROAD_LOAD_CALLER_H_
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/config/host_settings.h"
+
+namespace knapweedroad {
+
+class HttpClient;
+class Runtime;
+struct CallRecord;
+
+class Caller {
+ public:
+  Caller(Runtime& runtime, const std::vector<Endpoint>& hosts);
+  ~Caller();
+
+  // Blocks the calling fiber; fills the call's answer, and its latency since
+  // `due_at`. The caller leaves `leaves_after` the send, where given.
+  void Send(CallRecord& call,
+            TimePoint due_at,
+            std::optional<Duration> leaves_after);
+
+ private:
+  Runtime* runtime;
+  std::vector<std::unique_ptr<HttpClient>> hosts;
+  size_t next_host = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_LOAD_CALLER_H_
--- /dev/null
+++ b/knapweedroad/load/target_controls.cc
@@ -0,0 +1,148 @@
+#include "knapweedroad/load/target_controls.h"
+
+#include <fnmatch.h>
+
+#include <algorithm>
+#include <span>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "knapweedroad/net/http_client.h"
+#include "knapweedroad/net/runtime.h"
+
+namespace knapweedroad {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kTimeout = std::chrono::seconds(5);
+constexpr size_t kIdsInOneRequest = 5000;
+constexpr int kStatusDone = 200;
+
+// The ids from `first` on, as many as go into one request.
+json Slice(const std::vector<std::string>& ids, size_t first) {
+  if (first >= ids.size()) {
+    return json::array();
+  }
+  const size_t count = std::min(kIdsInOneRequest, ids.size() - first);
+  const auto slice = std::span(ids).subspan(first, count);
+  return json(std::vector<std::string>(slice.begin(), slice.end()));
+}
+
+}  // namespace
+
+TargetControls::TargetControls(Runtime& runtime,
+                               const std::vector<Endpoint>& endpoints)
+    : runtime(&runtime) {
+  for (const Endpoint& endpoint : endpoints) {
+    Control control;
+    control.address = endpoint.ip + ":" + std::to_string(endpoint.port);
+    control.client = std::make_unique<HttpClient>(
+        runtime, HttpClientOptions{.endpoint = endpoint, .max_connections = 4});
+    this->controls.push_back(std::move(control));
+  }
+}
+
+TargetControls::~TargetControls() = default;
+
+void TargetControls::Discover() {
+  for (Control& control : this->controls) {
+    const auto body = this->Ask(control, "GET", "/v1/stand-in/counts", "");
+    if (!body) {
+      continue;
+    }
+    if (const auto counts = ReadCounts(*body)) {
+      control.target = counts->target;
+      control.zone = counts->zone;
+    }
+  }
+}
+
+size_t TargetControls::SendFault(const std::string& fault,
+                                 const TargetSelection& selection) {
+  size_t matching = 0;
+  size_t taken = 0;
+  for (Control& control : this->controls) {
+    const bool matches = ::fnmatch(selection.targets.c_str(),
+                                   control.target.str().c_str(), 0) == 0 &&
+                         (!selection.zone || *selection.zone == control.zone);
+    if (!matches || matching++ % selection.every != 0) {
+      continue;
+    }
+    taken += this->Ask(control, "POST", "/v1/stand-in/fault", fault) ? 1 : 0;
+  }
+  if (taken == 0) {
+    this->failed.push_back("no target took " + fault + " (" +
+                           selection.targets + ")");
+  }
+  return taken;
+}
+
+std::vector<TargetCounts> TargetControls::Counts() {
+  std::vector<TargetCounts> all;
+  for (Control& control : this->controls) {
+    const auto body = this->Ask(control, "GET", "/v1/stand-in/counts", "");
+    if (!body) {
+      continue;
+    }
+    if (auto counts = ReadCounts(*body)) {
+      all.push_back(std::move(*counts));
+    } else {
+      this->failed.push_back(control.address + ": " + counts.error());
+    }
+  }
+  return all;
+}
+
+ExecutionCounts TargetControls::Executions(
+    const std::vector<std::string>& requests,
+    const std::vector<std::string>& keys) {
+  ExecutionCounts counts;
+  const size_t longest = std::max(requests.size(), keys.size());
+  for (size_t first = 0; first < longest; first += kIdsInOneRequest) {
+    const json asked = {{"request_ids", Slice(requests, first)},
+                        {"keys", Slice(keys, first)}};
+    const std::string text = asked.dump();
+    for (Control& control : this->controls) {
+      const auto body =
+          this->Ask(control, "POST", "/v1/stand-in/executed", text);
+      if (body) {
+        this->AddExecutions(*body, counts);
+      }
+    }
+  }
+  return counts;
+}
+
+void TargetControls::AddExecutions(const std::string& body,
+                                   ExecutionCounts& counts) {
+  const json found = json::parse(body, nullptr, false);
+  if (!found.is_object()) {
+    this->failed.emplace_back("an answer about executions can't be read");
+    return;
+  }
+  for (const auto& [id, count] : found.at("request_ids").items()) {
+    counts.requests[id] += count.get<uint64_t>();
+  }
+  for (const auto& [key, count] : found.at("keys").items()) {
+    counts.keys[key] += count.get<uint64_t>();
+  }
+}
+
+std::optional<std::string> TargetControls::Ask(Control& control,
+                                               const char* method,
+                                               const char* path,
+                                               const std::string& body) {
+  const auto answer =
+      control.client->Send({.method = method, .path = path, .body = body},
+                           Runtime::Now() + kTimeout);
+  if (answer && answer->status == kStatusDone) {
+    return answer->body;
+  }
+  const std::string reason = answer ? answer->body : answer.error().detail;
+  this->failed.push_back(control.address + path + ": " + reason);
+  return std::nullopt;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/load/timeline_runner.cc
@@ -0,0 +1,102 @@
+#include "knapweedroad/load/timeline_runner.h"
+
+#include <utility>
+
+#include "knapweedroad/load/load_runner.h"
+#include "knapweedroad/load/target_controls.h"
+#include "knapweedroad/net/http_client.h"
+#include "knapweedroad/net/runtime.h"
+
+namespace knapweedroad {
+namespace {
+
+constexpr Duration kChangeTimeout = std::chrono::seconds(5);
+constexpr int kStatusAccepted = 200;
+constexpr int kTries = 3;
+
+}  // namespace
+
+TimelineRunner::TimelineRunner(Runtime& runtime,
+                               const LoadRunOptions& options,
+                               TargetControls& controls)
+    : runtime(&runtime), options(&options), controls(&controls) {
+  for (const Endpoint& endpoint : options.operators) {
+    this->operators.push_back(std::make_unique<HttpClient>(
+        runtime,
+        HttpClientOptions{.endpoint = endpoint, .max_connections = 2}));
+  }
+}
+
+TimelineRunner::~TimelineRunner() = default;
+
+void TimelineRunner::Heal() {
+  for (const ZoneId& zone : std::exchange(this->zones_out, {})) {
+    this->ChangeZone(zone, false);
+  }
+  if (this->options->controls.empty()) {
+    return;
+  }
+  this->controls->SendFault(R"({"fault": "misbehave"})", {});
+  this->controls->SendFault(R"({"fault": "mark_zone_in"})", {});
+  this->controls->SendFault(R"({"fault": "reset_counts"})", {});
+}
+
+void TimelineRunner::Start(TimePoint run_start) {
+  this->pending = this->options->plan.timeline.size();
+  for (const TimelineEvent& event : this->options->plan.timeline) {
+    this->runtime->Spawn([this, &event, run_start] {
+      Runtime::SleepUntil(run_start + event.at);
+      this->Do(event);
+      --this->pending;
+    });
+  }
+}
+
+void TimelineRunner::Do(const TimelineEvent& event) {
+  if (!event.zone) {
+    this->controls->SendFault(event.fault, {.targets = event.targets,
+                                            .zone = event.target_zone,
+                                            .every = event.every});
+    return;
+  }
+  if (!this->ChangeZone(*event.zone, event.zone_out)) {
+    this->failed.push_back("zone " + event.zone->str() +
+                           " could not be taken " +
+                           (event.zone_out ? "out" : "in"));
+    return;
+  }
+  if (event.zone_out) {
+    this->zones_out.insert(*event.zone);
+  } else {
+    this->zones_out.erase(*event.zone);
+  }
+}
+
+// The targets learn of the change after it was accepted, so that their count
+// of late work begins no earlier than the tier's duty.
+bool TimelineRunner::ChangeZone(const ZoneId& zone, bool out) {
+  if (!out) {
+    this->controls->SendFault(R"({"fault": "mark_zone_in"})", {.zone = zone});
+  }
+  HttpRequest request{.method = "POST"};
+  request.path = "/v1/zones/" + zone.str() + (out ? "/out" : "/in");
+  request.headers["Knapweed-Operator"] = "load";
+  request.headers["Knapweed-Request-Id"] =
+      this->options->run + "-zone-" + std::to_string(++this->changes);
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    for (const auto& host : this->operators) {
+      const auto answer = host->Send(request, Runtime::Now() + kChangeTimeout);
+      if (!answer || answer->status != kStatusAccepted) {
+        continue;
+      }
+      if (out) {
+        this->controls->SendFault(R"({"fault": "mark_zone_out"})",
+                                  {.zone = zone});
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace knapweedroad
--- a/knapweedroad/testing/stand_in_fault.h
+++ b/knapweedroad/testing/stand_in_fault.h
@@ -14,8 +14,8 @@
 // | go_silent      | open connections never answer again, new ones work  |
 // | restart        | down_ms: how long nothing listens                   |
 // | leave          |                                                     |
-// | change_version | version                                             |
-// | repartition    | generation, version, units                          |
+// | change_version | version; the newest held and one where it is absent |
+// | repartition    | generation, units; version as above                 |
 // | mark_zone_out  | operators took its zone out just now                |
 // | mark_zone_in   |                                                     |
 // | reset_counts   |                                                     |
@@ -52,7 +52,8 @@
   StandInFaultKind kind = StandInFaultKind::kMisbehave;
   // Of kMisbehave.
   SearcherFaults faults;
-  // Of kChangeVersion (its version only) and kRepartition.
+  // Of kChangeVersion (its version only) and kRepartition; version 0 stands
+  // for the newest held and one.
   SnapshotId snapshot;
   // Of kRepartition: the units held from then on.
   uint32_t units = 0;
--- a/knapweedroad/testing/stand_in_searcher.cc
+++ b/knapweedroad/testing/stand_in_searcher.cc
@@ -47,6 +47,7 @@
               HttpResponse response,
               bool truncated);
   void Apply(const StandInFault& fault);
+  void AddSnapshot(SnapshotId snapshot, std::optional<uint32_t> units);
   void GoSilent();
   void Restart(Duration down);
   void CloseAll();
@@ -212,12 +213,12 @@
       this->announcer->ReportNow();
       return;
     case StandInFaultKind::kChangeVersion:
-      this->core.AddSnapshot(
-          {this->core.holds().back().generation, fault.snapshot.index_version},
-          std::nullopt);
+      this->AddSnapshot({.generation = this->core.holds().back().generation,
+                         .index_version = fault.snapshot.index_version},
+                        std::nullopt);
       return;
     case StandInFaultKind::kRepartition:
-      this->core.AddSnapshot(fault.snapshot, fault.units);
+      this->AddSnapshot(fault.snapshot, fault.units);
       return;
     case StandInFaultKind::kMarkZoneOut:
       this->core.MarkZone(true, now);
@@ -231,6 +232,14 @@
   }
 }
 
+void StandInSearcher::State::AddSnapshot(SnapshotId snapshot,
+                                         std::optional<uint32_t> units) {
+  if (snapshot.index_version == 0) {
+    snapshot.index_version = this->core.holds().back().index_version + 1;
+  }
+  this->core.AddSnapshot(snapshot, units);
+}
+
 void StandInSearcher::State::GoSilent() {
   for (const SearcherConnectionPtr& connection : this->open) {
     connection->GoSilent();
