--- /dev/null
+++ b/knapweedroad/net/http_server.cc
@@ -0,0 +1,360 @@
+#include "knapweedroad/net/http_server.h"
+
+#include <unordered_set>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "knapweedroad/net/fiber_event.h"
+#include "knapweedroad/net/runtime.h"
+
+namespace knapweedroad {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// A request's first bytes are read into a buffer of this size.
+constexpr size_t kFirstReadBytes = 8 << 10;
+// How long writing an answer may take before the reader is given up on.
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+HttpResponse ProblemFor(int status, std::string_view detail) {
+  HttpResponse response{.status = status, .close = true};
+  response.headers["Content-Type"] = "application/problem+json";
+  response.headers["Knapweed-Outcome"] = "not_run";
+  response.body =
+      "{\"type\":\"about:blank\",\"title\":\"Bad request\","
+      "\"status\":" +
+      std::to_string(status) + ",\"detail\":\"" + std::string(detail) +
+      "\",\"outcome\":\"not_run\"}";
+  return response;
+}
+
+HttpResponse ProblemFor(const error_code& error) {
+  if (error == http::error::body_limit) {
+    return ProblemFor(413, "the body is over its size limit");
+  }
+  if (error == http::error::header_limit) {
+    return ProblemFor(431, "the header is over its size limit");
+  }
+  if (error == beast::error::timeout) {
+    return ProblemFor(408, "the request did not come whole in time");
+  }
+  return ProblemFor(400, "the request is not well-formed HTTP/1.1");
+}
+
+HttpRequest Convert(http::request<http::string_body>&& from) {
+  HttpRequest request;
+  request.method = std::string(from.method_string());
+  request.path = std::string(from.target());
+  for (const auto& field : from) {
+    request.headers.emplace(std::string(field.name_string()),
+                            std::string(field.value()));
+  }
+  request.body = std::move(from.body());
+  return request;
+}
+
+// Calls `on_closed` once when the peer closes while its request runs.
+struct AbandonWatch {
+  std::function<void()> on_closed;
+  bool is_over = false;
+};
+
+}  // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  struct Connection {
+    explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool busy = false;
+  };
+
+  State(Runtime& runtime, HttpServerOptions options)
+      : runtime(runtime), options(std::move(options)), acceptor(runtime.io()) {}
+
+  tl::expected<uint16_t, NetError> Listen();
+  void AcceptLoop();
+  void Serve(const std::shared_ptr<Connection>& connection);
+  bool ServeOne(const std::shared_ptr<Connection>& connection);
+  error_code ReadFirstBytes(Connection& connection);
+  error_code ReadWhole(Connection& connection,
+                       http::request_parser<http::string_body>& parser);
+  HttpResponse Handle(const std::shared_ptr<Connection>& connection,
+                      const HttpRequest& request,
+                      TimePoint received);
+  bool Write(Connection& connection, HttpResponse response, bool keep_alive);
+  void CloseIdle();
+
+  Runtime& runtime;
+  HttpServerOptions options;
+  tcp::acceptor acceptor;
+  std::unordered_set<std::shared_ptr<Connection>> open;
+  size_t peak = 0;
+  size_t refused = 0;
+  size_t running = 0;
+  bool is_draining = false;
+  bool is_stopped = false;
+  FiberEvent* all_answered = nullptr;
+};
+
+tl::expected<uint16_t, NetError> HttpServer::State::Listen() {
+  error_code error;
+  const auto address = asio::ip::make_address(this->options.endpoint.ip, error);
+  const tcp::endpoint endpoint(address, this->options.endpoint.port);
+  if (!error) {
+    this->acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return tl::unexpected(
+        NetError{.kind = NetErrorKind::kConnect,
+                 .detail = "can't listen on " + this->options.endpoint.ip +
+                           ":" + std::to_string(this->options.endpoint.port) +
+                           ": " + error.message()});
+  }
+  return this->acceptor.local_endpoint().port();
+}
+
+void HttpServer::State::AcceptLoop() {
+  while (!this->is_stopped) {
+    tcp::socket socket(this->runtime.io());
+    error_code error;
+    FiberEvent accepted;
+    this->acceptor.async_accept(socket, [&](error_code result) {
+      error = result;
+      accepted.Set();
+    });
+    accepted.Wait();
+    if (this->is_stopped) {
+      return;
+    }
+    if (error) {
+      // Out of descriptors shows here and passes; without the pause the loop
+      // would take the whole thread and nothing could be closed.
+      Runtime::SleepFor(kAcceptPause);
+      continue;
+    }
+    if (this->options.max_connections != 0 &&
+        this->open.size() >= this->options.max_connections) {
+      ++this->refused;
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    this->open.insert(connection);
+    this->peak = std::max(this->peak, this->open.size());
+    this->runtime.Spawn([self = this->shared_from_this(), connection] {
+      self->Serve(connection);
+    });
+  }
+}
+
+void HttpServer::State::Serve(const std::shared_ptr<Connection>& connection) {
+  while (!this->is_stopped && this->ServeOne(connection)) {
+  }
+  error_code ignored;
+  connection->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  connection->stream.close();
+  this->open.erase(connection);
+}
+
+error_code HttpServer::State::ReadFirstBytes(Connection& connection) {
+  if (connection.buffer.size() > 0) {
+    return {};
+  }
+  error_code error;
+  FiberEvent read;
+  connection.stream.expires_after(this->options.idle_timeout);
+  connection.stream.async_read_some(connection.buffer.prepare(kFirstReadBytes),
+                                    [&](error_code result, size_t bytes) {
+                                      error = result;
+                                      connection.buffer.commit(bytes);
+                                      read.Set();
+                                    });
+  read.Wait();
+  return error;
+}
+
+error_code HttpServer::State::ReadWhole(
+    Connection& connection,
+    http::request_parser<http::string_body>& parser) {
+  error_code error;
+  FiberEvent read;
+  connection.stream.expires_after(this->options.read_timeout);
+  http::async_read(connection.stream, connection.buffer, parser,
+                   [&](error_code result, size_t) {
+                     error = result;
+                     read.Set();
+                   });
+  read.Wait();
+  return error;
+}
+
+bool HttpServer::State::ServeOne(
+    const std::shared_ptr<Connection>& connection) {
+  connection->busy = false;
+  if (this->ReadFirstBytes(*connection)) {
+    return false;
+  }
+  const TimePoint received = Runtime::Now();
+  connection->busy = true;
+  ++this->running;
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(this->options.max_body_bytes);
+  parser.header_limit(static_cast<uint32_t>(this->options.max_header_bytes));
+  const error_code error = this->ReadWhole(*connection, parser);
+  bool keep = false;
+  if (!error) {
+    const bool wants_keep = parser.keep_alive();
+    HttpResponse response =
+        this->Handle(connection, Convert(parser.release()), received);
+    keep = wants_keep && !response.close && !this->is_draining &&
+           !this->is_stopped;
+    keep = this->Write(*connection, std::move(response), keep) && keep;
+  } else if (error != http::error::end_of_stream &&
+             error != asio::error::connection_reset) {
+    this->Write(*connection, ProblemFor(error), false);
+  }
+  --this->running;
+  if (this->running == 0 && this->all_answered != nullptr) {
+    this->all_answered->Set();
+  }
+  return keep;
+}
+
+HttpResponse HttpServer::State::Handle(
+    const std::shared_ptr<Connection>& connection,
+    const HttpRequest& request,
+    TimePoint received) {
+  HttpExchange exchange{.received = received};
+  auto watch = std::make_shared<AbandonWatch>();
+  watch->on_closed = [&exchange, this] {
+    if (exchange.on_abandoned) {
+      this->runtime.Spawn(std::exchange(exchange.on_abandoned, nullptr));
+    }
+  };
+  connection->stream.socket().async_wait(
+      tcp::socket::wait_read, [watch, connection](error_code error) {
+        error_code ignored;
+        const bool has_data =
+            connection->stream.socket().available(ignored) > 0;
+        if (!watch->is_over && !error && !has_data) {
+          watch->on_closed();
+        }
+      });
+  HttpResponse response = this->options.handler(request, exchange);
+  watch->is_over = true;
+  error_code ignored;
+  connection->stream.socket().cancel(ignored);
+  return response;
+}
+
+bool HttpServer::State::Write(Connection& connection,
+                              HttpResponse response,
+                              bool keep_alive) {
+  http::response<http::string_body> message(
+      static_cast<http::status>(response.status), 11);
+  for (const auto& [name, value] : response.headers) {
+    message.set(name, value);
+  }
+  if (message.find(http::field::content_type) == message.end()) {
+    message.set(http::field::content_type, "application/json");
+  }
+  message.body() = std::move(response.body);
+  message.keep_alive(keep_alive);
+  message.prepare_payload();
+  error_code error;
+  FiberEvent written;
+  connection.stream.expires_after(kWriteTimeout);
+  http::async_write(connection.stream, message, [&](error_code result, size_t) {
+    error = result;
+    written.Set();
+  });
+  written.Wait();
+  return !error;
+}
+
+void HttpServer::State::CloseIdle() {
+  for (const auto& connection : this->open) {
+    if (!connection->busy) {
+      connection->stream.cancel();
+    }
+  }
+}
+
+HttpServer::HttpServer(Runtime& runtime, HttpServerOptions options)
+    : state(std::make_shared<State>(runtime, std::move(options))) {}
+
+HttpServer::~HttpServer() {
+  this->state->is_stopped = true;
+  error_code ignored;
+  this->state->acceptor.close(ignored);
+  for (const auto& connection : this->state->open) {
+    connection->stream.cancel();
+  }
+}
+
+tl::expected<uint16_t, NetError> HttpServer::Start() {
+  auto port = this->state->Listen();
+  if (port) {
+    this->state->runtime.Spawn([state = this->state] { state->AcceptLoop(); });
+  }
+  return port;
+}
+
+void HttpServer::StartDraining() {
+  this->state->is_draining = true;
+}
+
+void HttpServer::Stop(TimePoint deadline) {
+  this->state->is_draining = true;
+  this->state->is_stopped = true;
+  error_code ignored;
+  this->state->acceptor.close(ignored);
+  this->state->CloseIdle();
+  if (this->state->running == 0) {
+    return;
+  }
+  FiberEvent ended;
+  this->state->all_answered = &ended;
+  asio::steady_timer timer(this->state->runtime.io(), deadline);
+  timer.async_wait([state = this->state](error_code error) {
+    if (!error && state->all_answered != nullptr) {
+      state->all_answered->Set();
+    }
+  });
+  ended.Wait();
+  this->state->all_answered = nullptr;
+}
+
+size_t HttpServer::connections() const {
+  return this->state->open.size();
+}
+
+size_t HttpServer::peak_connections() const {
+  return this->state->peak;
+}
+
+size_t HttpServer::refused_connections() const {
+  return this->state->refused;
+}
+
+}  // namespace knapweedroad
