--- a/knapweedroad/config/front_config.h
+++ b/knapweedroad/config/front_config.h
@@ -43,7 +43,8 @@
   double retry_budget = 0.1;
   std::vector<TenantConfig> tenants;
   std::vector<ServiceConfig> services;
-  // At least one, each with a number of its own.
+  // Of a search front: at least one, each with a number of its own. A records
+  // front has none: it reads one record, which lies in no partition.
   std::vector<GenerationConfig> generations;
 
   friend bool operator==(const FrontConfig&, const FrontConfig&) = default;
