--- a/knapweedroad/config/field_value.cc
+++ b/knapweedroad/config/field_value.cc
@@ -25,7 +25,7 @@
 tl::unexpected<ValueFault> WrongType(const JsonNode& node,
                                      std::string_view wanted) {
   return Fault(
-      std::string(ToString(node.kind)) + " stands for " + std::string(wanted),
+      "expected " + std::string(wanted) + ", found " + ToString(node.kind),
       "write " + std::string(wanted));
 }
 
@@ -148,7 +148,7 @@
 
 FieldValue<Duration> ReadDuration(const JsonNode& node) {
   if (node.kind == JsonKind::kNumber) {
-    return Fault("a number stands for a duration",
+    return Fault("expected a duration, found a number",
                  "write a string with the unit (" +
                      std::string(kDurationUnits) + "), such as \"250ms\"");
   }
--- a/knapweedroad/config/object_reader.cc
+++ b/knapweedroad/config/object_reader.cc
@@ -19,7 +19,7 @@
   if (!this->is_object) {
     this->errors.Add(
         this->position, this->path,
-        std::string(ToString(object.kind)) + " stands for an object",
+        std::string("expected an object, found ") + ToString(object.kind),
         "write an object in braces");
     return;
   }
@@ -42,7 +42,8 @@
     return false;
   }
   if (array->kind != JsonKind::kArray) {
-    this->Fail(key, std::string(ToString(array->kind)) + " stands for an array",
+    this->Fail(key,
+               std::string("expected an array, found ") + ToString(array->kind),
                "write an array in square brackets");
     return false;
   }
