--- a/knapweedroad/config/examples_test.cc
+++ b/knapweedroad/config/examples_test.cc
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -21,7 +22,7 @@
 
 namespace fs = std::filesystem;
 
-const fs::path kExamples = KWR_EXAMPLES_DIR;
+constexpr std::string_view kExamples = KWR_EXAMPLES_DIR;
 constexpr size_t kHosts = 9;
 constexpr size_t kReplicas = 3;
 
@@ -55,8 +56,8 @@
 // Runs the test for both folders.
 template <typename Check>
 void ForBoth(const Check& check) {
-  check(kExamples / "be-centre");
-  check(kExamples / "se-vast");
+  check(fs::path(kExamples) / "be-centre");
+  check(fs::path(kExamples) / "se-vast");
 }
 
 Test(Examples, EveryFilePassesItsChecks) {
@@ -98,7 +99,8 @@
 Test(Examples, ReplicasStandInThreeZonesWithTheirFolders) {
   ForBoth([](const fs::path& folder) {
     std::set<ZoneId> zones;
-    for (const PeerSettings& peer : ReadHosts(folder).at(0).hosts) {
+    const HostSettings any_host = ReadHosts(folder).at(0);
+    for (const PeerSettings& peer : any_host.hosts) {
       if (peer.control_replica) {
         zones.insert(peer.zone);
       }
