Admission to a target: slots, fair queue and cold-start ramp at its lease holder

Cause: nine hosts that each decide alone put nine requests on a target that bears one. One holder has to count for all.

TargetAdmission counts the attempts a target may still be at (a cancelled or timed-out one included, until the target ended it or its deadline and a margin passed), starts no more than the share of the lease and the evidence of warmth allow, queues by weighted fair order with the earliest deadline first, and refuses at once what can't be done. ColdStartRamp holds that evidence; what a target says of itself can only lower it.

--- /dev/null
+++ b/knapweedroad/admission/cold_start_ramp.h
@@ -0,0 +1,78 @@
+// How many requests a target bears now, from evidence: its cold limit at first,
+// one step more for each window of clean answers, and back to the cold limit at
+// the first sign that it is cold.
+//
+//   ColdStartRamp ramp({.slots = 6, .cold_slots = 1});
+//   ramp.OnCleanAnswer(latency, ramp.epoch(), now);
+//   if (in_flight < ramp.limit()) ...
+//
+// What the target says can only lower the limit: reports lag and may mislead,
+// so that "ready" permits the ramp but is no step of it.
+
+#ifndef KNAPWEEDROAD_ADMISSION_COLD_START_RAMP_H_
+#define KNAPWEEDROAD_ADMISSION_COLD_START_RAMP_H_
+
+#include <cstdint>
+
+#include "knapweedroad/admission/latency_baseline.h"
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad {
+
+class ColdStartRamp {
+ public:
+  struct Options {
+    uint32_t slots = 1;
+    // At least one: a target that gets nothing never warms.
+    uint32_t cold_slots = 1;
+    // A window is over after this many clean answers and this much time.
+    uint32_t window_answers = 8;
+    Duration window_time = std::chrono::milliseconds(200);
+    // A window whose median is above this multiple of the baseline is no
+    // evidence of warmth; above the second one, it is evidence of cold.
+    double clean_factor = 2.0;
+    double cold_factor = 5.0;
+  };
+
+  explicit ColdStartRamp(const Options& options);
+
+  // An answer to an attempt begun in `epoch`. One begun before the last fall
+  // says nothing of the target as it is now and is passed over.
+  void OnCleanAnswer(Duration latency, uint64_t epoch, TimePoint now);
+
+  // Any evidence of cold: a shed, a new incarnation, the target's own word.
+  void Fall(TimePoint now);
+
+  // Whether the target's last word is that it is cold: no step up while it is.
+  void SetReportedCold(bool cold) { this->reported_cold = cold; }
+
+  // Requests at once, between the cold limit and the slots.
+  uint32_t limit() const { return this->current; }
+  bool cold() const { return this->current <= this->cold_limit(); }
+  uint32_t cold_limit() const;
+
+  // Counts the falls; an attempt is stamped with it at its start.
+  uint64_t epoch() const { return this->falls; }
+  uint64_t raises() const { return this->steps; }
+
+  // The target's usual latency, kept over falls; zero before any answer.
+  Duration baseline() const { return this->usual.median(); }
+
+ private:
+  void StartWindow(TimePoint now);
+  void CloseWindow(TimePoint now);
+
+  Options options;
+  uint32_t current;
+  bool reported_cold = false;
+  uint64_t falls = 0;
+  uint64_t steps = 0;
+  LatencyBaseline usual;
+  LatencyBaseline window;
+  uint32_t window_count = 0;
+  TimePoint window_start{};
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_ADMISSION_COLD_START_RAMP_H_
--- /dev/null
+++ b/knapweedroad/admission/fair_queue.cc
@@ -0,0 +1,233 @@
+#include "knapweedroad/admission/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace knapweedroad {
+namespace {
+
+// Virtual time of one attempt at weight 1.
+constexpr uint64_t kUnit = uint64_t{1} << 24;
+
+uint64_t CostAt(uint32_t weight) {
+  return kUnit / weight;
+}
+
+template <typename Flows, typename HasWork>
+auto FurthestBehind(Flows& flows, HasWork has_work) {
+  auto best = flows.end();
+  for (auto flow = flows.begin(); flow != flows.end(); ++flow) {
+    if (!has_work(flow->second)) {
+      continue;
+    }
+    if (best == flows.end() ||
+        flow->second.virtual_time < best->second.virtual_time) {
+      best = flow;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+FairQueue::TenantFlow& FairQueue::TenantOf(const AdmissionRequest& request) {
+  TenantFlow& tenant = this->tenants[request.tenant];
+  tenant.weight = std::max<uint32_t>(request.tenant_weight, 1);
+  if (tenant.waiting == 0) {
+    tenant.virtual_time = std::max(tenant.virtual_time, this->clock);
+  }
+  return tenant;
+}
+
+FairQueue::ClassFlow& FairQueue::ClassOf(TenantFlow& tenant,
+                                         const AdmissionRequest& request) {
+  ClassFlow& flow = tenant.classes[request.request_class];
+  flow.weight = std::max<uint32_t>(request.class_weight, 1);
+  if (flow.attempts.empty()) {
+    flow.virtual_time = std::max(flow.virtual_time, tenant.class_clock);
+  }
+  return flow;
+}
+
+void FairQueue::Push(AdmissionRequest request) {
+  TenantFlow& tenant = this->TenantOf(request);
+  ClassFlow& flow = this->ClassOf(tenant, request);
+  const TimePoint deadline = request.deadline;
+  flow.attempts.emplace(deadline, std::move(request));
+  ++tenant.waiting;
+  ++this->waiting;
+}
+
+std::optional<AdmissionRequest> FairQueue::Pop() {
+  if (this->waiting == 0) {
+    return std::nullopt;
+  }
+  TenantFlow& tenant =
+      FurthestBehind(this->tenants, [](const TenantFlow& flow) {
+        return flow.waiting > 0;
+      })->second;
+  ClassFlow& flow = FurthestBehind(tenant.classes, [](const ClassFlow& flow) {
+                      return !flow.attempts.empty();
+                    })->second;
+  AdmissionRequest request =
+      std::move(flow.attempts.extract(flow.attempts.begin()).mapped());
+  this->clock = tenant.virtual_time;
+  tenant.class_clock = flow.virtual_time;
+  flow.virtual_time += CostAt(flow.weight);
+  tenant.virtual_time += CostAt(tenant.weight);
+  --tenant.waiting;
+  --this->waiting;
+  this->ForgetIdle(tenant);
+  return request;
+}
+
+// Tenants and classes come and go; only those with work, or with a debt, are
+// kept.
+void FairQueue::ForgetIdle(TenantFlow& served) {
+  std::erase_if(served.classes, [&](const auto& entry) {
+    return entry.second.attempts.empty() &&
+           entry.second.virtual_time <= served.class_clock;
+  });
+  std::erase_if(this->tenants, [&](const auto& entry) {
+    return entry.second.waiting == 0 &&
+           entry.second.virtual_time <= this->clock;
+  });
+}
+
+std::optional<AdmissionRequest> FairQueue::Remove(std::string_view attempt) {
+  for (auto& [id, tenant] : this->tenants) {
+    for (auto& [name, flow] : tenant.classes) {
+      const auto found = std::find_if(
+          flow.attempts.begin(), flow.attempts.end(),
+          [&](const auto& entry) { return entry.second.attempt == attempt; });
+      if (found != flow.attempts.end()) {
+        --tenant.waiting;
+        --this->waiting;
+        return std::move(flow.attempts.extract(found).mapped());
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+bool FairQueue::Contains(std::string_view attempt) const {
+  bool found = false;
+  this->ForEach([&](const AdmissionRequest& request, uint32_t) {
+    found = found || request.attempt == attempt;
+  });
+  return found;
+}
+
+uint64_t FairQueue::WaitingWeight() const {
+  uint64_t sum = 0;
+  for (const auto& [id, tenant] : this->tenants) {
+    sum += tenant.waiting > 0 ? tenant.weight : 0;
+  }
+  return sum;
+}
+
+uint32_t FairQueue::Position(uint64_t tenant_ahead,
+                             uint32_t tenant_weight,
+                             uint64_t total_weight) const {
+  const uint64_t ahead = tenant_ahead * total_weight / tenant_weight;
+  return static_cast<uint32_t>(std::min<uint64_t>(ahead, this->waiting));
+}
+
+uint32_t FairQueue::PositionOf(const AdmissionRequest& request) const {
+  const uint32_t weight = std::max<uint32_t>(request.tenant_weight, 1);
+  uint64_t total_weight = this->WaitingWeight();
+  const auto tenant = this->tenants.find(request.tenant);
+  if (tenant == this->tenants.end() || tenant->second.waiting == 0) {
+    return this->Position(1, weight, total_weight);
+  }
+  const TenantFlow& own = tenant->second;
+  uint64_t class_weights = 0;
+  for (const auto& [name, flow] : own.classes) {
+    class_weights += flow.attempts.empty() ? 0 : flow.weight;
+  }
+  const uint32_t class_weight = std::max<uint32_t>(request.class_weight, 1);
+  const auto flow = own.classes.find(request.request_class);
+  uint64_t ahead = 1;
+  if (flow != own.classes.end() && !flow->second.attempts.empty()) {
+    const auto& attempts = flow->second.attempts;
+    ahead = static_cast<uint64_t>(std::distance(
+        attempts.begin(), attempts.upper_bound(request.deadline)));
+  }
+  ahead = std::min<uint64_t>(ahead * class_weights / class_weight, own.waiting);
+  return this->Position(ahead, weight, total_weight);
+}
+
+bool FairQueue::OverShare(const TenantId& tenant) const {
+  const auto found = this->tenants.find(tenant);
+  if (found == this->tenants.end()) {
+    return false;
+  }
+  const TenantFlow& own = found->second;
+  return uint64_t{own.waiting} * this->WaitingWeight() >
+         uint64_t{this->waiting} * own.weight;
+}
+
+void FairQueue::ForEach(const Visitor& visitor) const {
+  const uint64_t total_weight = this->WaitingWeight();
+  for (const auto& [id, tenant] : this->tenants) {
+    uint64_t class_weights = 0;
+    for (const auto& [name, flow] : tenant.classes) {
+      class_weights += flow.attempts.empty() ? 0 : flow.weight;
+    }
+    for (const auto& [name, flow] : tenant.classes) {
+      uint64_t ahead = 0;
+      for (const auto& [deadline, request] : flow.attempts) {
+        const uint64_t in_tenant = std::min<uint64_t>(
+            ahead * class_weights / flow.weight, tenant.waiting - 1);
+        visitor(request,
+                this->Position(in_tenant, tenant.weight, total_weight));
+        ++ahead;
+      }
+    }
+  }
+}
+
+std::optional<AdmissionRequest> FairQueue::EvictMostOverShare() {
+  TenantFlow* worst = nullptr;
+  for (auto& [id, tenant] : this->tenants) {
+    if (tenant.waiting == 0) {
+      continue;
+    }
+    if (worst == nullptr || uint64_t{tenant.waiting} * worst->weight >
+                                uint64_t{worst->waiting} * tenant.weight) {
+      worst = &tenant;
+    }
+  }
+  if (worst == nullptr) {
+    return std::nullopt;
+  }
+  ClassFlow* flow = nullptr;
+  for (auto& [name, candidate] : worst->classes) {
+    if (flow == nullptr || candidate.attempts.size() * flow->weight >
+                               flow->attempts.size() * candidate.weight) {
+      flow = &candidate;
+    }
+  }
+  --worst->waiting;
+  --this->waiting;
+  const auto last = std::prev(flow->attempts.end());
+  return std::move(flow->attempts.extract(last).mapped());
+}
+
+std::vector<AdmissionRequest> FairQueue::Clear() {
+  std::vector<AdmissionRequest> all;
+  for (auto& [id, tenant] : this->tenants) {
+    for (auto& [name, flow] : tenant.classes) {
+      for (auto& [deadline, request] : flow.attempts) {
+        all.push_back(std::move(request));
+      }
+      flow.attempts.clear();
+    }
+    tenant.waiting = 0;
+  }
+  this->waiting = 0;
+  return all;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/admission/latency_baseline.cc
@@ -0,0 +1,30 @@
+#include "knapweedroad/admission/latency_baseline.h"
+
+#include <algorithm>
+
+namespace knapweedroad {
+namespace {
+
+// The first steps are large, so that the estimate settles within a few dozen
+// samples of a bad first one.
+constexpr uint32_t kSmallestStepDivisor = 32;
+
+}  // namespace
+
+void LatencyBaseline::Add(Duration latency) {
+  ++this->samples;
+  if (this->samples == 1) {
+    this->estimate = latency;
+    return;
+  }
+  const uint32_t divisor = std::min(this->samples, kSmallestStepDivisor);
+  const Duration step =
+      std::max<Duration>(this->estimate / divisor, Duration(1));
+  if (latency > this->estimate) {
+    this->estimate = std::min(this->estimate + step, latency);
+  } else {
+    this->estimate = std::max(this->estimate - step, latency);
+  }
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/admission/target_admission.cc
@@ -0,0 +1,436 @@
+#include "knapweedroad/admission/target_admission.h"
+
+#include <algorithm>
+#include <chrono>
+#include <type_traits>
+#include <utility>
+
+namespace knapweedroad {
+namespace {
+
+// One answer moves the mean service time by this part of the difference...
+constexpr int kServiceTimeDivisor = 16;
+// ...and counts for at most this multiple of the mean, so that one straggler
+// doesn't make the tier refuse what would fit.
+constexpr int kServiceTimeClip = 4;
+
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
+
+ColdStartRamp::Options RampOptions(const TargetAdmission::Options& options) {
+  ColdStartRamp::Options ramp = options.ramp;
+  ramp.slots = options.slots;
+  ramp.cold_slots = options.cold_slots;
+  return ramp;
+}
+
+}  // namespace
+
+TargetAdmission::TargetAdmission(const Options& options)
+    : options(options),
+      ramp(RampOptions(options)),
+      service_time(options.initial_service_time) {}
+
+AdmissionActions TargetAdmission::Submit(AdmissionRequest request,
+                                         TimePoint now) {
+  AdmissionActions actions;
+  const bool known = this->running.contains(request.attempt) ||
+                     this->queue.Contains(request.attempt);
+  if (known) {
+    return this->Settle(now, std::move(actions));
+  }
+  request.deadline =
+      std::min(request.deadline, now + this->options.max_deadline);
+  RefusalKind kind = RefusalKind::kOverloaded;
+  if (this->Blocked(now, kind)) {
+    this->Refuse(request, kind, Duration::zero(), actions);
+    return this->Settle(now, std::move(actions));
+  }
+  if (request.deadline <= now) {
+    this->Refuse(request, RefusalKind::kDeadline, Duration::zero(), actions);
+    return this->Settle(now, std::move(actions));
+  }
+  const bool free_slot = this->queue.empty() && now >= this->paused_until &&
+                         this->in_flight() < this->limit(now);
+  if (!free_slot && request.kind == AttemptKind::kHedge) {
+    this->Refuse(request, RefusalKind::kNoFreeSlot, Duration::zero(), actions);
+    return this->Settle(now, std::move(actions));
+  }
+  if (!free_slot && !this->FitsBehindQueue(request, now)) {
+    const bool over_share = this->queue.OverShare(request.tenant);
+    kind = over_share ? RefusalKind::kOverShare : RefusalKind::kOverloaded;
+    this->Refuse(request, kind, this->RetryAfter(request, now), actions);
+    return this->Settle(now, std::move(actions));
+  }
+  this->queue.Push(std::move(request));
+  if (this->queue.size() > this->options.max_queue) {
+    const auto evicted = this->queue.EvictMostOverShare();
+    this->Refuse(*evicted, RefusalKind::kOverShare,
+                 this->RetryAfter(*evicted, now), actions);
+  }
+  return this->Settle(now, std::move(actions));
+}
+
+AdmissionActions TargetAdmission::OnFinished(std::string_view attempt,
+                                             const AttemptResult& result,
+                                             TimePoint now) {
+  AdmissionActions actions;
+  const auto found = this->running.find(attempt);
+  if (found == this->running.end()) {
+    return this->Settle(now, std::move(actions));
+  }
+  const Running ended = found->second;
+  switch (result.status) {
+    case AttemptStatus::kOk:
+      this->OnClean(ended, result.latency, now);
+      this->running.erase(found);
+      break;
+    case AttemptStatus::kShed:
+      // This host keeps to the slots, so a shed says that the target bears
+      // less than that: it is cold, or somebody else's work is on it.
+      ++this->counts.sheds;
+      this->running.erase(found);
+      this->Fall(now);
+      this->Pause(now);
+      break;
+    case AttemptStatus::kError:
+    case AttemptStatus::kCancelled:
+    case AttemptStatus::kNotSent:
+      this->running.erase(found);
+      break;
+    case AttemptStatus::kConnectFailed:
+      this->running.erase(found);
+      this->OnLostConnection(now);
+      break;
+    case AttemptStatus::kConnectionLost:
+      this->Abandon(attempt, found->second, actions);
+      this->OnLostConnection(now);
+      break;
+    case AttemptStatus::kTimeout:
+      this->Abandon(attempt, found->second, actions);
+      break;
+  }
+  // An answer of a former incarnation says nothing of this one's leaving.
+  if (result.state && (*result.state == TargetState::kCold ||
+                       ended.incarnation == this->incarnation)) {
+    this->OnState(*result.state, now);
+  }
+  return this->Settle(now, std::move(actions));
+}
+
+AdmissionActions TargetAdmission::Cancel(std::string_view attempt,
+                                         TimePoint now) {
+  AdmissionActions actions;
+  const auto found = this->running.find(attempt);
+  if (found != this->running.end()) {
+    this->Abandon(attempt, found->second, actions);
+  } else {
+    this->queue.Remove(attempt);
+  }
+  return this->Settle(now, std::move(actions));
+}
+
+AdmissionActions TargetAdmission::OnReport(const TargetReport& report,
+                                           TimePoint now) {
+  const auto order = std::pair(report.incarnation, report.sequence);
+  const bool older =
+      this->reported && order <= std::pair(this->incarnation, this->sequence);
+  if (older) {
+    return this->Settle(now, {});
+  }
+  const bool new_incarnation =
+      this->reported && report.incarnation != this->incarnation;
+  this->reported = true;
+  this->incarnation = report.incarnation;
+  this->sequence = report.sequence;
+  if (new_incarnation) {
+    this->target_leaving = false;
+    this->failures_in_row = 0;
+    this->paused_until = TimePoint{};
+    this->Fall(now);
+  }
+  this->ramp.SetReportedCold(report.state == TargetState::kCold);
+  this->OnState(report.state, now);
+  return this->Settle(now, {});
+}
+
+AdmissionActions TargetAdmission::OnAnswerState(TargetState state,
+                                                TimePoint now) {
+  this->OnState(state, now);
+  return this->Settle(now, {});
+}
+
+AdmissionActions TargetAdmission::SetShare(const TargetShare& share,
+                                           TimePoint now) {
+  this->share = share;
+  return this->Settle(now, {});
+}
+
+AdmissionActions TargetAdmission::SetAcceptingNew(bool accepting,
+                                                  TimePoint now) {
+  // A zone that comes back finds its targets unused, with empty caches.
+  if (accepting && !this->accepting) {
+    this->Fall(now);
+  }
+  this->accepting = accepting;
+  return this->Settle(now, {});
+}
+
+AdmissionActions TargetAdmission::SetOptions(const Options& options,
+                                             TimePoint now) {
+  const bool same_limits = options.slots == this->options.slots &&
+                           options.cold_slots == this->options.cold_slots;
+  this->options = options;
+  if (!same_limits) {
+    this->ramp = ColdStartRamp(RampOptions(options));
+  }
+  return this->Settle(now, {});
+}
+
+AdmissionActions TargetAdmission::Tick(TimePoint now) {
+  return this->Settle(now, {});
+}
+
+bool TargetAdmission::MaySend(std::string_view attempt, TimePoint now) const {
+  const auto found = this->running.find(attempt);
+  return found != this->running.end() && !found->second.abandoned &&
+         now < found->second.deadline &&
+         now<this->share.valid_until&& this->share.slots> 0;
+}
+
+uint32_t TargetAdmission::in_flight() const {
+  return static_cast<uint32_t>(this->running.size());
+}
+
+uint32_t TargetAdmission::limit(TimePoint now) const {
+  if (!this->accepting || this->target_leaving ||
+      now >= this->share.valid_until) {
+    return 0;
+  }
+  if (this->ramp.cold() && !this->share.cold_allowed) {
+    return 0;
+  }
+  return std::min(
+      {this->ramp.limit(), this->share.slots, this->ConnectionLimit()});
+}
+
+uint32_t TargetAdmission::ConnectionLimit() const {
+  const uint32_t slots = std::max<uint32_t>(this->options.slots, 1);
+  const uint32_t half = std::max<uint32_t>(this->options.connections / 2, 1);
+  const uint32_t part = std::min(this->share.slots, slots);
+  return part == 0 ? 0 : std::max<uint32_t>(half * part / slots, 1);
+}
+
+bool TargetAdmission::Blocked(TimePoint now, RefusalKind& kind) const {
+  if (this->target_leaving) {
+    kind = RefusalKind::kTargetLeaving;
+    return true;
+  }
+  if (!this->accepting) {
+    kind = RefusalKind::kNotAccepting;
+    return true;
+  }
+  if (this->limit(now) == 0) {
+    kind = RefusalKind::kNoLease;
+    return true;
+  }
+  return false;
+}
+
+bool TargetAdmission::FitsBehindQueue(const AdmissionRequest& request,
+                                      TimePoint now) const {
+  const uint32_t ahead = this->queue.PositionOf(request);
+  const Duration wait = this->WaitFor(ahead + 1, now);
+  return now + wait + this->ramp.baseline() <= request.deadline;
+}
+
+// The time in which so many slots come free, at the mean service time.
+Duration TargetAdmission::WaitFor(uint32_t positions, TimePoint now) const {
+  const uint32_t servers = std::max<uint32_t>(this->limit(now), 1);
+  const Duration service = this->service_time * positions / servers;
+  const Duration pause =
+      std::max<Duration>(this->paused_until - now, Duration::zero());
+  return service + pause;
+}
+
+// After this long, the same request would fit if nothing else came.
+Duration TargetAdmission::RetryAfter(const AdmissionRequest& request,
+                                     TimePoint now) const {
+  const uint32_t ahead = this->queue.PositionOf(request);
+  const TimePoint done =
+      now + this->WaitFor(ahead + 1, now) + this->ramp.baseline();
+  return std::max<Duration>(done - request.deadline, kMinRetryAfter);
+}
+
+void TargetAdmission::Refuse(const AdmissionRequest& request,
+                             RefusalKind kind,
+                             Duration retry_after,
+                             AdmissionActions& actions) {
+  ++this->counts.refused[static_cast<std::size_t>(kind)];
+  actions.emplace_back(RefuseAttempt{
+      .attempt = request.attempt, .kind = kind, .retry_after = retry_after});
+}
+
+void TargetAdmission::Abandon(std::string_view attempt,
+                              Running& running,
+                              AdmissionActions& actions) {
+  running.abandoned = true;
+  if (!running.cancel_sent) {
+    running.cancel_sent = true;
+    actions.emplace_back(CancelAttempt{.attempt = std::string(attempt)});
+  }
+}
+
+// An attempt that was given up on, or whose end was never told, holds its slot
+// until the target can't be at it any more: freeing it earlier would put one
+// request more on the target than it has slots.
+void TargetAdmission::ReleaseEnded(TimePoint now) {
+  const auto released = std::erase_if(this->running, [&](const auto& entry) {
+    return now >= entry.second.deadline + this->options.end_margin;
+  });
+  this->counts.expired_slots += released;
+}
+
+// Gives what waits its answer as soon as it is certain, instead of near its
+// deadline: all of it when no more may be sent, else what can't be done.
+void TargetAdmission::RefuseHopeless(TimePoint now, AdmissionActions& actions) {
+  RefusalKind kind = RefusalKind::kDeadline;
+  if (this->Blocked(now, kind)) {
+    for (const AdmissionRequest& request : this->queue.Clear()) {
+      this->Refuse(request, kind, Duration::zero(), actions);
+    }
+    return;
+  }
+  std::vector<std::string> hopeless;
+  this->queue.ForEach([&](const AdmissionRequest& request, uint32_t ahead) {
+    if (now >= this->HopelessAt(request, ahead, now)) {
+      hopeless.push_back(request.attempt);
+    }
+  });
+  for (const std::string& attempt : hopeless) {
+    const auto request = this->queue.Remove(attempt);
+    this->Refuse(*request, RefusalKind::kDeadline,
+                 this->RetryAfter(*request, now), actions);
+  }
+}
+
+// On an idle target the next one is tried up to its very deadline, whatever
+// was measured: estimates that nothing can correct any more, because they are
+// above every deadline, would refuse all work for ever.
+TimePoint TargetAdmission::HopelessAt(const AdmissionRequest& request,
+                                      uint32_t ahead,
+                                      TimePoint now) const {
+  if (ahead == 0 && this->running.empty()) {
+    return request.deadline;
+  }
+  // The one that runs before it may be about to end: `ahead`, not one more.
+  const Duration needed = this->WaitFor(ahead, now) + this->ramp.baseline();
+  return request.deadline - needed + Duration(1);
+}
+
+void TargetAdmission::StartWaiting(TimePoint now, AdmissionActions& actions) {
+  if (now < this->paused_until) {
+    return;
+  }
+  while (this->in_flight() < this->limit(now)) {
+    const auto request = this->queue.Pop();
+    if (!request) {
+      return;
+    }
+    this->running.emplace(request->attempt,
+                          Running{.deadline = request->deadline,
+                                  .epoch = this->ramp.epoch(),
+                                  .incarnation = this->incarnation});
+    ++this->counts.started;
+    actions.emplace_back(StartAttempt{.attempt = request->attempt,
+                                      .deadline = request->deadline});
+  }
+}
+
+void TargetAdmission::PlanWake(TimePoint now) {
+  TimePoint wake = TimePoint::max();
+  for (const auto& [attempt, running] : this->running) {
+    wake = std::min(wake, running.deadline + this->options.end_margin);
+  }
+  this->queue.ForEach([&](const AdmissionRequest& request, uint32_t ahead) {
+    wake = std::min(wake, this->HopelessAt(request, ahead, now));
+  });
+  if (!this->queue.empty() && this->paused_until > now) {
+    wake = std::min(wake, this->paused_until);
+  }
+  if (!this->queue.empty()) {
+    wake = std::min(wake, this->share.valid_until);
+  }
+  this->next_wake = wake;
+}
+
+AdmissionActions TargetAdmission::Settle(TimePoint now,
+                                         AdmissionActions actions) {
+  this->ReleaseEnded(now);
+  this->RefuseHopeless(now, actions);
+  this->StartWaiting(now, actions);
+  this->PlanWake(now);
+  return actions;
+}
+
+void TargetAdmission::Fall(TimePoint now) {
+  const uint32_t cold_limit = this->ramp.cold_limit();
+  if (!this->ramp.cold()) {
+    ++this->counts.falls_to_cold;
+    const uint32_t above =
+        this->in_flight() - std::min(this->in_flight(), cold_limit);
+    this->counts.above_cold_at_fall += above;
+  }
+  this->ramp.Fall(now);
+}
+
+void TargetAdmission::OnState(TargetState state, TimePoint now) {
+  if (state == TargetState::kLeaving) {
+    this->target_leaving = true;
+  }
+  if (state == TargetState::kCold) {
+    this->Fall(now);
+  }
+}
+
+// One broken connection is chance; several in a row, with no answer between
+// them, are the trace of a target that restarted unannounced.
+void TargetAdmission::OnLostConnection(TimePoint now) {
+  ++this->counts.lost_connections;
+  this->Pause(now);
+  if (this->failures_in_row == this->options.failures_to_fall) {
+    this->Fall(now);
+  }
+}
+
+// Guards against a loop of sends that a target which bears nothing now sheds
+// or cuts off at once: such a loop empties the queue within milliseconds.
+void TargetAdmission::Pause(TimePoint now) {
+  ++this->failures_in_row;
+  Duration pause = this->options.failure_pause;
+  for (uint32_t i = 1; i < this->failures_in_row; ++i) {
+    if (pause >= this->options.max_failure_pause) {
+      break;
+    }
+    pause *= 2;
+  }
+  pause = std::min(pause, this->options.max_failure_pause);
+  this->paused_until = now + pause;
+}
+
+void TargetAdmission::OnClean(const Running& running,
+                              Duration latency,
+                              TimePoint now) {
+  ++this->counts.finished_ok;
+  this->failures_in_row = 0;
+  const Duration counted =
+      std::min<Duration>(latency, this->service_time * kServiceTimeClip);
+  this->service_time += (counted - this->service_time) / kServiceTimeDivisor;
+  const uint64_t falls = this->ramp.epoch();
+  const bool was_above = !this->ramp.cold();
+  this->ramp.OnCleanAnswer(latency, running.epoch, now);
+  if (was_above && this->ramp.epoch() != falls) {
+    ++this->counts.falls_to_cold;
+  }
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/admission/target_admission.h
@@ -0,0 +1,186 @@
+// The queue and the slot count of one target at the host that holds its lease.
+//
+//   TargetAdmission admission({.slots = 2, .connections = 25});
+//   admission.SetShare({.slots = 2, .valid_until = expiry}, now);
+//   Run(admission.Submit(request, now));     // start, refuse or wait
+//   Run(admission.OnFinished(attempt, result, now));
+//   timer.WakeAt(admission.NextWake());      // then Run(admission.Tick(now))
+//
+// What it keeps to: the attempts that the target may still count are never more
+// than the share, nor than the target's limit (`ColdStartRamp`). Each event
+// returns what is to be done; a refused attempt has proof that it did not run.
+
+#ifndef KNAPWEEDROAD_ADMISSION_TARGET_ADMISSION_H_
+#define KNAPWEEDROAD_ADMISSION_TARGET_ADMISSION_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "knapweedroad/admission/admission_action.h"
+#include "knapweedroad/admission/admission_request.h"
+#include "knapweedroad/admission/attempt_result.h"
+#include "knapweedroad/admission/cold_start_ramp.h"
+#include "knapweedroad/admission/fair_queue.h"
+#include "knapweedroad/admission/target_share.h"
+#include "knapweedroad/target/target_report.h"
+
+namespace knapweedroad {
+
+class TargetAdmission {
+ public:
+  struct Options {
+    uint32_t slots = 1;
+    uint32_t cold_slots = 1;
+    // What the target accepts from all hosts together.
+    uint32_t connections = 2;
+    // Attempts that may wait.
+    uint32_t max_queue = 64;
+    // No attempt runs longer: a later deadline is brought forward to this. The
+    // next holder of the lease waits as long before it sends.
+    Duration max_deadline = std::chrono::seconds(10);
+    // How long after its deadline a target may still count an attempt that it
+    // was never seen to end.
+    Duration end_margin = std::chrono::milliseconds(50);
+    // The guess while no answer has been measured.
+    Duration initial_service_time = std::chrono::milliseconds(10);
+    // After failures in a row, starts wait this long, doubled with each more.
+    Duration failure_pause = std::chrono::milliseconds(20);
+    Duration max_failure_pause = std::chrono::seconds(1);
+    // Failures in a row that count as evidence of a restart.
+    uint32_t failures_to_fall = 2;
+    // `slots` and `cold_slots` in here are overwritten by the ones above.
+    ColdStartRamp::Options ramp = {};
+  };
+
+  struct Counters {
+    uint64_t started = 0;
+    uint64_t finished_ok = 0;
+    uint64_t sheds = 0;
+    uint64_t lost_connections = 0;
+    uint64_t falls_to_cold = 0;
+    // Attempts above the cold limit at the moment of a fall, summed: sent
+    // before any evidence of cold existed.
+    uint64_t above_cold_at_fall = 0;
+    // Slots given back by passed time instead of by the target's word.
+    uint64_t expired_slots = 0;
+    // By `RefusalKind`.
+    std::array<uint64_t, kRefusalKinds> refused{};
+  };
+
+  // It begins cold and with no share: nothing starts before SetShare().
+  explicit TargetAdmission(const Options& options);
+
+  // Asks for a slot. The attempt starts, waits or is refused, once; a repeated
+  // request for one that runs or waits changes nothing.
+  AdmissionActions Submit(AdmissionRequest request, TimePoint now);
+
+  // The attempt ended, or this host gave up on it. In the second case its slot
+  // stays taken, as the target still counts it, until a later OnFinished()
+  // brings the target's word or its deadline and the margin have passed.
+  AdmissionActions OnFinished(std::string_view attempt,
+                              const AttemptResult& result,
+                              TimePoint now);
+
+  // Nobody wants the attempt any more. A waiting one is forgotten without an
+  // action; a running one is cancelled at the target and keeps its slot.
+  AdmissionActions Cancel(std::string_view attempt, TimePoint now);
+
+  // A report of this target, in any order: an older one changes nothing.
+  AdmissionActions OnReport(const TargetReport& report, TimePoint now);
+
+  // The state named in an answer of the target that belongs to no attempt.
+  AdmissionActions OnAnswerState(TargetState state, TimePoint now);
+
+  // What the lease allows from now on.
+  AdmissionActions SetShare(const TargetShare& share, TimePoint now);
+
+  // False from the moment that the zone is out or this host leaves: what waits
+  // is refused, what runs ends.
+  AdmissionActions SetAcceptingNew(bool accepting, TimePoint now);
+
+  // A new configuration; the target starts cold where its slots changed.
+  AdmissionActions SetOptions(const Options& options, TimePoint now);
+
+  // To be called at NextWake(), and harmless at any other time.
+  AdmissionActions Tick(TimePoint now);
+
+  // When time alone changes something; TimePoint::max() for never.
+  TimePoint NextWake() const { return this->next_wake; }
+
+  // Whether the attempt may be written to a socket at this moment. To be asked
+  // last before the write: between StartAttempt and it, a process that was
+  // stopped may have slept through its lease. Where it says no, the attempt is
+  // reported as kNotSent.
+  bool MaySend(std::string_view attempt, TimePoint now) const;
+
+  // Attempts that the target may count now.
+  uint32_t in_flight() const;
+  uint32_t queued() const { return this->queue.size(); }
+  // How many may run at once now.
+  uint32_t limit(TimePoint now) const;
+  bool cold() const { return this->ramp.cold(); }
+  bool leaving() const { return this->target_leaving; }
+  // Connections this host may hold open to the target, idle ones included: its
+  // part of half the cap, as a former holder's may linger as many again.
+  uint32_t ConnectionLimit() const;
+  const Counters& counters() const { return this->counts; }
+
+ private:
+  struct Running {
+    TimePoint deadline{};
+    uint64_t epoch = 0;
+    uint64_t incarnation = 0;
+    // This host gave up on it; the target may not have.
+    bool abandoned = false;
+    bool cancel_sent = false;
+  };
+
+  bool Blocked(TimePoint now, RefusalKind& kind) const;
+  bool FitsBehindQueue(const AdmissionRequest& request, TimePoint now) const;
+  Duration WaitFor(uint32_t positions, TimePoint now) const;
+  Duration RetryAfter(const AdmissionRequest& request, TimePoint now) const;
+  void Refuse(const AdmissionRequest& request,
+              RefusalKind kind,
+              Duration retry_after,
+              AdmissionActions& actions);
+  void Abandon(std::string_view attempt,
+               Running& running,
+               AdmissionActions& actions);
+  void ReleaseEnded(TimePoint now);
+  void RefuseHopeless(TimePoint now, AdmissionActions& actions);
+  TimePoint HopelessAt(const AdmissionRequest& request,
+                       uint32_t ahead,
+                       TimePoint now) const;
+  void StartWaiting(TimePoint now, AdmissionActions& actions);
+  void PlanWake(TimePoint now);
+  AdmissionActions Settle(TimePoint now, AdmissionActions actions);
+  void Fall(TimePoint now);
+  void OnState(TargetState state, TimePoint now);
+  void OnLostConnection(TimePoint now);
+  void Pause(TimePoint now);
+  void OnClean(const Running& running, Duration latency, TimePoint now);
+
+  Options options;
+  ColdStartRamp ramp;
+  FairQueue queue;
+  std::map<std::string, Running, std::less<>> running;
+  TargetShare share;
+  bool accepting = true;
+  bool target_leaving = false;
+  bool reported = false;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  Duration service_time;
+  uint32_t failures_in_row = 0;
+  TimePoint paused_until = TimePoint{};
+  TimePoint next_wake = TimePoint::max();
+  Counters counts;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_ADMISSION_TARGET_ADMISSION_H_
--- /dev/null
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -0,0 +1,340 @@
+#include "knapweedroad/admission/target_admission.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+constexpr AttemptResult kFine{.status = AttemptStatus::kOk,
+                              .latency = milliseconds(20)};
+
+AdmissionRequest Request(std::string attempt,
+                         TimePoint deadline,
+                         AttemptKind kind = AttemptKind::kFirstTry) {
+  return {.attempt = std::move(attempt),
+          .tenant = TenantId("t"),
+          .request_class = "normal",
+          .deadline = deadline,
+          .kind = kind};
+}
+
+uint32_t Starts(const AdmissionActions& actions) {
+  return static_cast<uint32_t>(
+      std::count_if(actions.begin(), actions.end(), [](const auto& action) {
+        return std::holds_alternative<StartAttempt>(action);
+      }));
+}
+
+const RefuseAttempt* Refusal(const AdmissionActions& actions) {
+  for (const AdmissionAction& action : actions) {
+    if (const auto* refusal = std::get_if<RefuseAttempt>(&action)) {
+      return refusal;
+    }
+  }
+  return nullptr;
+}
+
+// A target of two slots, warmed by answers, under a lease of both.
+TargetAdmission WarmTarget(TimePoint& now) {
+  TargetAdmission admission({.slots = 2, .cold_slots = 1, .connections = 25});
+  admission.SetShare({.slots = 2}, now);
+  while (admission.limit(now) < 2) {
+    now += milliseconds(40);
+    admission.Submit(Request("warm-up", now + seconds(1)), now);
+    admission.OnFinished("warm-up", kFine, now);
+  }
+  return admission;
+}
+
+Test(TargetAdmission, NothingStartsWithoutAShare) {
+  TargetAdmission admission({.slots = 2});
+  const auto actions =
+      admission.Submit(Request("a", kStart + seconds(1)), kStart);
+  cr_assert_eq(Starts(actions), 0u);
+  cr_assert(Refusal(actions)->kind == RefusalKind::kNoLease);
+}
+
+Test(TargetAdmission, ANewTargetGetsNoMoreThanItsColdLimit) {
+  TargetAdmission admission({.slots = 2, .cold_slots = 1});
+  admission.SetShare({.slots = 2}, kStart);
+  const TimePoint deadline = kStart + seconds(1);
+  cr_assert_eq(Starts(admission.Submit(Request("a", deadline), kStart)), 1u);
+  cr_assert_eq(Starts(admission.Submit(Request("b", deadline), kStart)), 0u);
+  cr_assert_eq(admission.in_flight(), 1u);
+}
+
+Test(TargetAdmission, AReadyReportRaisesNothing) {
+  TargetAdmission admission({.slots = 2, .cold_slots = 1});
+  admission.SetShare({.slots = 2}, kStart);
+  TargetReport report{.incarnation = 1, .state = TargetState::kReady};
+  for (uint64_t i = 0; i < 20; ++i) {
+    report.sequence = i;
+    admission.OnReport(report, kStart + seconds(i));
+  }
+  cr_assert_eq(admission.limit(kStart), 1u);
+}
+
+Test(TargetAdmission, AShedTakesTheTargetBackToItsColdLimit) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.Submit(Request("a", now + seconds(1)), now);
+  admission.OnFinished("a", {.status = AttemptStatus::kShed}, now);
+  cr_assert_eq(admission.limit(now), 1u);
+}
+
+Test(TargetAdmission, AnAnswerThatSaysColdIsBelievedAtOnce) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.Submit(Request("a", now + seconds(1)), now);
+  AttemptResult result = kFine;
+  result.state = TargetState::kCold;
+  admission.OnFinished("a", result, now);
+  cr_assert_eq(admission.limit(now), 1u);
+}
+
+Test(TargetAdmission, ANewIncarnationIsCold) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  TargetReport report{.incarnation = 4, .state = TargetState::kReady};
+  admission.OnReport(report, now);
+  cr_assert_eq(admission.limit(now), 2u);
+  report.incarnation = 5;
+  admission.OnReport(report, now);
+  cr_assert_eq(admission.limit(now), 1u);
+}
+
+Test(TargetAdmission, ConnectionsLostInARowAreARestart) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  for (const char* attempt : {"a", "b"}) {
+    admission.Submit(Request(attempt, now + seconds(1)), now);
+    admission.OnFinished(attempt, {.status = AttemptStatus::kConnectFailed},
+                         now);
+    now += milliseconds(100);
+  }
+  cr_assert_eq(admission.limit(now), 1u);
+}
+
+// A caller leaves, or a hedge wins, and the slot is given to the next one. The
+// target hasn't read the cancellation yet: it counts three on its two slots
+// and sheds, or stalls all of them.
+Test(TargetAdmission, ACancelledAttemptKeepsItsSlotUntilTheTargetEndedIt) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint deadline = now + seconds(1);
+  admission.Submit(Request("a", deadline), now);
+  admission.Submit(Request("b", deadline), now);
+  admission.Submit(Request("c", deadline), now);
+  const AdmissionActions cancel = admission.Cancel("a", now);
+  cr_assert_eq(Starts(cancel), 0u);
+  cr_assert(std::holds_alternative<CancelAttempt>(cancel.at(0)));
+  const auto confirmed =
+      admission.OnFinished("a", {.status = AttemptStatus::kCancelled}, now);
+  cr_assert_eq(Starts(confirmed), 1u);
+}
+
+Test(TargetAdmission, ASlotOfUnknownFateComesBackAfterDeadlineAndMargin) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint deadline = now + milliseconds(200);
+  admission.Submit(Request("a", deadline), now);
+  admission.OnFinished("a", {.status = AttemptStatus::kTimeout}, now);
+  admission.Tick(deadline);
+  cr_assert_eq(admission.in_flight(), 1u);
+  cr_assert(admission.NextWake() == deadline + milliseconds(50));
+  admission.Tick(admission.NextWake());
+  cr_assert_eq(admission.in_flight(), 0u);
+}
+
+Test(TargetAdmission, RefusesAtOnceWhatCannotBeDoneByItsDeadline) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint deadline = now + milliseconds(100);
+  const RefuseAttempt* refusal = nullptr;
+  AdmissionActions actions;
+  uint32_t accepted = 0;
+  for (int i = 0; i < 50 && refusal == nullptr; ++i) {
+    actions = admission.Submit(Request(std::to_string(i), deadline), now);
+    refusal = Refusal(actions);
+    accepted += refusal == nullptr ? 1 : 0;
+  }
+  // Two run; in 100 ms two slots end about ten more of 20 ms.
+  cr_assert(refusal != nullptr);
+  cr_assert_geq(accepted, 6u);
+  cr_assert_leq(accepted, 14u);
+  cr_assert(refusal->retry_after > Duration::zero());
+}
+
+Test(TargetAdmission, DropsWhatPassedItsDeadlineBeforeItIsSent) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint far = now + seconds(5);
+  admission.Submit(Request("a", far), now);
+  admission.Submit(Request("b", far), now);
+  admission.Submit(Request("c", now + milliseconds(300)), now);
+  cr_assert_eq(admission.queued(), 1u);
+  now += milliseconds(301);
+  const auto actions = admission.OnFinished("a", kFine, now);
+  cr_assert_eq(Starts(actions), 0u);
+  cr_assert(Refusal(actions)->kind == RefusalKind::kDeadline);
+}
+
+Test(TargetAdmission, AWaitingAttemptIsRefusedByTimeAlone) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.Submit(Request("a", now + seconds(5)), now);
+  admission.Submit(Request("b", now + seconds(5)), now);
+  const TimePoint deadline = now + milliseconds(300);
+  admission.Submit(Request("c", deadline), now);
+  cr_assert(admission.NextWake() < deadline);
+  const auto actions = admission.Tick(admission.NextWake());
+  cr_assert_eq(Refusal(actions)->attempt, "c");
+}
+
+// A target was so slow for a while that the measured latency is above every
+// deadline. If the estimate kept all work away, nothing would ever correct it,
+// and the target would stay unused for good after the trouble has ended.
+Test(TargetAdmission, AnIdleTargetIsTriedWhateverWasMeasured) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  for (int i = 0; i < 500; ++i) {
+    admission.Submit(Request("slow", now + seconds(5)), now);
+    now += seconds(2);
+    admission.OnFinished(
+        "slow", {.status = AttemptStatus::kOk, .latency = seconds(2)}, now);
+  }
+  const TimePoint deadline = now + milliseconds(100);
+  cr_assert_eq(Starts(admission.Submit(Request("a", deadline), now)), 1u);
+}
+
+Test(TargetAdmission, AHedgeNeverWaits) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint far = now + seconds(5);
+  admission.Submit(Request("a", far), now);
+  const auto free =
+      admission.Submit(Request("h1", far, AttemptKind::kHedge), now);
+  cr_assert_eq(Starts(free), 1u);
+  const auto busy =
+      admission.Submit(Request("h2", far, AttemptKind::kHedge), now);
+  cr_assert(Refusal(busy)->kind == RefusalKind::kNoFreeSlot);
+}
+
+Test(TargetAdmission, ALeavingTargetGetsNothingMoreUntilItStartsAgain) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.Submit(Request("a", now + seconds(5)), now);
+  admission.Submit(Request("b", now + seconds(5)), now);
+  admission.Submit(Request("c", now + seconds(5)), now);
+  TargetReport report{.incarnation = 1, .sequence = 9};
+  report.state = TargetState::kLeaving;
+  const auto actions = admission.OnReport(report, now);
+  cr_assert_eq(Refusal(actions)->attempt, "c");
+  cr_assert_eq(admission.in_flight(), 2u);
+  // An older report that comes late takes nothing back.
+  report.sequence = 8;
+  report.state = TargetState::kReady;
+  admission.OnReport(report, now);
+  cr_assert(admission.leaving());
+  report.incarnation = 2;
+  admission.OnReport(report, now);
+  cr_assert(!admission.leaving());
+}
+
+// A holder is stopped (SIGSTOP) and wakes after its lease ran out, with a
+// start already decided. Another host has the target by now; if the write went
+// out, both would use the same slot.
+Test(TargetAdmission, NothingIsSentAfterTheLeaseRanOut) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint expiry = now + milliseconds(500);
+  admission.SetShare({.slots = 2, .valid_until = expiry}, now);
+  admission.Submit(Request("a", now + seconds(5)), now);
+  cr_assert(admission.MaySend("a", now));
+  cr_assert(!admission.MaySend("a", expiry));
+  const auto late = admission.Submit(Request("b", now + seconds(5)), expiry);
+  cr_assert_eq(Starts(late), 0u);
+}
+
+Test(TargetAdmission, AColdTargetGetsNothingFromAHostThatMayNotWarmIt) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.SetShare({.slots = 1, .cold_allowed = false}, now);
+  cr_assert_eq(admission.limit(now), 1u);
+  admission.OnAnswerState(TargetState::kCold, now);
+  cr_assert_eq(admission.limit(now), 0u);
+}
+
+Test(TargetAdmission, ARepeatedRequestIsNotRunTwice) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  cr_assert_eq(Starts(admission.Submit(Request("a", now + seconds(1)), now)),
+               1u);
+  cr_assert(admission.Submit(Request("a", now + seconds(1)), now).empty());
+}
+
+// Random events at every step; the target's own count (attempts begun and not
+// yet ended by it) is kept beside.
+Test(TargetAdmission, NeverMoreOnTheTargetThanItsLimit) {
+  for (uint32_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    TimePoint now = kStart;
+    TargetAdmission admission = WarmTarget(now);
+    std::vector<std::string> on_target;
+    uint32_t allowed = 2;
+    for (int step = 0; step < 400; ++step) {
+      now += milliseconds(random() % 30);
+      AdmissionActions actions;
+      const std::string name = std::to_string(step);
+      switch (random() % 8) {
+        case 0:
+          actions = admission.SetShare(
+              {.slots = static_cast<uint32_t>(random() % 3)}, now);
+          break;
+        case 1:
+          if (!on_target.empty()) {
+            actions = admission.Cancel(on_target.front(), now);
+          }
+          break;
+        case 2:
+          if (!on_target.empty()) {
+            const AttemptResult lost{.status = AttemptStatus::kTimeout};
+            actions = admission.OnFinished(on_target.back(), lost, now);
+          }
+          break;
+        case 3:
+        case 4:
+          if (!on_target.empty()) {
+            const std::string ended = on_target.front();
+            on_target.erase(on_target.begin());
+            AttemptResult result = kFine;
+            result.status =
+                random() % 10 == 0 ? AttemptStatus::kShed : AttemptStatus::kOk;
+            actions = admission.OnFinished(ended, result, now);
+          }
+          break;
+        default:
+          actions = admission.Submit(Request(name, now + seconds(60)), now);
+      }
+      allowed = admission.limit(now);
+      for (const AdmissionAction& action : actions) {
+        if (const auto* start = std::get_if<StartAttempt>(&action)) {
+          on_target.push_back(start->attempt);
+          cr_assert_leq(on_target.size(), allowed, "seed %u", seed);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace knapweedroad
