--- a/knapweedroad/admission/target_admission.cc
+++ b/knapweedroad/admission/target_admission.cc
@@ -191,10 +191,12 @@
 }
 
 bool TargetAdmission::MaySend(std::string_view attempt, TimePoint now) const {
+  const bool leased = this->share.valid_until > now && this->share.slots > 0;
   const auto found = this->running.find(attempt);
-  return found != this->running.end() && !found->second.abandoned &&
-         now < found->second.deadline &&
-         now<this->share.valid_until&& this->share.slots> 0;
+  if (!leased || found == this->running.end()) {
+    return false;
+  }
+  return !found->second.abandoned && now < found->second.deadline;
 }
 
 uint32_t TargetAdmission::in_flight() const {
--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -250,6 +250,22 @@
   cr_assert(!admission.leaving());
 }
 
+// A target leaves, restarts and reports for duty. The leaving report of its
+// former life was relayed by a slow peer and comes in now: were it believed,
+// the target would stay unused.
+Test(TargetAdmission, ALateReportOfAFormerIncarnationChangesNothing) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  TargetReport report{.incarnation = 2, .state = TargetState::kReady};
+  admission.OnReport(report, now);
+  report.incarnation = 1;
+  report.sequence = 50;
+  report.state = TargetState::kLeaving;
+  admission.OnReport(report, now);
+  cr_assert(!admission.leaving());
+  cr_assert_eq(admission.limit(now), 2u);
+}
+
 // A holder is stopped (SIGSTOP) and wakes after its lease ran out, with a
 // start already decided. Another host has the target by now; if the write went
 // out, both would use the same slot.
