--- /dev/null
+++ b/knapweedroad/query/hit_merge.h
@@ -0,0 +1,21 @@
+// Joins the hits of several services.
+//
+//   std::vector<Hit> best = MergeHits(std::move(all), 10);
+
+#ifndef KNAPWEEDROAD_QUERY_HIT_MERGE_H_
+#define KNAPWEEDROAD_QUERY_HIT_MERGE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "knapweedroad/query/sub_reply.h"
+
+namespace knapweedroad {
+
+// The `limit` best by score, equal scores by id. An id that two services
+// brought stands once, with its best score.
+std::vector<Hit> MergeHits(std::vector<Hit> hits, uint32_t limit);
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_QUERY_HIT_MERGE_H_
--- /dev/null
+++ b/knapweedroad/query/token_budget.cc
@@ -0,0 +1,34 @@
+#include "knapweedroad/query/token_budget.h"
+
+#include <algorithm>
+
+namespace knapweedroad {
+
+TokenBudget::TokenBudget(TokenBudgetOptions options)
+    : options(options), tokens(options.burst) {}
+
+void TokenBudget::OnFirstTry() {
+  if (this->is_suspended) {
+    return;
+  }
+  this->tokens =
+      std::min(this->options.burst, this->tokens + this->options.share);
+}
+
+bool TokenBudget::CanTake() const {
+  return !this->is_suspended && this->tokens >= 1.0;
+}
+
+bool TokenBudget::Take() {
+  if (!this->CanTake()) {
+    return false;
+  }
+  this->tokens -= 1.0;
+  return true;
+}
+
+void TokenBudget::SetSuspended(bool suspended) {
+  this->is_suspended = suspended;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/query/token_budget.h
@@ -0,0 +1,46 @@
+// Extra attempts as a share of first tries.
+//
+//   TokenBudget hedges({.share = 0.05});
+//   hedges.OnFirstTry();
+//   if (hedges.Take()) SendHedge();
+
+#ifndef KNAPWEEDROAD_QUERY_TOKEN_BUDGET_H_
+#define KNAPWEEDROAD_QUERY_TOKEN_BUDGET_H_
+
+namespace knapweedroad {
+
+struct TokenBudgetOptions {
+  // Extra attempts for each first try, in the long run.
+  double share = 0.05;
+  // Extra attempts that may be saved up; also what it starts with.
+  double burst = 10.0;
+};
+
+// Guards against the load that extra attempts bring when targets are slow:
+// each slow answer would cause more attempts, which make answers slower, and
+// the front would stay overloaded after the cause has gone.
+class TokenBudget {
+ public:
+  explicit TokenBudget(TokenBudgetOptions options);
+
+  void OnFirstTry();
+
+  // Whether one extra attempt may be sent now.
+  bool CanTake() const;
+
+  // CanTake(); if so it is counted.
+  bool Take();
+
+  // While suspended nothing can be taken and nothing is saved up.
+  void SetSuspended(bool suspended);
+  bool suspended() const { return this->is_suspended; }
+
+ private:
+  TokenBudgetOptions options;
+  double tokens;
+  bool is_suspended = false;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_QUERY_TOKEN_BUDGET_H_
