Story tests of a query's traps; a silent connection costs one try, not three

A target whose connection kept failing was asked three times in a row where it was the only one: now once more, as promised. A refusal named a default Retry-After for services that had merely been cut short: now only those that can't answer count.

--- /dev/null
+++ b/knapweedroad/query/query_hedge_test.cc
@@ -0,0 +1,92 @@
+#include <criterion/criterion.h>
+
+#include "knapweedroad/query/query_run.h"
+#include "knapweedroad/query/query_test_world.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+Test(QueryHedge, ASlowAttemptIsSentToAnotherReplicaAndTheFirstAnswerWins) {
+  // One straggling searcher of a shard sets the latency of every query.
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  auto run = world.MakeRun();
+  const auto sends = Sends(run.Start(world.At(0)));
+  run.OnReply(sends[1].attempt, world.Reply("b"), world.At(9));
+  cr_assert(run.OnTimer(world.At(9)).empty());
+  const auto hedge = Sends(run.OnTimer(*run.NextWake()));
+  cr_assert_eq(hedge.size(), 1);
+  cr_assert(hedge[0].purpose == AttemptPurpose::kHedge);
+  cr_assert_neq(hedge[0].target, sends[0].target);
+  const auto last =
+      run.OnReply(hedge[0].attempt, world.Reply("a"), world.At(20));
+  cr_assert_eq(Cancels(last).size(), 1);
+  cr_assert_eq(Cancels(last)[0].attempt, sends[0].attempt);
+  cr_assert(Answer(last)->coverage.IsWhole());
+}
+
+Test(QueryHedge, AFailedFirstTryLeavesTheHedgeRunning) {
+  // A third request for a part that another target is answering already.
+  QueryTestWorld world;
+  world.AddTarget("s1", "s1-c", "there");
+  world.LearnLatency(milliseconds(10));
+  auto run = world.MakeRun();
+  const auto sends = Sends(run.Start(world.At(0)));
+  run.OnReply(sends[1].attempt, world.Reply("b"), world.At(9));
+  const auto hedge = Sends(run.OnTimer(world.At(12)));
+  const SubFailure lost{.outcome = RunOutcome::kUnknown,
+                        .kind = FailureKind::kConnection};
+  cr_assert(run.OnFailure(sends[0].attempt, lost, world.At(13)).empty());
+  cr_assert(
+      Answer(run.OnReply(hedge[0].attempt, world.Reply("a"), world.At(14)))
+          .has_value());
+}
+
+Test(QueryHedge, ABusyOrColdReplicaGetsNoHedge) {
+  // A hedge pushes a cold searcher over, or queues before first tries.
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  auto run = world.MakeRun();
+  run.Start(world.At(0));
+  world.Target("s1", 1).in_flight = 2;
+  world.Target("s2", 1).state = TargetState::kCold;
+  cr_assert(run.OnTimer(world.At(12)).empty());
+  world.Target("s1", 1).in_flight = 1;
+  cr_assert_eq(Sends(run.OnTimer(world.At(20))).size(), 1, "looked for again");
+}
+
+Test(QueryHedge, WithoutBudgetNothingIsHedged) {
+  // All searchers slow down together and each request is sent twice.
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  world.state.hedges.SetSuspended(true);
+  auto run = world.MakeRun();
+  run.Start(world.At(0));
+  cr_assert(run.OnTimer(world.At(12)).empty());
+}
+
+Test(QueryHedge, AStragglerThatLostStaysInTheQuantile) {
+  // Hedging that feeds itself: cancelled stragglers are left out of the
+  // latencies, the quantile sinks, and ever more is hedged.
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  for (int query = 0; query < 50; ++query) {
+    world.state.hedges = TokenBudget({.share = 1.0});
+    auto run = world.MakeRun();
+    const auto sends = Sends(run.Start(world.At(0)));
+    run.OnReply(sends[1].attempt, world.Reply("b"), world.At(9));
+    const auto hedge = Sends(run.OnTimer(world.At(40)));
+    if (hedge.empty()) {
+      break;
+    }
+    run.OnReply(hedge[0].attempt, world.Reply("a"), world.At(45));
+  }
+  const auto slow =
+      world.state.latencies.Quantile(ServiceId("s1"), ZoneId("here"), 0.9);
+  cr_assert_geq(*slow, milliseconds(40));
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- a/knapweedroad/query/query_part.h
+++ b/knapweedroad/query/query_part.h
@@ -41,6 +41,8 @@
   std::optional<Duration> retry_after;
   // A target said that it doesn't hold the pinned snapshot, or none does.
   bool snapshot_lost = false;
+  // A target was asked again because its connection had failed.
+  bool asked_again = false;
   // Times that all targets have been asked in vain.
   uint32_t rounds = 0;
   // Of the answer; at most `units`.
--- a/knapweedroad/query/query_run.cc
+++ b/knapweedroad/query/query_run.cc
@@ -75,7 +75,7 @@
     part.snapshot_lost = true;
     const SubFailure failure{.outcome = RunOutcome::kRun,
                              .kind = FailureKind::kBroken};
-    this->OnPartFailed(part, failure, found.attempt, now, actions);
+    this->OnPartFailed(part, failure, now, actions);
     this->Settle(now, actions);
     return actions;
   }
@@ -98,7 +98,7 @@
     return actions;
   }
   this->NoteOutcome(failure.outcome);
-  this->OnPartFailed(*found.part, failure, found.attempt, now, actions);
+  this->OnPartFailed(*found.part, failure, now, actions);
   this->Settle(now, actions);
   return actions;
 }
@@ -267,7 +267,6 @@
 
 void QueryRun::OnPartFailed(QueryPart& part,
                             const SubFailure& failure,
-                            const QueryAttempt& attempt,
                             TimePoint now,
                             QueryActions& actions) {
   if (failure.kind == FailureKind::kNoSnapshot) {
@@ -301,9 +300,10 @@
   }
   // An open connection may have gone silent while its target is well: where
   // there is no other, the same target is asked once more.
-  if (failure.kind == FailureKind::kConnection && part.rounds == 0) {
-    std::erase(part.tried, attempt.target);
-    part.retry_after = kShortestRetryWait;
+  if (failure.kind == FailureKind::kConnection && !part.asked_again) {
+    part.asked_again = true;
+    part.retry_at = now + kShortestRetryWait;
+    return;
   }
   this->WaitOrGiveUp(part, now);
 }
--- a/knapweedroad/query/query_run.h
+++ b/knapweedroad/query/query_run.h
@@ -122,7 +122,6 @@
   void TryHedge(QueryPart& part, TimePoint now, QueryActions& actions);
   void OnPartFailed(QueryPart& part,
                     const SubFailure& failure,
-                    const QueryAttempt& attempt,
                     TimePoint now,
                     QueryActions& actions);
   void TryRetry(QueryPart& part, TimePoint now, QueryActions& actions);
--- a/knapweedroad/query/query_run_finish.cc
+++ b/knapweedroad/query/query_run_finish.cc
@@ -111,12 +111,17 @@
     refusal.outcome = RunOutcome::kUnknown;
   }
   // Worth asking again once the last of the missing services may answer.
+  bool any_given_up = false;
   for (const QueryPart& part : this->parts) {
-    if (part.state != PartState::kAnswered) {
+    if (part.state == PartState::kGivenUp) {
+      any_given_up = true;
       refusal.retry_after = std::max(
           refusal.retry_after, part.retry_after.value_or(kDefaultRetryAfter));
     }
   }
+  if (!any_given_up) {
+    refusal.retry_after = kDefaultRetryAfter;
+  }
   return refusal;
 }
 
