Record reads and lookups; one class asks one service for both

RecordRun reads a record with retry and hedge; LookupRun, the non-idempotent form, keeps one attempt in flight and sends the next only after proof that the last did not run, else it says unknown. What a query does for one service (first try, hedge, retries, cancels) moved to ServiceCall, so that the record read uses it as it stands.

--- /dev/null
+++ b/knapweedroad/query/lookup_run.cc
@@ -0,0 +1,136 @@
+#include "knapweedroad/query/lookup_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "knapweedroad/query/replica_choice.h"
+
+namespace knapweedroad {
+namespace {
+
+QueryRefusal DeadlinePassed(RunOutcome outcome) {
+  return {.status = 504,
+          .title = "Deadline passed",
+          .detail = "no answer before the deadline",
+          .outcome = outcome};
+}
+
+}  // namespace
+
+LookupRun::LookupRun(LookupRunOptions options)
+    : options(std::move(options)),
+      answer_by(AnswerBy(this->options.start,
+                         this->options.deadline,
+                         this->options.return_margin)) {}
+
+RecordStep LookupRun::Start(TimePoint now) {
+  RecordStep step;
+  this->SendOrRefuse(now, step);
+  return step;
+}
+
+RecordStep LookupRun::OnReply(const AttemptId& attempt,
+                              RecordReply reply,
+                              TimePoint /*now*/) {
+  RecordStep step;
+  if (this->live && this->live->id == attempt) {
+    this->live.reset();
+    this->is_finished = true;
+    step.result = std::move(reply);
+  }
+  return step;
+}
+
+RecordStep LookupRun::OnFailure(const AttemptId& attempt,
+                                const SubFailure& failure,
+                                TimePoint now) {
+  RecordStep step;
+  if (!this->live || this->live->id != attempt) {
+    return step;
+  }
+  this->live.reset();
+  if (failure.outcome != RunOutcome::kNotRun) {
+    const bool timeout = failure.kind == FailureKind::kTimeout;
+    this->Refuse({.status = timeout ? 504 : 502,
+                  .title = timeout ? "Deadline passed" : "No usable answer",
+                  .detail = "it was sent, and no usable answer came back",
+                  .outcome = failure.outcome},
+                 step);
+    return step;
+  }
+  if (failure.retry_after) {
+    this->shortest_wait = std::min(
+        *failure.retry_after, this->shortest_wait.value_or(Duration::max()));
+  }
+  this->SendOrRefuse(now, step);
+  return step;
+}
+
+RecordStep LookupRun::OnTimer(TimePoint now) {
+  RecordStep step;
+  if (this->is_finished || now < this->answer_by) {
+    return step;
+  }
+  if (!this->live) {
+    this->Refuse(DeadlinePassed(RunOutcome::kNotRun), step);
+    return step;
+  }
+  step.actions.emplace_back(CancelAttempt{this->live->id, this->live->target});
+  this->live.reset();
+  this->Refuse(DeadlinePassed(RunOutcome::kUnknown), step);
+  return step;
+}
+
+std::optional<TimePoint> LookupRun::NextWake() const {
+  if (this->is_finished) {
+    return std::nullopt;
+  }
+  return this->answer_by;
+}
+
+void LookupRun::SendOrRefuse(TimePoint now, RecordStep& step) {
+  if (now >= this->answer_by) {
+    this->Refuse(DeadlinePassed(RunOutcome::kNotRun), step);
+    return;
+  }
+  const auto candidates = this->options.hooks.candidates(this->options.service);
+  const ServiceConfig& config =
+      FindService(this->options.front, this->options.service);
+  const auto choice =
+      ChooseReplica(candidates, {.own_zone = this->options.own_zone,
+                                 .snapshot = std::nullopt,
+                                 .excluded = this->tried,
+                                 .slots = config.slots,
+                                 .cold_slots = config.cold_slots,
+                                 .random = this->options.hooks.random});
+  if (!choice) {
+    this->Refuse(
+        {.status = 503,
+         .title = "No target",
+         .detail = "no target has room for it",
+         .outcome = RunOutcome::kNotRun,
+         .retry_after = this->shortest_wait.value_or(kDefaultRetryAfter)},
+        step);
+    return;
+  }
+  this->live = LiveAttempt{.id = this->options.hooks.next_attempt_id(),
+                           .target = choice->target,
+                           .zone = choice->zone,
+                           .sent = now};
+  const AttemptPurpose purpose =
+      this->tried.empty() ? AttemptPurpose::kFirst : AttemptPurpose::kRetry;
+  this->tried.push_back(choice->target);
+  step.actions.emplace_back(SendAttempt{.attempt = this->live->id,
+                                        .service = this->options.service,
+                                        .target = choice->target,
+                                        .snapshot = {},
+                                        .deadline = this->answer_by,
+                                        .purpose = purpose});
+}
+
+void LookupRun::Refuse(QueryRefusal refusal, RecordStep& step) {
+  this->is_finished = true;
+  step.result = std::move(refusal);
+}
+
+}  // namespace knapweedroad
--- a/knapweedroad/query/query_run.cc
+++ b/knapweedroad/query/query_run.cc
@@ -4,29 +4,25 @@
 #include <iterator>
 #include <utility>
 
-#include "knapweedroad/query/front_state.h"
+#include "knapweedroad/query/hit_merge.h"
 #include "knapweedroad/query/replica_choice.h"
 
 namespace knapweedroad {
 namespace {
 
-using std::chrono::milliseconds;
-
-constexpr uint32_t kMaxRounds = 3;
-// For refusals whose cause names no time: about what a target needs to
-// announce itself again.
-constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
-// Between two tries to get a hedge that had no budget or no free slot.
-constexpr Duration kShortestHedgeWait = milliseconds(1);
-constexpr Duration kShortestRetryWait = milliseconds(1);
+constexpr uint32_t kMaxRestarts = 2;
 
 }  // namespace
 
-QueryRun::QueryRun(QueryRunOptions options) : options(std::move(options)) {}
+QueryRun::QueryRun(QueryRunOptions options)
+    : options(std::move(options)),
+      answer_by(AnswerBy(this->options.start,
+                         this->options.deadline,
+                         this->options.return_margin)) {}
 
 QueryActions QueryRun::Start(TimePoint now) {
   QueryActions actions;
-  if (now >= this->AnswerBy()) {
+  if (now >= this->answer_by) {
     this->Refuse({.status = 504,
                   .title = "Deadline passed",
                   .detail = "the deadline passed before the query began",
@@ -64,28 +60,26 @@
   // Failure: an answer that comes late or under a crossed id is counted for a
   // query or a snapshot that it isn't of. Only ids that are awaited right now
   // are looked up, and a restart forgets those of before.
-  const Found found = this->TakeAttempt(attempt);
-  if (found.part == nullptr) {
-    return actions;
-  }
-  this->any_run = true;
-  QueryPart& part = *found.part;
-  if (reply.snapshot != this->pinned) {
-    this->run_stats.wrong_snapshots += 1;
-    part.snapshot_lost = true;
-    const SubFailure failure{.outcome = RunOutcome::kRun,
-                             .kind = FailureKind::kBroken};
-    this->OnPartFailed(part, failure, now, actions);
+  for (Part& part : this->parts) {
+    const auto taken = part.call.Take(attempt);
+    if (!taken) {
+      continue;
+    }
+    this->any_run = true;
+    if (reply.snapshot == this->pinned) {
+      part.units_answered = std::min(reply.units, part.units);
+      part.hits = std::move(reply.hits);
+      part.call.OnAnswered(this->Context(), *taken, now, actions);
+    } else {
+      this->run_stats.wrong_snapshots += 1;
+      part.snapshot_lost = true;
+      const SubFailure failure{.outcome = RunOutcome::kRun,
+                               .kind = FailureKind::kBroken};
+      part.call.OnFailed(this->Context(), failure, now, actions);
+    }
     this->Settle(now, actions);
-    return actions;
+    break;
   }
-  this->options.state.latencies.Record(part.service, found.attempt.zone,
-                                       now - found.attempt.sent);
-  part.state = PartState::kAnswered;
-  part.units_answered = std::min(reply.units, part.units);
-  part.hits = std::move(reply.hits);
-  this->CancelLive(part, now, actions);
-  this->Settle(now, actions);
   return actions;
 }
 
@@ -93,13 +87,17 @@
                                  const SubFailure& failure,
                                  TimePoint now) {
   QueryActions actions;
-  const Found found = this->TakeAttempt(attempt);
-  if (found.part == nullptr) {
-    return actions;
+  for (Part& part : this->parts) {
+    if (!part.call.Take(attempt)) {
+      continue;
+    }
+    this->NoteOutcome(failure.outcome);
+    part.snapshot_lost =
+        part.snapshot_lost || failure.kind == FailureKind::kNoSnapshot;
+    part.call.OnFailed(this->Context(), failure, now, actions);
+    this->Settle(now, actions);
+    break;
   }
-  this->NoteOutcome(failure.outcome);
-  this->OnPartFailed(*found.part, failure, now, actions);
-  this->Settle(now, actions);
   return actions;
 }
 
@@ -109,13 +107,8 @@
   if (this->is_finished) {
     return actions;
   }
-  for (QueryPart& part : this->parts) {
-    if (part.hedge_at && now >= *part.hedge_at) {
-      this->TryHedge(part, now, actions);
-    }
-    if (part.retry_at && now >= *part.retry_at) {
-      this->TryRetry(part, now, actions);
-    }
+  for (Part& part : this->parts) {
+    part.call.OnTimer(this->Context(), now, actions);
   }
   this->Settle(now, actions);
   return actions;
@@ -123,13 +116,10 @@
 
 QueryActions QueryRun::Abandon(TimePoint now) {
   QueryActions actions;
-  if (this->is_finished) {
-    return actions;
-  }
-  for (QueryPart& part : this->parts) {
-    this->CancelLive(part, now, actions);
+  if (!this->is_finished) {
+    this->CancelAll(now, actions);
+    this->is_finished = true;
   }
-  this->is_finished = true;
   return actions;
 }
 
@@ -137,19 +127,27 @@
   if (this->is_finished) {
     return std::nullopt;
   }
-  TimePoint wake = this->AnswerBy();
+  TimePoint wake = this->answer_by;
   const FrontConfig& front = this->options.front;
   if (front.policy == AnswerPolicy::kTail &&
       this->Answered().Reaches(front.minimum_coverage)) {
     wake = std::min(wake, this->options.start + front.tail_target);
   }
-  for (const QueryPart& part : this->parts) {
-    wake = std::min(wake, part.hedge_at.value_or(wake));
-    wake = std::min(wake, part.retry_at.value_or(wake));
+  for (const Part& part : this->parts) {
+    wake = std::min(wake, part.call.NextWake().value_or(wake));
   }
   return wake;
 }
 
+CallContext QueryRun::Context() {
+  return {.front = this->options.front,
+          .own_zone = this->options.own_zone,
+          .answer_by = this->answer_by,
+          .state = this->options.state,
+          .hooks = this->options.hooks,
+          .stats = this->run_stats};
+}
+
 CandidatesByService QueryRun::AllCandidates() const {
   CandidatesByService candidates;
   for (const GenerationConfig& generation : this->options.front.generations) {
@@ -168,190 +166,175 @@
   const auto* generation =
       FindGeneration(this->options.front, snapshot.generation);
   for (const auto& [service, units] : generation->units) {
-    QueryPart part;
-    part.service = service;
-    part.units = units;
-    this->parts.push_back(std::move(part));
+    this->parts.push_back(
+        {.call = ServiceCall(service, snapshot), .units = units});
   }
 }
 
 void QueryRun::SendAll(TimePoint now, QueryActions& actions) {
-  for (QueryPart& part : this->parts) {
-    if (!this->TrySend(part, AttemptPurpose::kFirst, now, actions)) {
-      part.state = PartState::kGivenUp;
-    }
+  for (Part& part : this->parts) {
+    part.call.Start(this->Context(), now, actions);
   }
 }
 
-QueryRun::Found QueryRun::TakeAttempt(const AttemptId& attempt) {
-  for (QueryPart& part : this->parts) {
-    const auto live = std::ranges::find(part.live, attempt, &QueryAttempt::id);
-    if (live != part.live.end()) {
-      Found found{.part = &part, .attempt = std::move(*live)};
-      part.live.erase(live);
-      return found;
-    }
+void QueryRun::Settle(TimePoint now, QueryActions& actions) {
+  if (this->is_finished || this->TryRestart(now, actions)) {
+    return;
+  }
+  const bool hopeless =
+      !this->Possible().Reaches(this->options.front.minimum_coverage);
+  if (!this->AnyOpen() || hopeless || this->TailAtRisk(now) ||
+      now >= this->answer_by) {
+    this->Finish(now, actions);
   }
-  return {};
 }
 
-bool QueryRun::TrySend(QueryPart& part,
-                       AttemptPurpose purpose,
-                       TimePoint now,
-                       QueryActions& actions) {
-  const auto candidates = this->options.hooks.candidates(part.service);
-  const ServiceConfig& service = this->ServiceOf(part.service);
-  const auto choice = ChooseReplica(
-      candidates, {.own_zone = this->options.own_zone,
-                   .snapshot = this->pinned,
-                   .excluded = part.tried,
-                   .slots = service.slots,
-                   .cold_slots = service.cold_slots,
-                   .free_slot_only = purpose == AttemptPurpose::kHedge,
-                   .random = this->options.hooks.random});
-  if (!choice) {
+bool QueryRun::TailAtRisk(TimePoint now) const {
+  const FrontConfig& front = this->options.front;
+  const Coverage answered = this->Answered();
+  return front.policy == AnswerPolicy::kTail &&
+         now >= this->options.start + front.tail_target &&
+         answered.units_answered > 0 &&
+         answered.Reaches(front.minimum_coverage);
+}
+
+bool QueryRun::SnapshotLost(const Part& part) const {
+  if (part.call.state() != ServiceCall::State::kGivenUp) {
     return false;
   }
-  QueryAttempt attempt{.id = this->options.hooks.next_attempt_id(),
-                       .target = choice->target,
-                       .zone = choice->zone,
-                       .purpose = purpose,
-                       .sent = now};
-  actions.emplace_back(SendAttempt{.attempt = attempt.id,
-                                   .service = part.service,
-                                   .target = attempt.target,
-                                   .snapshot = this->pinned,
-                                   .deadline = this->AnswerBy(),
-                                   .purpose = purpose});
-  part.tried.push_back(attempt.target);
-  part.live.push_back(std::move(attempt));
-  part.retry_at.reset();
-  if (purpose == AttemptPurpose::kFirst) {
-    this->run_stats.first_tries += 1;
-    this->options.state.hedges.OnFirstTry();
-    this->options.state.retries.OnFirstTry();
+  const auto candidates = this->options.hooks.candidates(part.call.service());
+  return part.snapshot_lost ||
+         std::ranges::none_of(candidates, [this](const auto& candidate) {
+           return CanServe(candidate, this->pinned);
+         });
+}
+
+bool QueryRun::TryRestart(TimePoint now, QueryActions& actions) {
+  if (this->run_stats.restarts >= kMaxRestarts ||
+      std::ranges::none_of(this->parts, [this](const auto& part) {
+        return this->SnapshotLost(part);
+      })) {
+    return false;
   }
-  if (purpose != AttemptPurpose::kHedge) {
-    this->PlanHedge(part, now);
+  const auto choice = ChooseSnapshot(this->options.front, this->AllCandidates(),
+                                     this->options.snapshot_rule, this->pinned);
+  if (!choice || !CoversMore(choice->reachable, this->Possible())) {
+    return false;
+  }
+  Duration needed{};
+  const auto* generation =
+      FindGeneration(this->options.front, choice->snapshot.generation);
+  for (const auto& [service, units] : generation->units) {
+    needed = std::max(needed, TypicalLatency(this->Context(), service));
+  }
+  if (now + needed >= this->answer_by) {
+    return false;
   }
+  this->run_stats.restarts += 1;
+  this->CancelAll(now, actions);
+  this->Pin(choice->snapshot);
+  this->SendAll(now, actions);
   return true;
 }
 
-void QueryRun::PlanHedge(QueryPart& part, TimePoint now) {
-  const auto slow = this->options.state.latencies.Quantile(
-      part.service, part.live.back().zone, this->options.front.hedge_quantile);
-  part.hedge_at.reset();
-  if (slow) {
-    part.hedge_at = now + std::max(*slow, kShortestHedgeWait);
+void QueryRun::CancelAll(TimePoint now, QueryActions& actions) {
+  for (Part& part : this->parts) {
+    this->any_unknown = this->any_unknown || part.call.has_live();
+    part.call.CancelLive(this->Context(), now, actions);
   }
 }
 
-void QueryRun::TryHedge(QueryPart& part, TimePoint now, QueryActions& actions) {
-  part.hedge_at.reset();
-  const Duration typical = this->TypicalLatency(part.service);
-  if (now + typical >= this->AnswerBy()) {
+void QueryRun::Finish(TimePoint now, QueryActions& actions) {
+  this->CancelAll(now, actions);
+  const Coverage answered = this->Answered();
+  if (answered.units_answered > 0 &&
+      answered.Reaches(this->options.front.minimum_coverage)) {
+    this->is_finished = true;
+    actions.emplace_back(FinishAnswer{this->MakeAnswer()});
     return;
   }
-  // The slot is looked for first: a hedge that isn't sent costs no budget.
-  QueryActions send;
-  TokenBudget& budget = this->options.state.hedges;
-  if (budget.CanTake() &&
-      this->TrySend(part, AttemptPurpose::kHedge, now, send)) {
-    budget.Take();
-    this->run_stats.hedges += 1;
-    std::ranges::move(send, std::back_inserter(actions));
-    return;
-  }
-  part.hedge_at = now + std::max(typical / 4, kShortestHedgeWait);
+  this->Refuse(this->MakeRefusal(now), actions);
 }
 
-void QueryRun::OnPartFailed(QueryPart& part,
-                            const SubFailure& failure,
-                            TimePoint now,
-                            QueryActions& actions) {
-  if (failure.kind == FailureKind::kNoSnapshot) {
-    part.snapshot_lost = true;
-  }
-  if (failure.retry_after) {
-    part.retry_after = std::min(*failure.retry_after,
-                                part.retry_after.value_or(Duration::max()));
-  }
-  if (!part.live.empty()) {
-    return;
-  }
-  part.hedge_at.reset();
-  if (now + this->TypicalLatency(part.service) >= this->AnswerBy()) {
-    part.state = PartState::kGivenUp;
-    return;
-  }
-  TokenBudget& budget = this->options.state.retries;
-  // Nothing ran, so asking another target adds no load on any. Each is asked
-  // once a round: refusals by all of them don't become a loop.
-  const bool is_free = failure.outcome == RunOutcome::kNotRun;
-  if (is_free || budget.CanTake()) {
-    const bool sent = this->TrySend(part, AttemptPurpose::kRetry, now, actions);
-    if (sent && !is_free) {
-      budget.Take();
+QueryAnswer QueryRun::MakeAnswer() {
+  QueryAnswer answer{.request_id = this->options.request_id,
+                     .snapshot = this->pinned,
+                     .coverage = this->Answered(),
+                     .missing_services = {},
+                     .hits = {}};
+  std::vector<Hit> hits;
+  for (Part& part : this->parts) {
+    if (part.units_answered < part.units) {
+      answer.missing_services.push_back(part.call.service());
     }
-    this->run_stats.retries += sent ? 1 : 0;
-    if (sent) {
-      return;
+    std::ranges::move(part.hits, std::back_inserter(hits));
+  }
+  answer.hits = MergeHits(std::move(hits), this->options.limit);
+  return answer;
+}
+
+QueryRefusal QueryRun::MakeRefusal(TimePoint now) const {
+  QueryRefusal refusal{.status = 503,
+                       .title = "Coverage too low",
+                       .detail = {},
+                       .outcome = RunOutcome::kNotRun,
+                       .retry_after = {}};
+  refusal.detail = "covered " + this->Answered().ToText() + " of the index" +
+                   (now >= this->answer_by ? " by the deadline" : "");
+  if (this->any_run) {
+    refusal.outcome = RunOutcome::kRun;
+  } else if (this->any_unknown) {
+    refusal.outcome = RunOutcome::kUnknown;
+  }
+  // Worth asking again once the last of the missing services may answer.
+  bool any_given_up = false;
+  for (const Part& part : this->parts) {
+    if (part.call.state() == ServiceCall::State::kGivenUp) {
+      any_given_up = true;
+      refusal.retry_after =
+          std::max(refusal.retry_after,
+                   part.call.retry_after().value_or(kDefaultRetryAfter));
     }
   }
-  // An open connection may have gone silent while its target is well: where
-  // there is no other, the same target is asked once more.
-  if (failure.kind == FailureKind::kConnection && !part.asked_again) {
-    part.asked_again = true;
-    part.retry_at = now + kShortestRetryWait;
-    return;
+  if (!any_given_up) {
+    refusal.retry_after = kDefaultRetryAfter;
   }
-  this->WaitOrGiveUp(part, now);
+  return refusal;
 }
 
-void QueryRun::WaitOrGiveUp(QueryPart& part, TimePoint now) {
-  part.rounds += 1;
-  const bool hopeless = !part.retry_after || part.rounds >= kMaxRounds ||
-                        this->options.state.retries.suspended();
-  const Duration wait = std::max(part.retry_after.value_or(kDefaultRetryAfter),
-                                 kShortestRetryWait);
-  const TimePoint back = now + wait + this->TypicalLatency(part.service);
-  if (hopeless || back >= this->AnswerBy()) {
-    part.state = PartState::kGivenUp;
-    return;
-  }
-  part.retry_at = now + wait;
+void QueryRun::Refuse(QueryRefusal refusal, QueryActions& actions) {
+  this->is_finished = true;
+  actions.emplace_back(FinishRefusal{std::move(refusal)});
 }
 
-void QueryRun::TryRetry(QueryPart& part, TimePoint now, QueryActions& actions) {
-  part.retry_at.reset();
-  part.tried.clear();
-  TokenBudget& budget = this->options.state.retries;
-  if (budget.CanTake() &&
-      this->TrySend(part, AttemptPurpose::kRetry, now, actions)) {
-    budget.Take();
-    this->run_stats.retries += 1;
-    return;
+Coverage QueryRun::Answered() const {
+  Coverage coverage;
+  for (const Part& part : this->parts) {
+    coverage.units_answered += part.units_answered;
+    coverage.units_total += part.units;
   }
-  this->WaitOrGiveUp(part, now);
+  return coverage;
 }
 
-void QueryRun::CancelLive(QueryPart& part,
-                          TimePoint now,
-                          QueryActions& actions) {
-  for (const QueryAttempt& attempt : part.live) {
-    actions.emplace_back(CancelAttempt{attempt.id, attempt.target});
-    // It took at least this long. Left out, stragglers that lose to a hedge
-    // would vanish from the quantile, which would sink and cause more hedges.
-    const auto slow = this->options.state.latencies.Quantile(
-        part.service, attempt.zone, this->options.front.hedge_quantile);
-    if (slow && now - attempt.sent >= *slow) {
-      this->options.state.latencies.Record(part.service, attempt.zone,
-                                           now - attempt.sent);
-    }
-  }
-  part.live.clear();
-  part.hedge_at.reset();
-  part.retry_at.reset();
+Coverage QueryRun::Possible() const {
+  Coverage coverage;
+  for (const Part& part : this->parts) {
+    const bool open = part.call.state() == ServiceCall::State::kOpen;
+    coverage.units_answered += open ? part.units : part.units_answered;
+    coverage.units_total += part.units;
+  }
+  return coverage;
+}
+
+bool QueryRun::AnyOpen() const {
+  return std::ranges::any_of(this->parts, [](const auto& part) {
+    return part.call.state() == ServiceCall::State::kOpen;
+  });
+}
+
+void QueryRun::NoteOutcome(RunOutcome outcome) {
+  this->any_run = this->any_run || outcome == RunOutcome::kRun;
+  this->any_unknown = this->any_unknown || outcome == RunOutcome::kUnknown;
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/query/query_run.h
+++ b/knapweedroad/query/query_run.h
@@ -14,7 +14,6 @@
 #define KNAPWEEDROAD_QUERY_QUERY_RUN_H_
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,31 +22,16 @@
 #include "knapweedroad/base/snapshot_id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/config/front_config.h"
+#include "knapweedroad/query/call_context.h"
 #include "knapweedroad/query/query_action.h"
-#include "knapweedroad/query/query_part.h"
+#include "knapweedroad/query/service_call.h"
 #include "knapweedroad/query/snapshot_choice.h"
 #include "knapweedroad/query/sub_failure.h"
 #include "knapweedroad/query/sub_reply.h"
 #include "knapweedroad/target/attempt_id.h"
-#include "knapweedroad/target/target_candidate.h"
 
 namespace knapweedroad {
 
-struct FrontState;
-
-struct QueryHooks {
-  // The targets of a service as they are known now, usable or not.
-  std::function<std::vector<TargetCandidate>(const ServiceId&)> candidates;
-  // A name that no attempt of any host has had.
-  std::function<AttemptId()> next_attempt_id;
-  // Uniform over all 64-bit numbers.
-  std::function<uint64_t()> random;
-};
-
-// The answer has left this host that long before the deadline, so that the way
-// back to the caller fits in.
-inline constexpr Duration kDefaultReturnMargin = std::chrono::milliseconds(10);
-
 struct QueryRunOptions {
   // It and `state` outlive the run; the run never sees another configuration.
   const FrontConfig& front;
@@ -58,23 +42,12 @@
   // When the caller's request came in, and when it stops waiting.
   TimePoint start;
   TimePoint deadline;
-  // At most a quarter of the time from start to deadline is used for it.
   Duration return_margin = kDefaultReturnMargin;
   SnapshotRule snapshot_rule;
   FrontState& state;
   QueryHooks hooks;
 };
 
-// Extra work of one query, for metrics.
-struct QueryRunStats {
-  uint32_t first_tries = 0;
-  uint32_t hedges = 0;
-  uint32_t retries = 0;
-  uint32_t restarts = 0;
-  // Attempts whose answer was of another snapshot than the one asked for.
-  uint32_t wrong_snapshots = 0;
-};
-
 class QueryRun {
  public:
   explicit QueryRun(QueryRunOptions options);
@@ -103,34 +76,30 @@
   const QueryRunStats& stats() const { return this->run_stats; }
 
  private:
-  struct Found {
-    QueryPart* part = nullptr;
-    QueryAttempt attempt;
+  // One service of the pinned generation.
+  struct Part {
+    ServiceCall call;
+    // From the manifest.
+    uint32_t units = 0;
+    // Of the answer; at most `units`.
+    uint32_t units_answered = 0;
+    std::vector<Hit> hits;
+    // A target said that it doesn't hold the pinned snapshot.
+    bool snapshot_lost = false;
   };
 
+  CallContext Context();
   CandidatesByService AllCandidates() const;
   void Pin(const SnapshotId& snapshot);
   void SendAll(TimePoint now, QueryActions& actions);
-  // Takes the attempt out of its part's live ones.
-  Found TakeAttempt(const AttemptId& attempt);
-
-  bool TrySend(QueryPart& part,
-               AttemptPurpose purpose,
-               TimePoint now,
-               QueryActions& actions);
-  void PlanHedge(QueryPart& part, TimePoint now);
-  void TryHedge(QueryPart& part, TimePoint now, QueryActions& actions);
-  void OnPartFailed(QueryPart& part,
-                    const SubFailure& failure,
-                    TimePoint now,
-                    QueryActions& actions);
-  void TryRetry(QueryPart& part, TimePoint now, QueryActions& actions);
-  void WaitOrGiveUp(QueryPart& part, TimePoint now);
-  void CancelLive(QueryPart& part, TimePoint now, QueryActions& actions);
 
   // Finishes, or restarts on a newer snapshot, if it is time to.
   void Settle(TimePoint now, QueryActions& actions);
+  bool TailAtRisk(TimePoint now) const;
+  // It can't be answered any more from the pinned snapshot.
+  bool SnapshotLost(const Part& part) const;
   bool TryRestart(TimePoint now, QueryActions& actions);
+  void CancelAll(TimePoint now, QueryActions& actions);
   void Finish(TimePoint now, QueryActions& actions);
   QueryAnswer MakeAnswer();
   QueryRefusal MakeRefusal(TimePoint now) const;
@@ -140,16 +109,12 @@
   // What would be answered if all that is open were.
   Coverage Possible() const;
   bool AnyOpen() const;
-  // When the answer leaves at the latest.
-  TimePoint AnswerBy() const;
-  // How long a sub-request to this service takes, in the median.
-  Duration TypicalLatency(const ServiceId& service) const;
-  const ServiceConfig& ServiceOf(const ServiceId& service) const;
   void NoteOutcome(RunOutcome outcome);
 
   QueryRunOptions options;
+  TimePoint answer_by;
   SnapshotId pinned;
-  std::vector<QueryPart> parts;
+  std::vector<Part> parts;
   bool is_finished = false;
   bool any_run = false;
   bool any_unknown = false;
--- a/knapweedroad/query/query_snapshot_test.cc
+++ b/knapweedroad/query/query_snapshot_test.cc
@@ -60,6 +60,21 @@
   cr_assert_eq(Answer(last)->hits.size(), 2, "nothing of the old one");
 }
 
+Test(QuerySnapshot, ALastHolderThatFailsCountsAsALostSnapshot) {
+  // As above, but s1's only old replica crashes: nobody says "not held".
+  QueryTestWorld world;
+  world.Target("s1", 1).holds = {kNew};
+  auto run = world.MakeRun();
+  const auto sends = Sends(run.Start(world.At(0)));
+  RollOut(world);
+  const SubFailure crashed{.outcome = RunOutcome::kUnknown,
+                           .kind = FailureKind::kBroken};
+  const auto restart =
+      Sends(run.OnFailure(sends[0].attempt, crashed, world.At(3)));
+  cr_assert_eq(restart.size(), 2);
+  cr_assert_eq(restart[0].snapshot, kNew);
+}
+
 Test(QuerySnapshot, AnAnswerToAnAttemptOfBeforeTheRestartIsDropped) {
   // Two versions in one answer: the slow answer of the first round arrives
   // after the restart on the next version.
--- a/knapweedroad/query/query_test_world.h
+++ b/knapweedroad/query/query_test_world.h
@@ -94,7 +94,7 @@
     }
   }
 
-  QueryRun MakeRun() {
+  QueryHooks Hooks() {
     QueryHooks hooks;
     hooks.candidates = [this](const ServiceId& service) {
       return this->targets[service];
@@ -103,13 +103,17 @@
       return AttemptId("attempt-" + std::to_string(++this->attempts));
     };
     hooks.random = [this] { return this->random(); };
+    return hooks;
+  }
+
+  QueryRun MakeRun() {
     return QueryRun({.front = this->front,
                      .own_zone = ZoneId("here"),
                      .request_id = "q-1",
                      .start = this->At(0),
                      .deadline = this->At(100),
                      .state = this->state,
-                     .hooks = std::move(hooks)});
+                     .hooks = this->Hooks()});
   }
 
   TimePoint At(int milliseconds) const {
--- /dev/null
+++ b/knapweedroad/query/record_run.cc
@@ -0,0 +1,121 @@
+#include "knapweedroad/query/record_run.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedroad {
+
+RecordRun::RecordRun(RecordRunOptions options)
+    : options(std::move(options)),
+      answer_by(AnswerBy(this->options.start,
+                         this->options.deadline,
+                         this->options.return_margin)),
+      call(this->options.service, std::nullopt) {}
+
+RecordStep RecordRun::Start(TimePoint now) {
+  RecordStep step;
+  if (now < this->answer_by) {
+    this->call.Start(this->Context(), now, step.actions);
+  }
+  this->Settle(now, step);
+  return step;
+}
+
+RecordStep RecordRun::OnReply(const AttemptId& attempt,
+                              RecordReply reply,
+                              TimePoint now) {
+  RecordStep step;
+  if (const auto taken = this->call.Take(attempt)) {
+    this->call.OnAnswered(this->Context(), *taken, now, step.actions);
+    this->is_finished = true;
+    step.result = std::move(reply);
+  }
+  return step;
+}
+
+RecordStep RecordRun::OnFailure(const AttemptId& attempt,
+                                const SubFailure& failure,
+                                TimePoint now) {
+  RecordStep step;
+  if (this->call.Take(attempt)) {
+    this->any_run = this->any_run || failure.outcome == RunOutcome::kRun;
+    this->any_unknown =
+        this->any_unknown || failure.outcome == RunOutcome::kUnknown;
+    this->any_broken = this->any_broken || failure.kind == FailureKind::kBroken;
+    this->call.OnFailed(this->Context(), failure, now, step.actions);
+    this->Settle(now, step);
+  }
+  return step;
+}
+
+RecordStep RecordRun::OnTimer(TimePoint now) {
+  RecordStep step;
+  this->Settle(now, step);
+  if (!this->is_finished) {
+    this->call.OnTimer(this->Context(), now, step.actions);
+    this->Settle(now, step);
+  }
+  return step;
+}
+
+RecordStep RecordRun::Abandon(TimePoint now) {
+  RecordStep step;
+  if (!this->is_finished) {
+    this->call.CancelLive(this->Context(), now, step.actions);
+    this->is_finished = true;
+  }
+  return step;
+}
+
+std::optional<TimePoint> RecordRun::NextWake() const {
+  if (this->is_finished) {
+    return std::nullopt;
+  }
+  return std::min(this->answer_by,
+                  this->call.NextWake().value_or(this->answer_by));
+}
+
+CallContext RecordRun::Context() {
+  return {.front = this->options.front,
+          .own_zone = this->options.own_zone,
+          .answer_by = this->answer_by,
+          .state = this->options.state,
+          .hooks = this->options.hooks,
+          .stats = this->run_stats};
+}
+
+void RecordRun::Settle(TimePoint now, RecordStep& step) {
+  const bool given_up = this->call.state() == ServiceCall::State::kGivenUp;
+  if (this->is_finished || (now < this->answer_by && !given_up)) {
+    return;
+  }
+  this->any_unknown = this->any_unknown || this->call.has_live();
+  this->call.CancelLive(this->Context(), now, step.actions);
+  this->is_finished = true;
+  step.result = this->MakeRefusal(now);
+}
+
+QueryRefusal RecordRun::MakeRefusal(TimePoint now) const {
+  QueryRefusal refusal{
+      .status = 503,
+      .title = "No target",
+      .detail = "no target could answer before the deadline",
+      .outcome = RunOutcome::kNotRun,
+      .retry_after = this->call.retry_after().value_or(kDefaultRetryAfter)};
+  if (now >= this->answer_by) {
+    refusal.status = 504;
+    refusal.title = "Deadline passed";
+  } else if (this->any_broken) {
+    refusal.status = 502;
+    refusal.title = "Broken answer";
+    refusal.detail = "a target's answer could not be used";
+  }
+  if (this->any_run) {
+    refusal.outcome = RunOutcome::kRun;
+  } else if (this->any_unknown) {
+    refusal.outcome = RunOutcome::kUnknown;
+  }
+  return refusal;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/query/record_run_test.cc
@@ -0,0 +1,132 @@
+// Record reads and lookups.
+
+#include "knapweedroad/query/record_run.h"
+
+#include <criterion/criterion.h>
+
+#include "knapweedroad/query/lookup_run.h"
+#include "knapweedroad/query/query_test_world.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr SubFailure kShedFailure{.outcome = RunOutcome::kNotRun,
+                                  .kind = FailureKind::kShed,
+                                  .retry_after = milliseconds(300)};
+constexpr SubFailure kLostFailure{.outcome = RunOutcome::kUnknown,
+                                  .kind = FailureKind::kConnection};
+
+RecordRun MakeRecordRun(QueryTestWorld& world) {
+  return RecordRun({.front = world.front,
+                    .service = ServiceId("s1"),
+                    .own_zone = ZoneId("here"),
+                    .start = world.At(0),
+                    .deadline = world.At(100),
+                    .state = world.state,
+                    .hooks = world.Hooks()});
+}
+
+LookupRun MakeLookupRun(QueryTestWorld& world) {
+  return LookupRun({.front = world.front,
+                    .service = ServiceId("s1"),
+                    .own_zone = ZoneId("here"),
+                    .start = world.At(0),
+                    .deadline = world.At(100),
+                    .hooks = world.Hooks()});
+}
+
+RunOutcome OutcomeOf(const RecordStep& step) {
+  return std::get<QueryRefusal>(*step.result).outcome;
+}
+
+Test(RecordRun, IsHedgedAndTheFirstAnswerWins) {
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  auto run = MakeRecordRun(world);
+  const auto first = Sends(run.Start(world.At(0)).actions);
+  const auto hedge = Sends(run.OnTimer(*run.NextWake()).actions);
+  cr_assert_eq(hedge.size(), 1);
+  const auto last = run.OnReply(hedge[0].attempt, {.body = "r"}, world.At(20));
+  cr_assert_eq(Cancels(last.actions)[0].attempt, first[0].attempt);
+  cr_assert_eq(std::get<RecordReply>(*last.result).body, "r");
+  cr_assert(!run.OnReply(first[0].attempt, {.body = "s"}, world.At(21)).result);
+}
+
+Test(RecordRun, RefusesAtOnceWhenAllReplicasHave) {
+  QueryTestWorld world;
+  auto run = MakeRecordRun(world);
+  const auto first = Sends(run.Start(world.At(0)).actions);
+  const auto second =
+      Sends(run.OnFailure(first[0].attempt, kShedFailure, world.At(1)).actions);
+  const auto last = run.OnFailure(second[0].attempt, kShedFailure, world.At(2));
+  cr_assert(OutcomeOf(last) == RunOutcome::kNotRun);
+  const auto& refusal = std::get<QueryRefusal>(*last.result);
+  cr_assert(refusal.retry_after == milliseconds(300));
+}
+
+Test(RecordRun, AnAttemptCutOffByTheDeadlineMayHaveRun) {
+  QueryTestWorld world;
+  auto run = MakeRecordRun(world);
+  run.Start(world.At(0));
+  const auto last = run.OnTimer(*run.NextWake());
+  cr_assert_eq(std::get<QueryRefusal>(*last.result).status, 504);
+  cr_assert(OutcomeOf(last) == RunOutcome::kUnknown);
+  cr_assert_eq(Cancels(last.actions).size(), 1);
+}
+
+Test(LookupRun, IsNeverHedged) {
+  // Two correction letters: a slow lookup is sent to a second searcher too.
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  auto run = MakeLookupRun(world);
+  run.Start(world.At(0));
+  cr_assert(run.OnTimer(world.At(50)).actions.empty());
+  cr_assert(*run.NextWake() == world.At(90));
+}
+
+Test(LookupRun, IsSentAgainOnlyAfterProofThatItDidNotRun) {
+  // Two correction letters: the target ran the lookup, its answer was lost
+  // with the connection, and the tier sends it to another one.
+  QueryTestWorld world;
+  auto run = MakeLookupRun(world);
+  const auto first = Sends(run.Start(world.At(0)).actions);
+  const auto second =
+      Sends(run.OnFailure(first[0].attempt, kShedFailure, world.At(1)).actions);
+  cr_assert_eq(second.size(), 1);
+  const auto last = run.OnFailure(second[0].attempt, kLostFailure, world.At(2));
+  cr_assert(last.actions.empty());
+  cr_assert(OutcomeOf(last) == RunOutcome::kUnknown);
+}
+
+Test(LookupRun, AfterTheDeadlineItsOutcomeIsUnknown) {
+  // A caller is told "not run" for a lookup whose cancel came too late.
+  QueryTestWorld world;
+  auto run = MakeLookupRun(world);
+  run.Start(world.At(0));
+  const auto last = run.OnTimer(world.At(90));
+  cr_assert(OutcomeOf(last) == RunOutcome::kUnknown);
+}
+
+Test(LookupRun, ALateRefusalOfAnEarlierAttemptSendsNothing) {
+  QueryTestWorld world;
+  auto run = MakeLookupRun(world);
+  const auto first = Sends(run.Start(world.At(0)).actions);
+  run.OnFailure(first[0].attempt, kShedFailure, world.At(1));
+  const auto late = run.OnFailure(first[0].attempt, kShedFailure, world.At(2));
+  cr_assert(late.actions.empty());
+  cr_assert(!late.result);
+}
+
+Test(LookupRun, RefusedByAllItDidNotRun) {
+  QueryTestWorld world;
+  world.targets[ServiceId("s1")].pop_back();
+  auto run = MakeLookupRun(world);
+  const auto first = Sends(run.Start(world.At(0)).actions);
+  const auto last = run.OnFailure(first[0].attempt, kShedFailure, world.At(1));
+  cr_assert(OutcomeOf(last) == RunOutcome::kNotRun);
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- a/knapweedroad/query/replica_choice.cc
+++ b/knapweedroad/query/replica_choice.cc
@@ -53,6 +53,14 @@
 
 }  // namespace
 
+const ServiceConfig& FindService(const FrontConfig& front,
+                                 const ServiceId& service) {
+  static const ServiceConfig unknown{.slots = 1};
+  const auto found =
+      std::ranges::find(front.services, service, &ServiceConfig::name);
+  return found == front.services.end() ? unknown : *found;
+}
+
 bool CanServe(const TargetCandidate& candidate,
               const std::optional<SnapshotId>& snapshot) {
   if (!candidate.usable || candidate.state == TargetState::kLeaving) {
--- a/knapweedroad/query/replica_choice.h
+++ b/knapweedroad/query/replica_choice.h
@@ -16,6 +16,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/snapshot_id.h"
+#include "knapweedroad/config/front_config.h"
 #include "knapweedroad/target/target_candidate.h"
 
 namespace knapweedroad {
@@ -42,6 +43,10 @@
     std::span<const TargetCandidate> candidates,
     const ReplicaRequest& request);
 
+// The service's settings; those of an unknown one allow one request at once.
+const ServiceConfig& FindService(const FrontConfig& front,
+                                 const ServiceId& service);
+
 // Whether it may get new work and holds the snapshot.
 bool CanServe(const TargetCandidate& candidate,
               const std::optional<SnapshotId>& snapshot);
--- /dev/null
+++ b/knapweedroad/query/service_call.cc
@@ -0,0 +1,251 @@
+#include "knapweedroad/query/service_call.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "knapweedroad/query/front_state.h"
+#include "knapweedroad/query/replica_choice.h"
+
+namespace knapweedroad {
+namespace {
+
+constexpr uint32_t kMaxRounds = 3;
+// Between two tries to get a hedge that had no budget or no free slot, at
+// least, and before a target is asked again.
+constexpr Duration kShortestHedgeWait = std::chrono::milliseconds(1);
+constexpr Duration kShortestRetryWait = std::chrono::milliseconds(1);
+
+}  // namespace
+
+ServiceCall::ServiceCall(const ServiceId& service,
+                         std::optional<SnapshotId> snapshot)
+    : service_id(service), snapshot(snapshot) {}
+
+void ServiceCall::Start(const CallContext& context,
+                        TimePoint now,
+                        QueryActions& actions) {
+  if (!this->TrySend(context, AttemptPurpose::kFirst, now, actions)) {
+    this->GiveUp();
+  }
+}
+
+std::optional<LiveAttempt> ServiceCall::Take(const AttemptId& attempt) {
+  const auto found = std::ranges::find(this->live, attempt, &LiveAttempt::id);
+  if (found == this->live.end()) {
+    return std::nullopt;
+  }
+  LiveAttempt taken = std::move(*found);
+  this->live.erase(found);
+  return taken;
+}
+
+void ServiceCall::OnAnswered(const CallContext& context,
+                             const LiveAttempt& attempt,
+                             TimePoint now,
+                             QueryActions& actions) {
+  context.state.latencies.Record(this->service_id, attempt.zone,
+                                 now - attempt.sent);
+  this->call_state = State::kAnswered;
+  this->CancelLive(context, now, actions);
+}
+
+void ServiceCall::OnFailed(const CallContext& context,
+                           const SubFailure& failure,
+                           TimePoint now,
+                           QueryActions& actions) {
+  if (failure.retry_after) {
+    this->shortest_wait = std::min(
+        *failure.retry_after, this->shortest_wait.value_or(Duration::max()));
+  }
+  if (!this->live.empty()) {
+    return;
+  }
+  this->hedge_at.reset();
+  const Duration typical = TypicalLatency(context, this->service_id);
+  if (now + typical >= context.answer_by) {
+    this->GiveUp();
+    return;
+  }
+  if (this->TryAnotherTarget(context, failure.outcome, now, actions)) {
+    return;
+  }
+  // An open connection may have gone silent while its target is well: where
+  // there is no other, the same target is asked once more.
+  if (failure.kind == FailureKind::kConnection && !this->asked_again) {
+    this->asked_again = true;
+    this->retry_at = now + kShortestRetryWait;
+    return;
+  }
+  this->WaitOrGiveUp(context, now);
+}
+
+void ServiceCall::OnTimer(const CallContext& context,
+                          TimePoint now,
+                          QueryActions& actions) {
+  if (this->hedge_at && now >= *this->hedge_at) {
+    this->TryHedge(context, now, actions);
+  }
+  if (this->retry_at && now >= *this->retry_at) {
+    this->TryRetry(context, now, actions);
+  }
+}
+
+void ServiceCall::CancelLive(const CallContext& context,
+                             TimePoint now,
+                             QueryActions& actions) {
+  for (const LiveAttempt& attempt : this->live) {
+    actions.emplace_back(CancelAttempt{attempt.id, attempt.target});
+    // It took at least this long. Left out, stragglers that lose to a hedge
+    // would vanish from the quantile, which would sink and cause more hedges.
+    LatencyBook& latencies = context.state.latencies;
+    const auto slow = latencies.Quantile(this->service_id, attempt.zone,
+                                         context.front.hedge_quantile);
+    if (slow && now - attempt.sent >= *slow) {
+      latencies.Record(this->service_id, attempt.zone, now - attempt.sent);
+    }
+  }
+  this->live.clear();
+  this->hedge_at.reset();
+  this->retry_at.reset();
+}
+
+std::optional<TimePoint> ServiceCall::NextWake() const {
+  return this->hedge_at ? this->hedge_at : this->retry_at;
+}
+
+bool ServiceCall::TrySend(const CallContext& context,
+                          AttemptPurpose purpose,
+                          TimePoint now,
+                          QueryActions& actions) {
+  const auto candidates = context.hooks.candidates(this->service_id);
+  const ServiceConfig& config = FindService(context.front, this->service_id);
+  const auto choice = ChooseReplica(
+      candidates, {.own_zone = context.own_zone,
+                   .snapshot = this->snapshot,
+                   .excluded = this->tried,
+                   .slots = config.slots,
+                   .cold_slots = config.cold_slots,
+                   .free_slot_only = purpose == AttemptPurpose::kHedge,
+                   .random = context.hooks.random});
+  if (!choice) {
+    return false;
+  }
+  LiveAttempt attempt{.id = context.hooks.next_attempt_id(),
+                      .target = choice->target,
+                      .zone = choice->zone,
+                      .sent = now};
+  actions.emplace_back(
+      SendAttempt{.attempt = attempt.id,
+                  .service = this->service_id,
+                  .target = attempt.target,
+                  .snapshot = this->snapshot.value_or(SnapshotId{}),
+                  .deadline = context.answer_by,
+                  .purpose = purpose});
+  this->tried.push_back(attempt.target);
+  this->live.push_back(std::move(attempt));
+  this->retry_at.reset();
+  if (purpose == AttemptPurpose::kFirst) {
+    context.stats.first_tries += 1;
+    context.state.hedges.OnFirstTry();
+    context.state.retries.OnFirstTry();
+  }
+  if (purpose != AttemptPurpose::kHedge) {
+    this->PlanHedge(context, now);
+  }
+  return true;
+}
+
+void ServiceCall::PlanHedge(const CallContext& context, TimePoint now) {
+  const auto slow = context.state.latencies.Quantile(
+      this->service_id, this->live.back().zone, context.front.hedge_quantile);
+  this->hedge_at.reset();
+  if (slow) {
+    this->hedge_at = now + std::max(*slow, kShortestHedgeWait);
+  }
+}
+
+void ServiceCall::TryHedge(const CallContext& context,
+                           TimePoint now,
+                           QueryActions& actions) {
+  this->hedge_at.reset();
+  const Duration typical = TypicalLatency(context, this->service_id);
+  if (now + typical >= context.answer_by) {
+    return;
+  }
+  TokenBudget& budget = context.state.hedges;
+  if (budget.CanTake() &&
+      this->TrySend(context, AttemptPurpose::kHedge, now, actions)) {
+    budget.Take();
+    context.stats.hedges += 1;
+    return;
+  }
+  this->hedge_at = now + std::max(typical / 4, kShortestHedgeWait);
+}
+
+void ServiceCall::TryRetry(const CallContext& context,
+                           TimePoint now,
+                           QueryActions& actions) {
+  this->retry_at.reset();
+  this->tried.clear();
+  TokenBudget& budget = context.state.retries;
+  if (budget.CanTake() &&
+      this->TrySend(context, AttemptPurpose::kRetry, now, actions)) {
+    budget.Take();
+    context.stats.retries += 1;
+    return;
+  }
+  this->WaitOrGiveUp(context, now);
+}
+
+bool ServiceCall::TryAnotherTarget(const CallContext& context,
+                                   RunOutcome outcome,
+                                   TimePoint now,
+                                   QueryActions& actions) {
+  TokenBudget& budget = context.state.retries;
+  // Nothing ran, so asking another target adds no load on any. Each is asked
+  // once a round: refusals by all of them don't become a loop.
+  const bool is_free = outcome == RunOutcome::kNotRun;
+  if (!is_free && !budget.CanTake()) {
+    return false;
+  }
+  if (!this->TrySend(context, AttemptPurpose::kRetry, now, actions)) {
+    return false;
+  }
+  if (!is_free) {
+    budget.Take();
+  }
+  context.stats.retries += 1;
+  return true;
+}
+
+void ServiceCall::WaitOrGiveUp(const CallContext& context, TimePoint now) {
+  this->rounds += 1;
+  const bool hopeless = !this->shortest_wait || this->rounds >= kMaxRounds ||
+                        context.state.retries.suspended();
+  if (hopeless) {
+    this->GiveUp();
+    return;
+  }
+  const Duration wait = std::max(*this->shortest_wait, kShortestRetryWait);
+  const Duration typical = TypicalLatency(context, this->service_id);
+  if (now + wait + typical >= context.answer_by) {
+    this->GiveUp();
+    return;
+  }
+  this->retry_at = now + wait;
+}
+
+void ServiceCall::GiveUp() {
+  this->call_state = State::kGivenUp;
+  this->hedge_at.reset();
+  this->retry_at.reset();
+}
+
+Duration TypicalLatency(const CallContext& context, const ServiceId& service) {
+  constexpr double kMedian = 0.5;
+  return context.state.latencies.Quantile(service, context.own_zone, kMedian)
+      .value_or(Duration::zero());
+}
+
+}  // namespace knapweedroad
