Links between hosts: many calls on a connection, silent ones replaced, datagrams

Cause: coordinators and lease holders are different hosts. CancelAttempt of the admission library became CancelRunning, since the query library has the same name with other fields in one namespace.

--- a/knapweedroad/admission/admission_action.h
+++ b/knapweedroad/admission/admission_action.h
@@ -65,13 +65,13 @@
 };
 
 // Tell the target to give up on it, if it can be told.
-struct CancelAttempt {
+struct CancelRunning {
   std::string attempt;
-  friend bool operator==(const CancelAttempt&, const CancelAttempt&) = default;
+  friend bool operator==(const CancelRunning&, const CancelRunning&) = default;
 };
 
 using AdmissionAction =
-    std::variant<StartAttempt, RefuseAttempt, CancelAttempt>;
+    std::variant<StartAttempt, RefuseAttempt, CancelRunning>;
 using AdmissionActions = std::vector<AdmissionAction>;
 
 }  // namespace knapweedroad
--- a/knapweedroad/admission/target_admission.cc
+++ b/knapweedroad/admission/target_admission.cc
@@ -278,7 +278,7 @@
   running.abandoned = true;
   if (!running.cancel_sent) {
     running.cancel_sent = true;
-    actions.emplace_back(CancelAttempt{.attempt = std::string(attempt)});
+    actions.emplace_back(CancelRunning{.attempt = std::string(attempt)});
   }
 }
 
--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -136,7 +136,7 @@
   admission.Submit(Request("c", deadline), now);
   const AdmissionActions cancel = admission.Cancel("a", now);
   cr_assert_eq(Starts(cancel), 0u);
-  cr_assert(std::holds_alternative<CancelAttempt>(cancel.at(0)));
+  cr_assert(std::holds_alternative<CancelRunning>(cancel.at(0)));
   const auto confirmed =
       admission.OnFinished("a", {.status = AttemptStatus::kCancelled}, now);
   cr_assert_eq(Starts(confirmed), 1u);
--- a/knapweedroad/net/http_server.cc
+++ b/knapweedroad/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include "knapweedroad/net/fiber_event.h"
+#include "knapweedroad/net/listen.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -82,7 +83,6 @@
   State(Runtime& runtime, HttpServerOptions options)
       : runtime(runtime), options(std::move(options)), acceptor(runtime.io()) {}
 
-  tl::expected<uint16_t, NetError> Listen();
   void AcceptLoop();
   void Serve(const std::shared_ptr<Connection>& connection);
   bool ServeOne(const std::shared_ptr<Connection>& connection);
@@ -107,32 +107,6 @@
   FiberEvent* all_answered = nullptr;
 };
 
-tl::expected<uint16_t, NetError> HttpServer::State::Listen() {
-  error_code error;
-  const auto address = asio::ip::make_address(this->options.endpoint.ip, error);
-  const tcp::endpoint endpoint(address, this->options.endpoint.port);
-  if (!error) {
-    this->acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    this->acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return tl::unexpected(
-        NetError{.kind = NetErrorKind::kConnect,
-                 .detail = "can't listen on " + this->options.endpoint.ip +
-                           ":" + std::to_string(this->options.endpoint.port) +
-                           ": " + error.message()});
-  }
-  return this->acceptor.local_endpoint().port();
-}
-
 void HttpServer::State::AcceptLoop() {
   while (!this->is_stopped) {
     tcp::socket socket(this->runtime.io());
@@ -313,7 +287,8 @@
 }
 
 tl::expected<uint16_t, NetError> HttpServer::Start() {
-  auto port = this->state->Listen();
+  auto port =
+      internal::Listen(this->state->acceptor, this->state->options.endpoint);
   if (port) {
     this->state->runtime.Spawn([state = this->state] { state->AcceptLoop(); });
   }
--- /dev/null
+++ b/knapweedroad/net/listen.h
@@ -0,0 +1,23 @@
+// Binding a TCP listener, for every server of this folder.
+
+#ifndef KNAPWEEDROAD_NET_LISTEN_H_
+#define KNAPWEEDROAD_NET_LISTEN_H_
+
+#include <cstdint>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
+
+#include "knapweedroad/config/host_settings.h"
+#include "knapweedroad/net/net_error.h"
+
+namespace knapweedroad::internal {
+
+// Opens, binds and listens; the port, or the endpoint and why it can't be had.
+tl::expected<uint16_t, NetError> Listen(
+    boost::asio::ip::tcp::acceptor& acceptor,
+    const Endpoint& endpoint);
+
+}  // namespace knapweedroad::internal
+
+#endif  // KNAPWEEDROAD_NET_LISTEN_H_
--- /dev/null
+++ b/knapweedroad/net/peer_client.cc
@@ -0,0 +1,185 @@
+#include "knapweedroad/net/peer_client.h"
+
+#include <unordered_map>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "knapweedroad/net/fiber_event.h"
+#include "knapweedroad/net/peer_connection.h"
+#include "knapweedroad/net/runtime.h"
+#include "knapweedroad/net/timed_event.h"
+
+namespace knapweedroad {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using internal::PeerConnection;
+
+// A call that waits for its reply.
+struct Pending {
+  explicit Pending(Runtime& runtime) : changed(runtime) {}
+  TimedEvent changed;
+  bool is_done = false;
+  bool connection_lost = false;
+  FrameKind kind = FrameKind::kReply;
+  std::string body;
+};
+
+// A connection and the calls that wait on it.
+struct Link {
+  std::shared_ptr<PeerConnection> connection;
+  std::unordered_map<uint64_t, std::shared_ptr<Pending>> pending;
+  TimePoint heard;
+};
+
+}  // namespace
+
+struct PeerClient::State : std::enable_shared_from_this<PeerClient::State> {
+  State(Runtime& runtime, PeerClientOptions options)
+      : runtime(runtime), options(std::move(options)) {}
+
+  tl::expected<std::shared_ptr<Link>, NetError> UseLink(TimePoint deadline);
+  bool IsSilent(const Link& link) const;
+  tl::expected<std::shared_ptr<Link>, NetError> Open(TimePoint deadline);
+  void Read(const std::shared_ptr<Link>& link);
+
+  Runtime& runtime;
+  PeerClientOptions options;
+  std::shared_ptr<Link> current;
+  uint64_t last_call = 0;
+  size_t silent = 0;
+};
+
+// Failure: something between the hosts forgets a connection, and every call on
+// it waits for ever while new connections work. It shows as calls that wait
+// with nothing coming in. The old connection is left to its calls, which end
+// at their deadlines, and all others go over a new one.
+bool PeerClient::State::IsSilent(const Link& link) const {
+  return !link.pending.empty() &&
+         Runtime::Now() - link.heard > this->options.silence;
+}
+
+tl::expected<std::shared_ptr<Link>, NetError> PeerClient::State::UseLink(
+    TimePoint deadline) {
+  if (this->current != nullptr && !this->current->connection->closed()) {
+    if (!this->IsSilent(*this->current)) {
+      return this->current;
+    }
+    ++this->silent;
+  }
+  auto link = this->Open(deadline);
+  if (link) {
+    this->current = *link;
+  }
+  return link;
+}
+
+tl::expected<std::shared_ptr<Link>, NetError> PeerClient::State::Open(
+    TimePoint deadline) {
+  error_code error;
+  const auto address = asio::ip::make_address(this->options.endpoint.ip, error);
+  auto socket = std::make_shared<tcp::socket>(this->runtime.io());
+  asio::steady_timer timer(
+      this->runtime.io(),
+      std::min(deadline, Runtime::Now() + this->options.connect_timeout));
+  timer.async_wait([socket](error_code expired) {
+    if (!expired) {
+      error_code ignored;
+      socket->close(ignored);
+    }
+  });
+  FiberEvent connected;
+  socket->async_connect(tcp::endpoint(address, this->options.endpoint.port),
+                        [&](error_code result) {
+                          error = result;
+                          connected.Set();
+                        });
+  connected.Wait();
+  timer.cancel();
+  if (error) {
+    return tl::unexpected(NetError{.kind = NetErrorKind::kConnect,
+                                   .detail = "connect: " + error.message()});
+  }
+  auto link = std::make_shared<Link>();
+  link->connection =
+      std::make_shared<PeerConnection>(this->runtime, std::move(*socket));
+  link->heard = Runtime::Now();
+  this->runtime.Spawn(
+      [self = this->shared_from_this(), link] { self->Read(link); });
+  return link;
+}
+
+void PeerClient::State::Read(const std::shared_ptr<Link>& link) {
+  link->connection->ReadAll([&](const FrameHeader& header, std::string body) {
+    link->heard = Runtime::Now();
+    const auto found = link->pending.find(header.call);
+    if (found == link->pending.end()) {
+      return;
+    }
+    Pending& pending = *found->second;
+    pending.is_done = true;
+    pending.kind = header.kind;
+    pending.body = std::move(body);
+    pending.changed.Set();
+  });
+  for (const auto& [call, pending] : link->pending) {
+    pending->connection_lost = true;
+    pending->changed.Set();
+  }
+}
+
+PeerClient::PeerClient(Runtime& runtime, PeerClientOptions options)
+    : state(std::make_shared<State>(runtime, std::move(options))) {}
+
+PeerClient::~PeerClient() {
+  if (this->state->current != nullptr) {
+    this->state->current->connection->Close();
+  }
+}
+
+tl::expected<std::string, NetError> PeerClient::Call(PeerMessageType type,
+                                                     std::string_view body,
+                                                     TimePoint deadline) {
+  const std::shared_ptr<State> self = this->state;
+  auto used = self->UseLink(deadline);
+  if (!used) {
+    return tl::unexpected(used.error());
+  }
+  const std::shared_ptr<Link> link = *used;
+  const uint64_t call = ++self->last_call;
+  auto pending = std::make_shared<Pending>(self->runtime);
+  if (link->pending.empty()) {
+    link->heard = Runtime::Now();
+  }
+  link->pending.emplace(call, pending);
+  const bool sent = link->connection->Send({.type = type, .call = call}, body);
+  while (sent && !pending->is_done && !pending->connection_lost &&
+         Runtime::Now() < deadline) {
+    pending->changed.WaitUntil(deadline);
+  }
+  link->pending.erase(call);
+  if (pending->is_done && pending->kind == FrameKind::kReply) {
+    return std::move(pending->body);
+  }
+  if (pending->is_done) {
+    return tl::unexpected(NetError{.kind = NetErrorKind::kMalformed,
+                                   .written = true,
+                                   .detail = "refused: " + pending->body});
+  }
+  const bool lost = !sent || pending->connection_lost;
+  return tl::unexpected(NetError{
+      .kind = lost ? NetErrorKind::kClosed : NetErrorKind::kTimeout,
+      .written = sent,
+      .reused_connection = true,
+      .detail = lost ? "the connection was lost" : "no reply in time"});
+}
+
+size_t PeerClient::silent_connections() const {
+  return this->state->silent;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/net/peer_test.cc
@@ -0,0 +1,114 @@
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "knapweedroad/net/peer_client.h"
+#include "knapweedroad/net/peer_server.h"
+#include "knapweedroad/net/runtime.h"
+#include "knapweedroad/net/udp_socket.h"
+
+namespace knapweedroad {
+namespace {
+
+using namespace std::chrono_literals;
+
+TimePoint Late() {
+  return Runtime::Now() + 60s;
+}
+
+PeerServerOptions Echo() {
+  return {.endpoint = {.ip = "127.0.0.1"},
+          .handler = [](PeerMessageType, std::string body)
+              -> tl::expected<std::string, std::string> {
+            if (body == "refuse") {
+              return tl::unexpected(std::string("no"));
+            }
+            if (body == "slow") {
+              Runtime::SleepFor(50ms);
+            }
+            return body;
+          }};
+}
+
+Test(Peer, EachCallGetsItsOwnReplyInAnyOrder) {
+  Runtime runtime;
+  PeerServer server(runtime, Echo());
+  const uint16_t port = server.Start().value();
+  PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port}});
+  std::vector<std::string> order;
+  for (const char* body : {"slow", "fast"}) {
+    runtime.Spawn([&, body] {
+      const auto reply = client.Call(PeerMessageType::kAttempt, body, Late());
+      order.push_back(reply.value_or("?"));
+      if (order.size() == 2) {
+        runtime.Stop();
+      }
+    });
+  }
+  runtime.Run();
+  cr_assert((order == std::vector<std::string>{"fast", "slow"}));
+}
+
+Test(Peer, ARefusalIsAnErrorAndTheConnectionGoesOn) {
+  Runtime runtime;
+  PeerServer server(runtime, Echo());
+  const uint16_t port = server.Start().value();
+  PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port}});
+  cr_assert(!client.Call(PeerMessageType::kAttempt, "refuse", Late()));
+  const auto next = client.Call(PeerMessageType::kAttempt, "x", Late());
+  cr_assert(next && *next == "x");
+}
+
+Test(Peer, AHostThatIsNotThereNeverHadTheCall) {
+  Runtime runtime;
+  PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = 1}});
+  const auto reply = client.Call(PeerMessageType::kAttempt, "x", Late());
+  cr_assert(!reply && !reply.error().written);
+}
+
+// Every query of a host fails for minutes: the one connection to a peer has
+// gone silent, its calls time out one after the other, and each new call goes
+// over the same connection. A call that waits without a word opens a new one.
+Test(Peer, ASilentConnectionIsReplacedByANewOne) {
+  Runtime runtime;
+  PeerServerOptions options = Echo();
+  int calls = 0;
+  options.handler =
+      [&](PeerMessageType,
+          std::string body) -> tl::expected<std::string, std::string> {
+    if (++calls == 1) {
+      Runtime::SleepFor(200ms);
+    }
+    return body;
+  };
+  PeerServer server(runtime, options);
+  const uint16_t port = server.Start().value();
+  PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port},
+                              .silence = 10ms});
+  runtime.Spawn([&] {
+    static_cast<void>(client.Call(PeerMessageType::kAttempt, "1", Late()));
+    runtime.Stop();
+  });
+  Runtime::SleepFor(30ms);
+  const auto second = client.Call(PeerMessageType::kAttempt, "2", Late());
+  cr_assert(second && *second == "2");
+  cr_assert(client.silent_connections() == 1);
+  runtime.Run();
+}
+
+Test(Udp, ADatagramArrivesWhole) {
+  Runtime runtime;
+  std::string heard;
+  UdpSocket socket(runtime, {.endpoint = {.ip = "127.0.0.1", .port = 39117},
+                             .on_datagram = [&](std::string_view bytes) {
+                               heard = std::string(bytes);
+                               runtime.Stop();
+                             }});
+  cr_assert(socket.Start().has_value());
+  cr_assert(socket.Send({.ip = "127.0.0.1", .port = 39117}, "beat"));
+  runtime.Run();
+  cr_assert(heard == "beat");
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/wire/peer_message_type.h
@@ -0,0 +1,26 @@
+// The kinds of messages between hosts.
+
+#ifndef KNAPWEEDROAD_WIRE_PEER_MESSAGE_TYPE_H_
+#define KNAPWEEDROAD_WIRE_PEER_MESSAGE_TYPE_H_
+
+#include <cstdint>
+
+namespace knapweedroad {
+
+// The numbers stand on the wire and never change their meaning.
+enum class PeerMessageType : uint16_t {
+  kAttempt = 1,        // AttemptCall -> AttemptReply
+  kCancel = 2,         // CancelCall -> nothing
+  kReport = 3,         // TargetReport -> nothing
+  kLookup = 4,         // LookupCall -> LookupReply
+  kLease = 5,          // LeaseRequest -> LeaseReply
+  kControl = 6,        // agreement between control replicas
+  kConfiguration = 7,  // ConfigurationPull -> ConfigurationPush
+  kHeartbeat = 8,      // over UDP, and over TCP where UDP is silent
+  kChange = 9,         // an operator's change, to a control replica
+  kGoodbye = 10,       // a clean stop
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_WIRE_PEER_MESSAGE_TYPE_H_
