The operators' library, and both deployments written with it

A configuration was edited by hand, and every slip showed only in `check`. The library's option structs don't compile with a field missing, a name or number out of range, more slots than connections, a standard deadline over the maximum, a tail target under the coverage policy, or a policy on a records front. A generation holds its services, and a front has just those: none can be in no generation, and none can be named that isn't there. What the types let through (names that stand twice, a target over its deadline) is reported and ends the program with 1.

be_centre and se_vast print their configurations; tests compare them with the examples byte for byte. The rule for names moved to a header of its own, which the library reads at compile time.

--- a/knapweedroad/config/field_value.cc
+++ b/knapweedroad/config/field_value.cc
@@ -10,12 +10,12 @@
 
 #include "knapweedroad/config/duration_text.h"
 #include "knapweedroad/config/json_node.h"
+#include "knapweedroad/config/name_rule.h"
 #include "knapweedroad/config/nearest_name.h"
 
 namespace knapweedroad {
 namespace {
 
-constexpr size_t kMaxNameLength = 64;
 constexpr size_t kMaxExcerpt = 64;
 
 tl::unexpected<ValueFault> Fault(std::string message, std::string remedy) {
@@ -29,11 +29,6 @@
       "write " + std::string(wanted));
 }
 
-bool IsNameLetter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' ||
-         c == '-' || c == '_';
-}
-
 bool IsIpNumber(const std::string& ip) {
   in6_addr ignored{};
   const int family = ip.find(':') == std::string::npos ? AF_INET : AF_INET6;
@@ -81,11 +76,6 @@
   return "'" + Excerpt(text) + "'";
 }
 
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         std::all_of(text.begin(), text.end(), IsNameLetter);
-}
-
 FieldValue<std::string> ReadName(const JsonNode& node) {
   if (node.kind != JsonKind::kString) {
     return WrongType(node, "a name");
--- a/knapweedroad/config/field_value.h
+++ b/knapweedroad/config/field_value.h
@@ -29,12 +29,7 @@
 template <typename Value>
 using FieldValue = tl::expected<Value, ValueFault>;
 
-// What a name is made of, as a remedy.
-inline constexpr std::string_view kNameRule =
-    "use 1 to 64 of a-z, 0-9, '.', '-' and '_'";
-
-// 1 to 64 of a-z, 0-9, '.', '-' and '_'.
-bool IsName(std::string_view text);
+// A text that `IsName` accepts.
 FieldValue<std::string> ReadName(const JsonNode& node);
 
 // A text with at least one byte.
--- a/knapweedroad/config/object_reader.cc
+++ b/knapweedroad/config/object_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "knapweedroad/config/error_list.h"
+#include "knapweedroad/config/name_rule.h"
 #include "knapweedroad/config/nearest_name.h"
 
 namespace knapweedroad {
--- /dev/null
+++ b/operators/deployment.cc
@@ -0,0 +1,165 @@
+#include "operators/deployment.h"
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+#include "knapweedroad/config/deployment_config.h"
+#include "knapweedroad/config/parse_deployment.h"
+#include "knapweedroad/config/print_deployment.h"
+
+namespace knapweedroad::operators {
+namespace {
+
+using Faults = std::vector<ConfigError>;
+
+constexpr const char* kFileName = "(printed)";
+
+// A fault that the printed text can't show, as a map keeps one of two alike.
+void AddTwice(Faults& faults, std::string path, const std::string& name) {
+  faults.push_back({.file = kFileName,
+                    .path = std::move(path),
+                    .message = "'" + name + "' stands twice",
+                    .remedy = "keep one of them"});
+}
+
+TenantConfig ToConfig(const Tenant& tenant,
+                      const std::string& path,
+                      Faults& faults) {
+  TenantConfig config{.name = TenantId(tenant.name.str()),
+                      .weight = tenant.weight.value()};
+  for (const ClassWeight& weight : tenant.classes) {
+    const std::string name = weight.name.str();
+    if (!config.class_weights.emplace(name, weight.weight.value()).second) {
+      AddTwice(faults, path + "." + config.name.str() + ".class_weights", name);
+    }
+  }
+  return config;
+}
+
+ServiceConfig ToConfig(const Service& service) {
+  return {.name = ServiceId(service.name.str()),
+          .searchers = service.searchers.value(),
+          .slots = service.capacity.slots(),
+          .connections = service.capacity.connections(),
+          .cold_slots = service.capacity.cold_slots(),
+          .connect_cost = service.connect_cost};
+}
+
+GenerationConfig ToConfig(const Generation& generation,
+                          const std::string& path,
+                          Faults& faults) {
+  GenerationConfig config{.number = generation.number.value()};
+  for (const ServiceUnits& share : generation.units) {
+    const ServiceId service(share.service.name.str());
+    if (!config.units.emplace(service, share.units.value()).second) {
+      AddTwice(faults,
+               path + ".generation " + std::to_string(config.number) + ".units",
+               service.str());
+    }
+  }
+  return config;
+}
+
+void SetPolicy(FrontConfig& config, const TailPolicy& policy) {
+  config.policy = AnswerPolicy::kTail;
+  config.tail_target = policy.target.value();
+  config.minimum_coverage = policy.minimum_coverage.value();
+}
+
+void SetPolicy(FrontConfig& config, const CoveragePolicy& policy) {
+  config.policy = AnswerPolicy::kCoverage;
+  config.minimum_coverage = policy.minimum_coverage.value();
+}
+
+// What both kinds have.
+template <typename Options>
+FrontConfig CommonParts(const Options& options,
+                        const std::string& path,
+                        Faults& faults) {
+  FrontConfig config{.name = FrontId(options.name.str())};
+  config.default_deadline = options.deadlines.standard();
+  config.max_deadline = options.deadlines.maximum();
+  config.hedge_quantile = options.extra_work.hedge_quantile.value();
+  config.hedge_budget = options.extra_work.hedge_budget.value();
+  config.retry_budget = options.extra_work.retry_budget.value();
+  for (const Tenant& tenant : options.tenants) {
+    config.tenants.push_back(ToConfig(tenant, path, faults));
+  }
+  return config;
+}
+
+// Adds a service that an earlier generation hasn't brought along already. Two
+// that differ under one name are both added, and found when the text is read.
+void AddService(FrontConfig& front, const Service& service) {
+  const ServiceConfig config = ToConfig(service);
+  if (std::ranges::find(front.services, config) == front.services.end()) {
+    front.services.push_back(config);
+  }
+}
+
+FrontConfig ToConfig(const SearchFrontOptions& options, Faults& faults) {
+  const std::string path = "front " + options.name.str();
+  FrontConfig config = CommonParts(options, path, faults);
+  config.kind = FrontKind::kSearch;
+  std::visit([&config](const auto& policy) { SetPolicy(config, policy); },
+             options.policy);
+  for (const Generation& generation : options.generations) {
+    config.generations.push_back(ToConfig(generation, path, faults));
+    for (const ServiceUnits& share : generation.units) {
+      AddService(config, share.service);
+    }
+  }
+  return config;
+}
+
+FrontConfig ToConfig(const RecordsFrontOptions& options, Faults& faults) {
+  FrontConfig config =
+      CommonParts(options, "front " + options.name.str(), faults);
+  config.kind = FrontKind::kRecords;
+  AddService(config, options.service);
+  return config;
+}
+
+DeploymentConfig ToConfig(const Deployment& deployment, Faults& faults) {
+  DeploymentConfig config{.name = deployment.name.str()};
+  for (const Zone& zone : deployment.zones) {
+    config.zones.push_back({.name = ZoneId(zone.name.str()), .out = zone.out});
+  }
+  for (const Front& front : deployment.fronts) {
+    config.fronts.push_back(std::visit(
+        [&faults](const auto& options) { return ToConfig(options, faults); },
+        front.value()));
+  }
+  return config;
+}
+
+}  // namespace
+
+tl::expected<std::string, std::vector<ConfigError>> ToConfiguration(
+    const Deployment& deployment) {
+  Faults faults;
+  std::string text = PrintDeployment(ToConfig(deployment, faults));
+  const auto read = ParseDeployment(text, kFileName);
+  if (!read) {
+    faults.insert(faults.end(), read.error().begin(), read.error().end());
+  }
+  if (!faults.empty()) {
+    return tl::unexpected(std::move(faults));
+  }
+  return text;
+}
+
+int PrintConfiguration(const Deployment& deployment) {
+  const auto text = ToConfiguration(deployment);
+  if (!text) {
+    for (const ConfigError& error : text.error()) {
+      std::cerr << error.ToString() << "\n";
+    }
+    return 1;
+  }
+  std::cout << *text << std::flush;
+  return std::cout.good() ? 0 : 1;
+}
+
+}  // namespace knapweedroad::operators
--- /dev/null
+++ b/operators/positive_duration.h
@@ -0,0 +1,34 @@
+// A duration above zero.
+//
+//   TailPolicy{.target = 120ms}   // 0ms, or a plain 120, doesn't compile
+
+#ifndef OPERATORS_POSITIVE_DURATION_H_
+#define OPERATORS_POSITIVE_DURATION_H_
+
+#include <chrono>
+
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad::operators {
+
+class PositiveDuration {
+ public:
+  // Implicit, so that a literal with its unit can stand for one.
+  template <typename Number, typename Unit>
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  consteval PositiveDuration(std::chrono::duration<Number, Unit> duration)
+      : duration(duration) {
+    if (duration <= duration.zero()) {
+      throw "the duration is above 0";
+    }
+  }
+
+  constexpr Duration value() const { return this->duration; }
+
+ private:
+  Duration duration;
+};
+
+}  // namespace knapweedroad::operators
+
+#endif  // OPERATORS_POSITIVE_DURATION_H_
--- /dev/null
+++ b/operators/service.h
@@ -0,0 +1,36 @@
+// A service: one shard's searchers.
+//
+//   constexpr Capacity kSearcher(
+//       {.slots = Slots(2), .connections = Connections(25)});
+//   const auto services = NumberedServices(
+//       ServiceCount(10), Service{.name = "redactie",
+//                                 .searchers = Searchers(3),
+//                                 .capacity = kSearcher,
+//                                 .connect_cost = 6ms});
+
+#ifndef OPERATORS_SERVICE_H_
+#define OPERATORS_SERVICE_H_
+
+#include "knapweedroad/base/time.h"
+#include "operators/capacity.h"
+#include "operators/count.h"
+#include "operators/name.h"
+#include "operators/one_or_more.h"
+
+namespace knapweedroad::operators {
+
+struct Service {
+  Name name;
+  // Expected to announce themselves.
+  Searchers searchers;
+  Capacity capacity;
+  // What opening a connection costs.
+  Duration connect_cost{};
+};
+
+// Services alike but for their names: "NAME-1" to "NAME-COUNT".
+OneOrMore<Service> NumberedServices(ServiceCount count, const Service& like);
+
+}  // namespace knapweedroad::operators
+
+#endif  // OPERATORS_SERVICE_H_
