Leases on targets, granted by the hosts of a zone from memory

Cause: one holder a target needs a way to be chosen that works in a zone that is cut off, and that no crash, freeze, restart or lost message makes two of.

A majority of the zone's hosts (and a witness of another zone where their number is even) decides who holds a target. Its slots belong in two parts to the first two hosts of its rendezvous order: the holder borrows them, and a host that reaches no majority uses its own.

--- /dev/null
+++ b/knapweedroad/admission/lease_holder_test.cc
@@ -0,0 +1,191 @@
+#include "knapweedroad/admission/lease_holder.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+const HostId host_a("a");
+const HostId host_b("b");
+const TargetId only_target("t");
+
+// The holder at host "a" of the zone {a, b} with the witness w, where every
+// request's answer is made by hand.
+struct Fixture {
+  LeaseHolder holder{{.self = host_a,
+                      .incarnation = 7,
+                      .started = kStart - seconds(60),
+                      .zone_hosts = {host_a, host_b},
+                      .electorate = {host_a, host_b, HostId("w")}}};
+  TargetShare share;
+
+  Fixture() {
+    const LeaseTarget target{.target = only_target, .slots = 2};
+    for (const auto& message : this->Tick(kStart - milliseconds(500))) {
+      this->holder.OnReply(Granting(message), kStart - milliseconds(500));
+    }
+    this->holder.SetTargets({&target, 1}, kStart);
+    this->holder.SetEligibleHosts({&host_a, 1}, kStart);
+  }
+
+  std::vector<LeaseActions::Message> Tick(TimePoint now) {
+    LeaseActions actions = this->holder.Tick(now);
+    for (const auto& change : actions.shares) {
+      this->share = change.share;
+    }
+    return std::move(actions.messages);
+  }
+
+  static LeaseReply Granting(const LeaseActions::Message& message,
+                             uint64_t incarnation = 7) {
+    LeaseReply reply{.grantor = message.to,
+                     .incarnation = incarnation,
+                     .sequence = message.request.sequence,
+                     .grants = {}};
+    for (const LeaseAsk& ask : message.request.asks) {
+      if (!ask.release) {
+        reply.grants.push_back(
+            {.target = ask.target, .part = ask.part, .granted = true});
+      }
+    }
+    return reply;
+  }
+
+  // Grants all that is asked until nothing more is.
+  void GrantAll(TimePoint now) {
+    for (int round = 0; round < 4; ++round) {
+      for (const auto& message : this->Tick(now)) {
+        this->holder.OnReply(Granting(message), now);
+      }
+    }
+    this->Tick(now);
+  }
+};
+
+LeaseRequest From(const HostId& host, uint64_t incarnation, bool goodbye) {
+  return {.holder = host,
+          .incarnation = incarnation,
+          .sequence = 1,
+          .goodbye = goodbye,
+          .asks = {}};
+}
+
+Test(LeaseHolder, HoldsAllSlotsWithAllGrants) {
+  Fixture fixture;
+  fixture.GrantAll(kStart);
+  cr_assert_eq(fixture.share.slots, 2u);
+}
+
+// The grants were given when the requests came in, and the answers take a
+// second. Counted from the answers, the lease would outlast the grants.
+Test(LeaseHolder, CountsALeaseFromTheSendingOfTheRequest) {
+  Fixture fixture;
+  const auto asked = fixture.Tick(kStart);
+  for (const auto& message : asked) {
+    fixture.holder.OnReply(Fixture::Granting(message), kStart + seconds(1));
+  }
+  for (const auto& message : fixture.Tick(kStart + seconds(1))) {
+    LeaseReply reply = Fixture::Granting(message);
+    std::erase_if(reply.grants, [](const LeaseGrant& grant) {
+      return grant.part == LeasePart::kVote;
+    });
+    fixture.holder.OnReply(reply, kStart + seconds(1));
+  }
+  fixture.Tick(kStart + seconds(1));
+  cr_assert_eq(fixture.share.slots, 2u);
+  cr_assert(fixture.share.valid_until < kStart + seconds(2));
+}
+
+// The host restarts, and the answers to its former life's requests come in.
+// They bear the numbers of requests that it has just sent.
+Test(LeaseHolder, AnswersToAFormerLifeGrantNothing) {
+  Fixture fixture;
+  for (int round = 0; round < 4; ++round) {
+    for (const auto& message : fixture.Tick(kStart)) {
+      fixture.holder.OnReply(Fixture::Granting(message, 6), kStart);
+    }
+  }
+  cr_assert_eq(fixture.share.slots, 0u);
+  // The true answers of before are older than a lease by then.
+  cr_assert(!fixture.holder.ReachesMajority(kStart + milliseconds(1600)));
+}
+
+// Votes without a majority are given back. An answer that granted one of them
+// comes in after that, when its grantor may have given it to another host.
+Test(LeaseHolder, AGrantThatCrossesItsReleaseIsNone) {
+  Fixture fixture;
+  const auto asked = fixture.Tick(kStart);
+  fixture.Tick(kStart + milliseconds(100));  // gives back
+  const auto again = fixture.Tick(kStart + milliseconds(500));
+  cr_assert(!again.empty());
+  for (const auto& message : asked) {
+    fixture.holder.OnReply(Fixture::Granting(message),
+                           kStart + milliseconds(500));
+  }
+  fixture.Tick(kStart + milliseconds(500));
+  cr_assert(fixture.holder.HeldTargets().empty());
+  bool asks_parts = false;
+  for (const auto& message : fixture.Tick(kStart + milliseconds(500))) {
+    asks_parts = asks_parts || !message.request.asks.empty();
+  }
+  cr_assert(!asks_parts, "took the votes for a majority");
+}
+
+// A goodbye of b's former life is delayed past b's restart and ours. Were it
+// believed, b's part of the slots would be taken while b may use it.
+Test(LeaseHolder, AGoodbyeOfAnUnknownIncarnationIsNotBelieved) {
+  Fixture fixture;
+  fixture.holder.OnPeerRequest(From(host_b, 3, true), kStart);
+  for (int round = 0; round < 4; ++round) {
+    for (const auto& message : fixture.Tick(kStart)) {
+      LeaseReply reply = Fixture::Granting(message);
+      std::erase_if(reply.grants, [&](const LeaseGrant& grant) {
+        return message.to == host_b && grant.part == LeasePart::kSlots;
+      });
+      fixture.holder.OnReply(reply, kStart);
+    }
+  }
+  cr_assert_eq(fixture.share.slots, 1u);
+  fixture.holder.OnPeerRequest(From(host_b, 4, false), kStart);
+  fixture.holder.OnPeerRequest(From(host_b, 4, true), kStart);
+  fixture.Tick(kStart);
+  cr_assert_eq(fixture.share.slots, 2u);
+}
+
+Test(LeaseHolder, ARefusalOlderThanTheLastSignOfLifeSaysNothing) {
+  Fixture fixture;
+  fixture.holder.OnPeerRequest(From(host_b, 4, false), kStart);
+  fixture.holder.OnPeerRefused(host_b, kStart - milliseconds(1), kStart);
+  const TimePoint later = kStart + seconds(30);
+  for (int round = 0; round < 4; ++round) {
+    for (const auto& message : fixture.Tick(later)) {
+      if (message.to != host_b) {
+        fixture.holder.OnReply(Fixture::Granting(message), later);
+      }
+    }
+  }
+  cr_assert_eq(fixture.share.slots, 1u);
+}
+
+Test(LeaseHolder, ARemovedTargetIsKeptUntilNothingRuns) {
+  Fixture fixture;
+  fixture.GrantAll(kStart);
+  fixture.holder.SetTargets({}, kStart);
+  fixture.Tick(kStart + milliseconds(100));
+  cr_assert_eq(fixture.share.slots, 0u);
+  const auto renewals = fixture.Tick(kStart + milliseconds(200));
+  cr_assert(!renewals.empty());
+  cr_assert(!renewals.front().request.asks.front().release);
+  fixture.holder.OnDrained(only_target);
+  const auto releases = fixture.Tick(kStart + milliseconds(200));
+  cr_assert(releases.front().request.asks.front().release);
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/admission/rendezvous.cc
@@ -0,0 +1,78 @@
+#include "knapweedroad/admission/rendezvous.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "knapweedroad/config/host_settings.h"
+
+namespace knapweedroad {
+namespace {
+
+uint64_t Score(const TargetId& target, const HostId& host) {
+  const uint64_t seed = XXH64(host.str().data(), host.str().size(), 0);
+  return XXH64(target.str().data(), target.str().size(), seed);
+}
+
+// The first host by name of the next zone by name, after the last the first.
+const PeerSettings* Witness(const ZoneId& zone,
+                            std::span<const PeerSettings> hosts) {
+  const auto place = [&](const PeerSettings& peer) {
+    return std::tuple(peer.zone < zone, peer.zone, peer.name);
+  };
+  const PeerSettings* best = nullptr;
+  for (const PeerSettings& peer : hosts) {
+    if (peer.zone == zone) {
+      continue;
+    }
+    if (best == nullptr || place(peer) < place(*best)) {
+      best = &peer;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::vector<HostId> RendezvousOrder(const TargetId& target,
+                                    std::span<const HostId> hosts) {
+  std::vector<std::pair<uint64_t, HostId>> scored;
+  scored.reserve(hosts.size());
+  for (const HostId& host : hosts) {
+    scored.emplace_back(Score(target, host), host);
+  }
+  std::sort(scored.begin(), scored.end(), std::greater<>());
+  std::vector<HostId> order;
+  order.reserve(scored.size());
+  for (auto& [score, host] : scored) {
+    order.push_back(std::move(host));
+  }
+  return order;
+}
+
+std::vector<HostId> HostsOfZone(const ZoneId& zone,
+                                std::span<const PeerSettings> hosts) {
+  std::vector<HostId> names;
+  for (const PeerSettings& peer : hosts) {
+    if (peer.zone == zone) {
+      names.push_back(peer.name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<HostId> LeaseElectorate(const ZoneId& zone,
+                                    std::span<const PeerSettings> hosts) {
+  std::vector<HostId> voters = HostsOfZone(zone, hosts);
+  voters.resize(std::min(voters.size(), kMaxZoneVoters));
+  const PeerSettings* witness = Witness(zone, hosts);
+  if (voters.size() % 2 == 0 && witness != nullptr) {
+    voters.push_back(witness->name);
+  }
+  return voters;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/admission/zone_leases.cc
@@ -0,0 +1,102 @@
+#include "knapweedroad/admission/zone_leases.h"
+
+#include <optional>
+#include <utility>
+
+#include "knapweedroad/admission/rendezvous.h"
+
+namespace knapweedroad {
+
+ZoneLeases::ZoneLeases(const Options& options)
+    : self(options.self),
+      grantor({.self = options.self,
+               .timing = options.timing,
+               .started = options.started}),
+      holder(HolderOptions(options)) {}
+
+LeaseHolder::Options ZoneLeases::HolderOptions(const Options& options) {
+  return {.self = options.self,
+          .incarnation = options.incarnation,
+          .started = options.started,
+          .zone_hosts = HostsOfZone(options.zone, options.hosts),
+          .electorate = LeaseElectorate(options.zone, options.hosts),
+          .timing = options.timing,
+          .retry_interval = options.retry_interval,
+          .handover_delay = options.handover_delay,
+          .max_handovers = options.max_handovers};
+}
+
+void ZoneLeases::SetTargets(std::span<const LeaseTarget> targets,
+                            TimePoint now) {
+  this->holder.SetTargets(targets, now);
+}
+
+void ZoneLeases::SetEligibleHosts(std::span<const HostId> hosts,
+                                  TimePoint now) {
+  this->holder.SetEligibleHosts(hosts, now);
+}
+
+void ZoneLeases::OnDrained(const TargetId& target) {
+  this->holder.OnDrained(target);
+}
+
+void ZoneLeases::OnPeerRefused(const HostId& host,
+                               TimePoint attempted,
+                               TimePoint now) {
+  this->holder.OnPeerRefused(host, attempted, now);
+}
+
+void ZoneLeases::Leave() {
+  this->holder.Leave();
+}
+
+ZoneLeases::Actions ZoneLeases::OnRequest(const LeaseRequest& request,
+                                          TimePoint now) {
+  Actions actions;
+  std::optional<LeaseReply> reply = this->grantor.OnRequest(request, now);
+  if (!reply) {
+    return actions;
+  }
+  this->holder.OnPeerRequest(request, now);
+  this->Settle(now, actions);
+  actions.replies.push_back({.to = request.holder, .reply = *std::move(reply)});
+  return actions;
+}
+
+ZoneLeases::Actions ZoneLeases::OnReply(const LeaseReply& reply,
+                                        TimePoint now) {
+  Actions actions;
+  this->holder.OnReply(reply, now);
+  this->Settle(now, actions);
+  return actions;
+}
+
+ZoneLeases::Actions ZoneLeases::Tick(TimePoint now) {
+  Actions actions;
+  this->Settle(now, actions);
+  return actions;
+}
+
+// Requests to this host itself are answered on the spot.
+void ZoneLeases::Settle(TimePoint now, Actions& actions) {
+  bool again = true;
+  while (again) {
+    again = false;
+    LeaseActions step = this->holder.Tick(now);
+    for (auto& change : step.shares) {
+      actions.shares.push_back(std::move(change));
+    }
+    for (auto& message : step.messages) {
+      if (message.to != this->self) {
+        actions.requests.push_back(std::move(message));
+        continue;
+      }
+      if (auto reply = this->grantor.OnRequest(message.request, now)) {
+        this->holder.OnReply(*reply, now);
+        again = true;
+      }
+    }
+  }
+}
+
+}  // namespace knapweedroad
