--- a/knapweedroad/query/query_answer.h
+++ b/knapweedroad/query/query_answer.h
@@ -34,6 +34,8 @@
   RunOutcome outcome = RunOutcome::kNotRun;
   // When it is worth asking again; zero: at once, elsewhere.
   Duration retry_after{};
+
+  friend bool operator==(const QueryRefusal&, const QueryRefusal&) = default;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/query/record_run_test.cc
+++ b/knapweedroad/query/record_run_test.cc
@@ -109,11 +109,12 @@
   cr_assert(OutcomeOf(last) == RunOutcome::kUnknown);
 }
 
-Test(LookupRun, ALateRefusalOfAnEarlierAttemptSendsNothing) {
+Test(LookupRun, WhatComesLateOfAnEarlierAttemptIsIgnored) {
   QueryTestWorld world;
   auto run = MakeLookupRun(world);
   const auto first = Sends(run.Start(world.At(0)).actions);
   run.OnFailure(first[0].attempt, kShedFailure, world.At(1));
+  cr_assert(!run.OnReply(first[0].attempt, {.body = "x"}, world.At(2)).result);
   const auto late = run.OnFailure(first[0].attempt, kShedFailure, world.At(2));
   cr_assert(late.actions.empty());
   cr_assert(!late.result);
