A caller's question answered end to end: hosts, leases, scatter, gather, coverage

Cause: the cores stood alone.

Found on the way: a target's client was sized before its lease share was known and stayed at no connections, so every attempt timed out unsent; the size now follows the share.

--- a/knapweedroad/base/log_line.cc
+++ b/knapweedroad/base/log_line.cc
@@ -47,6 +47,10 @@
   return *this;
 }
 
+void LogLine::Trace() const {
+  VLOG(1) << this->line;
+}
+
 void LogLine::Info() const {
   LOG(INFO) << this->line;
 }
--- a/knapweedroad/base/log_line.h
+++ b/knapweedroad/base/log_line.h
@@ -27,7 +27,8 @@
     return this->Add(key, std::string_view(text.view()));
   }
 
-  // Write the line at that level.
+  // Write the line at that level; Trace() only with --v=1.
+  void Trace() const;
   void Info() const;
   void Warning() const;
   void Error() const;
--- /dev/null
+++ b/knapweedroad/host/configuration_keeper.cc
@@ -0,0 +1,146 @@
+#include "knapweedroad/host/configuration_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+#include <nlohmann/json.hpp>
+
+#include "knapweedroad/base/log_line.h"
+#include "knapweedroad/config/config_error.h"
+#include "knapweedroad/config/parse_deployment.h"
+#include "knapweedroad/config/print_deployment.h"
+
+namespace knapweedroad {
+namespace {
+
+using nlohmann::json;
+
+// Versions that a difference can start from.
+constexpr size_t kPastVersions = 32;
+
+uint64_t ChecksumOf(std::string_view text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
+// The difference between two printed configurations, or nothing where it is no
+// shorter than the whole.
+std::optional<std::string> Difference(const std::string& from,
+                                      const std::string& to) {
+  const json old_document = json::parse(from, nullptr, false);
+  const json new_document = json::parse(to, nullptr, false);
+  if (old_document.is_discarded() || new_document.is_discarded()) {
+    return std::nullopt;
+  }
+  std::string patch = json::diff(old_document, new_document).dump();
+  if (patch.size() >= to.size()) {
+    return std::nullopt;
+  }
+  return patch;
+}
+
+tl::expected<std::string, std::string> Patched(const std::string& base,
+                                               const std::string& patch) {
+  const json document = json::parse(base, nullptr, false);
+  const json change = json::parse(patch, nullptr, false);
+  if (document.is_discarded() || change.is_discarded()) {
+    return tl::unexpected(std::string("the difference is no JSON patch"));
+  }
+  try {
+    return document.patch(change).dump();
+  } catch (const json::exception& error) {
+    return tl::unexpected(std::string(error.what()));
+  }
+}
+
+}  // namespace
+
+ConfigurationKeeper::ConfigurationKeeper()
+    : configuration(std::make_shared<DeploymentConfig>()) {}
+
+void ConfigurationKeeper::OnChange(
+    std::function<void(const DeploymentConfig&)> listener) {
+  this->listeners.push_back(std::move(listener));
+}
+
+tl::expected<void, std::string> ConfigurationKeeper::Offer(
+    uint64_t version,
+    const std::string& text,
+    TimePoint now) {
+  if (this->configuration != nullptr && !this->current_text.empty() &&
+      version <= this->current_version) {
+    return {};
+  }
+  auto parsed = ParseDeployment(text, "version " + std::to_string(version));
+  if (!parsed) {
+    return tl::unexpected(parsed.error().front().ToString());
+  }
+  if (!this->current_text.empty()) {
+    this->past.push_back(
+        {.version = this->current_version, .text = this->current_text});
+    if (this->past.size() > kPastVersions) {
+      this->past.pop_front();
+    }
+  }
+  this->current_version = version;
+  // Printed anew, so that every host holds the same text, whatever the
+  // comments and layout of the one that was applied.
+  this->current_text = PrintDeployment(*parsed);
+  this->configuration =
+      std::make_shared<const DeploymentConfig>(std::move(*parsed));
+  this->in_force_since = now;
+  LogLine("configuration_in_force").Add("version", version).Info();
+  for (const auto& listener : this->listeners) {
+    listener(*this->configuration);
+  }
+  return {};
+}
+
+ConfigurationPush ConfigurationKeeper::PushFrom(uint64_t base_version) const {
+  ConfigurationPush push{.version = this->current_version,
+                         .body = this->current_text,
+                         .checksum = ChecksumOf(this->current_text)};
+  const auto base = std::find_if(
+      this->past.begin(), this->past.end(),
+      [&](const Past& each) { return each.version == base_version; });
+  if (base_version != 0 && base != this->past.end()) {
+    if (auto patch = Difference(base->text, this->current_text)) {
+      push.base_version = base_version;
+      push.body = std::move(*patch);
+    }
+  }
+  return push;
+}
+
+tl::expected<void, std::string> ConfigurationKeeper::Apply(
+    const ConfigurationPush& push,
+    TimePoint now) {
+  if (push.version <= this->current_version) {
+    return {};
+  }
+  std::string text = push.body;
+  if (push.base_version != 0) {
+    if (push.base_version != this->current_version) {
+      return tl::unexpected(
+          std::string("the difference starts from another version"));
+    }
+    auto patched = Patched(this->current_text, push.body);
+    if (!patched) {
+      return tl::unexpected(patched.error());
+    }
+    text = std::move(*patched);
+  }
+  auto parsed = ParseDeployment(text, "peer");
+  if (!parsed) {
+    return tl::unexpected(parsed.error().front().ToString());
+  }
+  // Failure: two hosts serve under one version number with different texts,
+  // because a difference was applied to another base. The sum is of the text
+  // that the first host has in force.
+  if (ChecksumOf(PrintDeployment(*parsed)) != push.checksum) {
+    return tl::unexpected(std::string("the text's checksum differs"));
+  }
+  return this->Offer(push.version, text, now);
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/metrics/host_metrics.cc
@@ -0,0 +1,112 @@
+#include "knapweedroad/metrics/host_metrics.h"
+
+#include <chrono>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include "knapweedroad/query/call_context.h"
+
+namespace knapweedroad {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kLatencySeconds = {
+    0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.04, 0.05,
+    0.075, 0.092, 0.125, 0.175, 0.25,   0.4,  0.6,   1.0,  2.0,  5.0};
+const prometheus::Histogram::BucketBoundaries kCoverageShares = {
+    0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.9999, 1.0};
+
+}  // namespace
+
+struct HostMetrics::State {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Histogram>& latency =
+      prometheus::BuildHistogram()
+          .Name("knapweedroad_request_seconds")
+          .Help("From a request's first byte to its answer")
+          .Register(this->registry);
+  prometheus::Family<prometheus::Histogram>& coverage =
+      prometheus::BuildHistogram()
+          .Name("knapweedroad_coverage")
+          .Help("Share of the index that an answer covers")
+          .Register(this->registry);
+  prometheus::Family<prometheus::Counter>& requests =
+      prometheus::BuildCounter()
+          .Name("knapweedroad_requests_total")
+          .Help("Requests by front, tenant, class and status")
+          .Register(this->registry);
+  prometheus::Family<prometheus::Counter>& attempts =
+      prometheus::BuildCounter()
+          .Name("knapweedroad_attempts_total")
+          .Help("Attempts at targets by front and purpose")
+          .Register(this->registry);
+  prometheus::Family<prometheus::Counter>& decisions =
+      prometheus::BuildCounter()
+          .Name("knapweedroad_decisions_total")
+          .Help("Decisions by kind")
+          .Register(this->registry);
+  prometheus::Family<prometheus::Gauge>& gauges =
+      prometheus::BuildGauge()
+          .Name("knapweedroad_state")
+          .Help("Values that go up and down, by name")
+          .Register(this->registry);
+};
+
+HostMetrics::HostMetrics() : state(std::make_unique<State>()) {}
+HostMetrics::~HostMetrics() = default;
+
+void HostMetrics::ObserveRequest(const FrontId& front,
+                                 const TenantId& tenant,
+                                 std::string_view request_class,
+                                 int status,
+                                 Duration took) {
+  const prometheus::Labels labels = {{"front", front.str()},
+                                     {"tenant", tenant.str()},
+                                     {"class", std::string(request_class)}};
+  prometheus::Labels with_status = labels;
+  with_status["status"] = std::to_string(status);
+  this->state->requests.Add(with_status).Increment();
+  this->state->latency.Add(labels, kLatencySeconds)
+      .Observe(std::chrono::duration<double>(took).count());
+}
+
+void HostMetrics::ObserveCoverage(const FrontId& front,
+                                  const TenantId& tenant,
+                                  double coverage) {
+  this->state->coverage
+      .Add({{"front", front.str()}, {"tenant", tenant.str()}}, kCoverageShares)
+      .Observe(coverage);
+}
+
+void HostMetrics::CountAttempts(const FrontId& front,
+                                const QueryRunStats& stats) {
+  const auto count = [&](const char* purpose, double times) {
+    if (times > 0) {
+      this->state->attempts.Add({{"front", front.str()}, {"purpose", purpose}})
+          .Increment(times);
+    }
+  };
+  count("first", stats.first_tries);
+  count("hedge", stats.hedges);
+  count("retry", stats.retries);
+  count("restart", stats.restarts);
+  count("wrong_snapshot", stats.wrong_snapshots);
+}
+
+void HostMetrics::CountDecision(std::string_view kind, double times) {
+  this->state->decisions.Add({{"kind", std::string(kind)}}).Increment(times);
+}
+
+void HostMetrics::SetGauge(std::string_view name, double value) {
+  this->state->gauges.Add({{"name", std::string(name)}}).Set(value);
+}
+
+std::string HostMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(
+      this->state->registry.Collect());
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/metrics/host_metrics.h
@@ -0,0 +1,55 @@
+// What one host measures, for Prometheus.
+//
+//   HostMetrics metrics;
+//   metrics.ObserveRequest(front, tenant, "normal", 200, took);
+//   std::string text = metrics.Text();
+//
+// Latency histograms by front, tenant and class; a counter for each kind of
+// decision.
+
+#ifndef KNAPWEEDROAD_METRICS_HOST_METRICS_H_
+#define KNAPWEEDROAD_METRICS_HOST_METRICS_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad {
+
+struct QueryRunStats;
+
+class HostMetrics {
+ public:
+  HostMetrics();
+  ~HostMetrics();
+
+  void ObserveRequest(const FrontId& front,
+                      const TenantId& tenant,
+                      std::string_view request_class,
+                      int status,
+                      Duration took);
+  // From 0 to 1.
+  void ObserveCoverage(const FrontId& front,
+                       const TenantId& tenant,
+                       double coverage);
+  // First tries, hedges, retries and restarts of one request.
+  void CountAttempts(const FrontId& front, const QueryRunStats& stats);
+  // One decision of a kind, such as "lease_taken" or "refused_overloaded".
+  void CountDecision(std::string_view kind, double times = 1);
+  // A value that goes up and down, such as "targets_held".
+  void SetGauge(std::string_view name, double value);
+
+  // The Prometheus text format.
+  std::string Text() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_METRICS_HOST_METRICS_H_
--- a/knapweedroad/net/http_client.cc
+++ b/knapweedroad/net/http_client.cc
@@ -344,6 +344,15 @@
   }
 }
 
+void HttpClient::SetMaxConnections(size_t most) {
+  this->state->options.max_connections = most;
+  while (this->state->open > most && !this->state->idle.empty()) {
+    auto connection = std::move(this->state->idle.back());
+    this->state->idle.pop_back();
+    this->state->Discard(connection);
+  }
+}
+
 size_t HttpClient::connections() const {
   return this->state->open;
 }
--- a/knapweedroad/net/http_client.h
+++ b/knapweedroad/net/http_client.h
@@ -63,6 +63,9 @@
   // Closes all idle connections; each may have gone silent.
   void DropIdle();
 
+  // Takes effect for connections opened from now on; idle ones over it close.
+  void SetMaxConnections(size_t most);
+
   size_t connections() const;
 
  private:
--- a/knapweedroad/wire/codec.h
+++ b/knapweedroad/wire/codec.h
@@ -16,6 +16,7 @@
 #include <string_view>
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
