--- a/knapweedroad/admission/lease_holder.cc
+++ b/knapweedroad/admission/lease_holder.cc
@@ -15,7 +15,13 @@
 
 }  // namespace
 
-LeaseHolder::LeaseHolder(const Options& options) : options(options) {}
+LeaseHolder::LeaseHolder(const Options& options)
+    : options(options),
+      contacts({.self = options.self,
+                .started = options.started,
+                .zone_hosts = options.zone_hosts,
+                .electorate = options.electorate,
+                .timing = options.timing}) {}
 
 LeaseHolder::Entry LeaseHolder::NewEntry(const LeaseTarget& target) const {
   std::vector<HostId> order =
@@ -69,32 +75,6 @@
   }
 }
 
-// A goodbye that was delayed past a restart of this host, or of the one it is
-// from, may not make a host that runs count as stopped: it is believed of the
-// incarnation that was last heard only.
-void LeaseHolder::OnPeerRequest(const LeaseRequest& request, TimePoint now) {
-  Heard& heard = this->heard[request.holder];
-  const bool known = heard.incarnation == request.incarnation;
-  heard = {.incarnation = request.incarnation, .at = now};
-  if (!request.goodbye) {
-    this->stopped.erase(request.holder);
-  } else if (known) {
-    this->stopped[request.holder] = now;
-  }
-}
-
-void LeaseHolder::OnPeerRefused(const HostId& host,
-                                TimePoint attempted,
-                                TimePoint now) {
-  const auto found = this->heard.find(host);
-  if (found != this->heard.end() && found->second.at >= attempted) {
-    return;
-  }
-  const Duration work =
-      this->options.timing.Stretched(this->options.timing.max_work_time);
-  this->stopped.try_emplace(host, now + work);
-}
-
 // A reply of an earlier life of this host would count a lease from the wrong
 // moment: sequences start anew with each incarnation.
 void LeaseHolder::OnReply(const LeaseReply& reply, TimePoint now) {
@@ -103,9 +83,7 @@
       asked == this->sent.end()) {
     return;
   }
-  TimePoint& latest = this->answered[reply.grantor];
-  latest = std::max(latest, asked->second);
-  this->greeted.try_emplace(reply.grantor, now);
+  this->contacts.OnAnswered(reply.grantor, asked->second, now);
   for (const LeaseGrant& grant : reply.grants) {
     const auto found = this->entries.find(grant.target);
     if (found == this->entries.end() ||
@@ -139,18 +117,6 @@
   return actions;
 }
 
-bool LeaseHolder::ReachesMajority(TimePoint now) const {
-  const std::size_t needed = this->options.electorate.size() / 2 + 1;
-  const auto recent = [&](const HostId& host) {
-    const auto found = this->answered.find(host);
-    return found != this->answered.end() &&
-           now - found->second <= this->options.timing.length;
-  };
-  const auto& voters = this->options.electorate;
-  return static_cast<std::size_t>(
-             std::count_if(voters.begin(), voters.end(), recent)) >= needed;
-}
-
 std::vector<TargetId> LeaseHolder::HeldTargets() const {
   std::vector<TargetId> held;
   for (const auto& [target, entry] : this->entries) {
@@ -170,31 +136,6 @@
   return nullptr;
 }
 
-bool LeaseHolder::Isolated(TimePoint now) const {
-  return now - this->options.started > this->options.timing.length &&
-         !this->ReachesMajority(now);
-}
-
-// A holder may take the part of a host that it knows not to run. Until every
-// host of the zone has answered this incarnation, one of them may do so with
-// this host's part; and until its work has ended after that, it is still there.
-bool LeaseHolder::MayActIsolated(TimePoint now) const {
-  const Duration work =
-      this->options.timing.Stretched(this->options.timing.max_work_time);
-  const auto done = [&](const HostId& host) {
-    const auto found = this->greeted.find(host);
-    return host == this->options.self ||
-           (found != this->greeted.end() && now >= found->second + work);
-  };
-  const auto& hosts = this->options.zone_hosts;
-  return this->Isolated(now) && std::all_of(hosts.begin(), hosts.end(), done);
-}
-
-TimePoint LeaseHolder::StoppedFrom(const HostId& host) const {
-  const auto found = this->stopped.find(host);
-  return found == this->stopped.end() ? TimePoint::max() : found->second;
-}
-
 uint32_t LeaseHolder::Draining() const {
   return static_cast<uint32_t>(std::count_if(
       this->entries.begin(), this->entries.end(), [](const auto& item) {
@@ -222,7 +163,7 @@
       break;
     case LeasePhase::kIsolated:
       if (this->leaving || entry.removed || lease.wanted ||
-          !this->Isolated(now)) {
+          !this->contacts.Isolated(now)) {
         lease.phase = LeasePhase::kDraining;
       }
       this->AskOwnPart(target, entry);
@@ -240,8 +181,8 @@
   if (this->leaving || entry.removed || now < entry.next_ask) {
     return;
   }
-  if (this->Isolated(now)) {
-    if (this->MayActIsolated(now) &&
+  if (this->contacts.Isolated(now)) {
+    if (this->contacts.MayActIsolated(now) &&
         entry.lease.OwnRank() < TargetLease::kOwners) {
       entry.lease.phase = LeasePhase::kIsolated;
       this->AskOwnPart(target, entry);
@@ -357,7 +298,7 @@
     this->asks.try_emplace(host);
   }
   for (const HostId& host : this->options.zone_hosts) {
-    if (!this->greeted.contains(host)) {
+    if (!this->contacts.HasAnswered(host)) {
       this->asks.try_emplace(host);
     }
   }
@@ -366,7 +307,7 @@
 void LeaseHolder::UpdateShares(TimePoint now, LeaseActions& actions) {
   this->next_wake = this->next_round;
   const auto stopped = [&](const HostId& host) {
-    return this->StoppedFrom(host);
+    return this->contacts.StoppedFrom(host);
   };
   for (auto& [target, entry] : this->entries) {
     const TargetShare share = entry.lease.Share(now, stopped);
--- a/knapweedroad/admission/lease_holder.h
+++ b/knapweedroad/admission/lease_holder.h
@@ -22,6 +22,7 @@
 #include "knapweedroad/admission/lease_timing.h"
 #include "knapweedroad/admission/target_lease.h"
 #include "knapweedroad/admission/target_share.h"
+#include "knapweedroad/admission/zone_contacts.h"
 #include "knapweedroad/base/id.h"
 
 namespace knapweedroad {
@@ -85,11 +86,16 @@
   void OnDrained(const TargetId& target);
 
   // Any request of another host that its grantor took: a sign of its life.
-  void OnPeerRequest(const LeaseRequest& request, TimePoint now);
+  void OnPeerRequest(const LeaseRequest& request, TimePoint now) {
+    this->contacts.OnRequest(request.holder, request.incarnation,
+                             request.goodbye, now);
+  }
 
   // The host's peer port refused a connection begun at `attempted`: no process
   // of it runs. To be said of refusals only, never of silence.
-  void OnPeerRefused(const HostId& host, TimePoint attempted, TimePoint now);
+  void OnPeerRefused(const HostId& host, TimePoint attempted, TimePoint now) {
+    this->contacts.OnRefused(host, attempted, now);
+  }
 
   void OnReply(const LeaseReply& reply, TimePoint now);
 
@@ -101,7 +107,9 @@
   TimePoint NextWake() const { return this->next_wake; }
 
   // For heartbeats: whether this host can be granted leases now.
-  bool ReachesMajority(TimePoint now) const;
+  bool ReachesMajority(TimePoint now) const {
+    return this->contacts.ReachesMajority(now);
+  }
   // The targets that this host may use now, for heartbeats and status.
   std::vector<TargetId> HeldTargets() const;
 
@@ -125,16 +133,9 @@
     bool removed = false;
   };
   using Asks = std::map<HostId, std::vector<LeaseAsk>>;
-  struct Heard {
-    uint64_t incarnation = 0;
-    TimePoint at{};
-  };
 
   Entry NewEntry(const LeaseTarget& target) const;
   const HostId* Preferred(const Entry& entry) const;
-  bool MayActIsolated(TimePoint now) const;
-  bool Isolated(TimePoint now) const;
-  TimePoint StoppedFrom(const HostId& host) const;
   uint32_t Draining() const;
   void Advance(const TargetId& target, Entry& entry, TimePoint now);
   void AdvanceIdle(const TargetId& target, Entry& entry, TimePoint now);
@@ -145,11 +146,11 @@
   void AskOwnPart(const TargetId& target, const Entry& entry);
   void GiveBack(const TargetId& target, Entry& entry);
   void KeepAlive(TimePoint now);
-  void SayGoodbye();
   void UpdateShares(TimePoint now, LeaseActions& actions);
   void Flush(TimePoint now, LeaseActions& actions);
 
   Options options;
+  ZoneContacts contacts;
   std::map<TargetId, Entry> entries;
   std::set<HostId> eligible;
   bool leaving = false;
@@ -157,13 +158,6 @@
   uint64_t sequence = 0;
   // When each request was handed out that may still be answered.
   std::map<uint64_t, TimePoint> sent;
-  // The send time of the latest answered request, by host.
-  std::map<HostId, TimePoint> answered;
-  // When a host first answered this incarnation: from then on it no longer
-  // takes this host for stopped.
-  std::map<HostId, TimePoint> greeted;
-  std::map<HostId, Heard> heard;
-  std::map<HostId, TimePoint> stopped;
   Asks asks;
   TimePoint next_round{};
   TimePoint next_keepalive{};
--- a/knapweedroad/admission/target_admission.cc
+++ b/knapweedroad/admission/target_admission.cc
@@ -1,8 +1,6 @@
 #include "knapweedroad/admission/target_admission.h"
 
 #include <algorithm>
-#include <chrono>
-#include <type_traits>
 #include <utility>
 
 namespace knapweedroad {
@@ -14,8 +12,6 @@
 // doesn't make the tier refuse what would fit.
 constexpr int kServiceTimeClip = 4;
 
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
-
 ColdStartRamp::Options RampOptions(const TargetAdmission::Options& options) {
   ColdStartRamp::Options ramp = options.ramp;
   ramp.slots = options.slots;
@@ -222,47 +218,6 @@
   return part == 0 ? 0 : std::max<uint32_t>(half * part / slots, 1);
 }
 
-bool TargetAdmission::Blocked(TimePoint now, RefusalKind& kind) const {
-  if (this->target_leaving) {
-    kind = RefusalKind::kTargetLeaving;
-    return true;
-  }
-  if (!this->accepting) {
-    kind = RefusalKind::kNotAccepting;
-    return true;
-  }
-  if (this->limit(now) == 0) {
-    kind = RefusalKind::kNoLease;
-    return true;
-  }
-  return false;
-}
-
-bool TargetAdmission::FitsBehindQueue(const AdmissionRequest& request,
-                                      TimePoint now) const {
-  const uint32_t ahead = this->queue.PositionOf(request);
-  const Duration wait = this->WaitFor(ahead + 1, now);
-  return now + wait + this->ramp.baseline() <= request.deadline;
-}
-
-// The time in which so many slots come free, at the mean service time.
-Duration TargetAdmission::WaitFor(uint32_t positions, TimePoint now) const {
-  const uint32_t servers = std::max<uint32_t>(this->limit(now), 1);
-  const Duration service = this->service_time * positions / servers;
-  const Duration pause =
-      std::max<Duration>(this->paused_until - now, Duration::zero());
-  return service + pause;
-}
-
-// After this long, the same request would fit if nothing else came.
-Duration TargetAdmission::RetryAfter(const AdmissionRequest& request,
-                                     TimePoint now) const {
-  const uint32_t ahead = this->queue.PositionOf(request);
-  const TimePoint done =
-      now + this->WaitFor(ahead + 1, now) + this->ramp.baseline();
-  return std::max<Duration>(done - request.deadline, kMinRetryAfter);
-}
-
 void TargetAdmission::Refuse(const AdmissionRequest& request,
                              RefusalKind kind,
                              Duration retry_after,
@@ -292,79 +247,6 @@
   this->counts.expired_slots += released;
 }
 
-// Gives what waits its answer as soon as it is certain, instead of near its
-// deadline: all of it when no more may be sent, else what can't be done.
-void TargetAdmission::RefuseHopeless(TimePoint now, AdmissionActions& actions) {
-  RefusalKind kind = RefusalKind::kDeadline;
-  if (this->Blocked(now, kind)) {
-    for (const AdmissionRequest& request : this->queue.Clear()) {
-      this->Refuse(request, kind, Duration::zero(), actions);
-    }
-    return;
-  }
-  std::vector<std::string> hopeless;
-  this->queue.ForEach([&](const AdmissionRequest& request, uint32_t ahead) {
-    if (now >= this->HopelessAt(request, ahead, now)) {
-      hopeless.push_back(request.attempt);
-    }
-  });
-  for (const std::string& attempt : hopeless) {
-    const auto request = this->queue.Remove(attempt);
-    this->Refuse(*request, RefusalKind::kDeadline,
-                 this->RetryAfter(*request, now), actions);
-  }
-}
-
-// On an idle target the next one is tried up to its very deadline, whatever
-// was measured: estimates that nothing can correct any more, because they are
-// above every deadline, would refuse all work for ever.
-TimePoint TargetAdmission::HopelessAt(const AdmissionRequest& request,
-                                      uint32_t ahead,
-                                      TimePoint now) const {
-  if (ahead == 0 && this->running.empty()) {
-    return request.deadline;
-  }
-  // The one that runs before it may be about to end: `ahead`, not one more.
-  const Duration needed = this->WaitFor(ahead, now) + this->ramp.baseline();
-  return request.deadline - needed + Duration(1);
-}
-
-void TargetAdmission::StartWaiting(TimePoint now, AdmissionActions& actions) {
-  if (now < this->paused_until) {
-    return;
-  }
-  while (this->in_flight() < this->limit(now)) {
-    const auto request = this->queue.Pop();
-    if (!request) {
-      return;
-    }
-    this->running.emplace(request->attempt,
-                          Running{.deadline = request->deadline,
-                                  .epoch = this->ramp.epoch(),
-                                  .incarnation = this->incarnation});
-    ++this->counts.started;
-    actions.emplace_back(StartAttempt{.attempt = request->attempt,
-                                      .deadline = request->deadline});
-  }
-}
-
-void TargetAdmission::PlanWake(TimePoint now) {
-  TimePoint wake = TimePoint::max();
-  for (const auto& [attempt, running] : this->running) {
-    wake = std::min(wake, running.deadline + this->options.end_margin);
-  }
-  this->queue.ForEach([&](const AdmissionRequest& request, uint32_t ahead) {
-    wake = std::min(wake, this->HopelessAt(request, ahead, now));
-  });
-  if (!this->queue.empty() && this->paused_until > now) {
-    wake = std::min(wake, this->paused_until);
-  }
-  if (!this->queue.empty()) {
-    wake = std::min(wake, this->share.valid_until);
-  }
-  this->next_wake = wake;
-}
-
 AdmissionActions TargetAdmission::Settle(TimePoint now,
                                          AdmissionActions actions) {
   this->ReleaseEnded(now);
