--- a/knapweedroad/load/load_report.cc
+++ b/knapweedroad/load/load_report.cc
@@ -10,6 +10,7 @@
 using nlohmann::ordered_json;
 
 constexpr size_t kViolationsShown = 40;
+constexpr size_t kShownOfATarget = 2;
 constexpr int kIndent = 2;
 
 ordered_json ToJson(const LatencySummary& latency) {
@@ -108,10 +109,14 @@
   for (const auto& [kind, count] : counts.violations) {
     sum.violations[std::string(ToString(kind))] += count;
   }
+  std::map<ViolationKind, size_t> shown;
   for (const TargetViolation& violation : counts.first_violations) {
     if (sum.first_violations.size() == kViolationsShown) {
       return;
     }
+    if (++shown[violation.kind] > kShownOfATarget) {
+      continue;
+    }
     const auto at =
         std::chrono::duration_cast<std::chrono::milliseconds>(violation.at);
     sum.first_violations.push_back(
--- a/knapweedroad/testing/searcher_command.cc
+++ b/knapweedroad/testing/searcher_command.cc
@@ -1,14 +1,11 @@
 #include "knapweedroad/testing/searcher_command.h"
 
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <optional>
-#include <sstream>
 #include <vector>
 
-#include "knapweedroad/config/parse_deployment.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/testing/deployment_file.h"
 
 namespace knapweedroad {
 namespace {
@@ -17,24 +14,6 @@
 
 using Searchers = std::vector<std::unique_ptr<StandInSearcher>>;
 
-std::optional<DeploymentConfig> ReadDeployment(const std::string& file) {
-  std::ifstream in(file);
-  if (!in) {
-    std::cerr << file << ": can't be read\n";
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << in.rdbuf();
-  auto deployment = ParseDeployment(text.str(), file);
-  if (deployment) {
-    return std::move(*deployment);
-  }
-  for (const ConfigError& error : deployment.error()) {
-    std::cerr << error.ToString() << "\n";
-  }
-  return std::nullopt;
-}
-
 bool StartAll(Runtime& runtime,
               const std::vector<StandInOptions>& fleet,
               Searchers& searchers) {
@@ -72,7 +51,7 @@
 }  // namespace
 
 int RunSearcherCommand(const SearcherCommandOptions& options) {
-  const auto deployment = ReadDeployment(options.deployment_file);
+  const auto deployment = ReadDeploymentFile(options.deployment_file);
   if (!deployment) {
     return kExitUsage;
   }
--- a/knapweedroad/testing/searcher_core.cc
+++ b/knapweedroad/testing/searcher_core.cc
@@ -143,6 +143,11 @@
   this->fallen_until.reset();
 }
 
+void SearcherCore::EndColdStart() {
+  this->cold = false;
+  this->fallen_until.reset();
+}
+
 void SearcherCore::Restart() {
   this->FallCold();
   this->running.clear();
@@ -327,8 +332,7 @@
 }
 
 void SearcherCore::StateTold(TimePoint now) {
-  const bool told = this->told_state() == TargetState::kCold;
-  if (told && !this->evidence_at) {
+  if (this->told_state() == TargetState::kCold && !this->evidence_at) {
     this->evidence_at = now;
   }
 }
--- a/knapweedroad/testing/searcher_core.h
+++ b/knapweedroad/testing/searcher_core.h
@@ -131,6 +131,7 @@
   // Faults and changes, each from now on.
   void SetFaults(const SearcherFaults& faults) { this->faults = faults; }
   void FallCold();
+  void EndColdStart();
   // A new incarnation: cold, and whatever ran is lost.
   void Restart();
   void Leave(TimePoint now);
--- a/knapweedroad/testing/stand_in_fault.cc
+++ b/knapweedroad/testing/stand_in_fault.cc
@@ -14,6 +14,7 @@
   static const auto* const kinds = new std::map<std::string, StandInFaultKind>{
       {"misbehave", StandInFaultKind::kMisbehave},
       {"fall_cold", StandInFaultKind::kFallCold},
+      {"warm_up", StandInFaultKind::kWarmUp},
       {"go_silent", StandInFaultKind::kGoSilent},
       {"restart", StandInFaultKind::kRestart},
       {"leave", StandInFaultKind::kLeave},
--- a/knapweedroad/testing/stand_in_fault.h
+++ b/knapweedroad/testing/stand_in_fault.h
@@ -11,6 +11,7 @@
 // |                | reports_ready, reports_idle, answers_hide_state;    |
 // |                | what is absent is healed                            |
 // | fall_cold      |                                                     |
+// | warm_up        | ends a cold start at once                           |
 // | go_silent      | open connections never answer again, new ones work  |
 // | restart        | down_ms: how long nothing listens                   |
 // | leave          |                                                     |
@@ -38,6 +39,7 @@
 enum class StandInFaultKind : uint8_t {
   kMisbehave,
   kFallCold,
+  kWarmUp,
   kGoSilent,
   kRestart,
   kLeave,
--- a/knapweedroad/testing/stand_in_searcher.cc
+++ b/knapweedroad/testing/stand_in_searcher.cc
@@ -202,6 +202,9 @@
     case StandInFaultKind::kFallCold:
       this->core.FallCold();
       return;
+    case StandInFaultKind::kWarmUp:
+      this->core.EndColdStart();
+      return;
     case StandInFaultKind::kGoSilent:
       this->GoSilent();
       return;
