--- a/knapweedroad/testing/stand_in_fleet.cc
+++ b/knapweedroad/testing/stand_in_fleet.cc
@@ -1,10 +1,9 @@
 #include "knapweedroad/testing/stand_in_fleet.h"
 
-#include <fnmatch.h>
-
 #include <algorithm>
 
 #include "knapweedroad/config/deployment_config.h"
+#include "knapweedroad/testing/name_pattern.h"
 
 namespace knapweedroad {
 namespace {
@@ -18,8 +17,7 @@
 }
 
 bool IsSelected(const SearcherCoreOptions& core, const FleetOptions& options) {
-  return ::fnmatch(options.targets.c_str(), core.target.str().c_str(), 0) ==
-             0 &&
+  return MatchesPatterns(options.targets, core.target.str()) &&
          Contains(options.zones, core.zone) &&
          Contains(options.fronts, core.front);
 }
--- a/knapweedroad/testing/stand_in_fleet.h
+++ b/knapweedroad/testing/stand_in_fleet.h
@@ -24,7 +24,7 @@
 struct DeploymentConfig;
 
 struct FleetOptions {
-  // Names with `*` for any text; and zones and fronts, all where empty.
+  // See MatchesPatterns(); and zones and fronts, all where empty.
   std::string targets = "*";
   std::vector<ZoneId> zones;
   std::vector<FrontId> fronts;
