--- a/knapweedroad/config/json_document_test.cc
+++ b/knapweedroad/config/json_document_test.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/config/json_document.h"
 
 #include <string>
+#include <string_view>
 
 #include <criterion/criterion.h>
 
@@ -22,6 +23,7 @@
   cr_expect(PlaceOfFirst("[ // ] \"\n  7]") == "2:3");
   cr_expect(PlaceOfFirst("[/* ] \" * / \n */ 7]") == "2:5");
   cr_expect(PlaceOfFirst("[// a\r 7]") == "1:8");
+  cr_expect(PlaceOfFirst(std::string_view("[// a\0 7]", 9)) == "1:8");
 }
 
 Test(JsonDocument, StepsOverStringsWithQuotesAndCommentsInThem) {
--- a/knapweedroad/config/parse_deployment_test.cc
+++ b/knapweedroad/config/parse_deployment_test.cc
@@ -122,6 +122,17 @@
          "21:24: fronts[0].generations[0].note: the key");
 }
 
+// A key with a line break in it would make two lines of one error, and one of
+// 100 KB would bury the others.
+Test(ParseDeployment, KeepsAnErrorOnOneShortLine) {
+  Expect("\"kind\"", "\"a\\nb\": 1, \"kind\"", "8:7: fronts[0].a?b: the key");
+  const auto errors = Errors("{\"" + std::string(100'000, 'x') + "\": 1}");
+  cr_assert(!errors.empty());
+  for (const ConfigError& error : errors) {
+    cr_expect(error.ToString().size() < 300);
+  }
+}
+
 Test(ParseDeployment, RefusesAKeyThatStandsTwice) {
   Expect("\"kind\": \"search\",",
          "\"kind\": \"search\", \"kind\": \"records\",",
@@ -244,6 +255,8 @@
          "21:54: fronts[0].generations[0].units.s-1: expected a whole number");
   Expect("\"search\"", "3",
          "8:15: fronts[0].kind: expected \"search\" or \"records\"");
+  Expect("{\"s-1\": 10}", "3",
+         "21:46: fronts[0].generations[0].units: expected");
 }
 
 Test(ParseDeployment, RefusesEmptyLists) {
--- a/knapweedroad/config/parse_host_settings_test.cc
+++ b/knapweedroad/config/parse_host_settings_test.cc
@@ -114,6 +114,26 @@
          "10:12: hosts: no host is a control replica");
 }
 
+Test(ParseHostSettings, ComparesNothingWithAValueThatIsWrongItself) {
+  Expect("\"name\": \"leuven-1\",\n", "\"name\": 1,\n", "2:11: name: expected");
+  Expect("\"zone\": \"leuven\",\n", "\"zone\": 1,\n", "3:11: zone: expected");
+  Expect("\"zone\": \"leuven\", \"peer", "\"zone\": 1, \"peer",
+         "11:34: hosts[0].zone: expected");
+  Expect("\"127.0.0.1:7003\",\n", "1,\n", "7:19: peer_address: expected");
+  Expect("\"127.0.0.1:7003\", \"control", "1, \"control",
+         "11:60: hosts[0].peer_address: expected");
+  Expect("{\"name\": \"leuven-1\"", "{\"name\": 1",
+         "11:14: hosts[0].name: exp");
+}
+
+Test(ParseHostSettings, RefusesAnEmptyListOfHosts) {
+  const size_t list = kValid.find("[\n");
+  const std::string text = std::string(kValid.substr(0, list)) + "[]}";
+  const auto parsed = ParseHostSettings(text, "f.json");
+  cr_assert(!parsed.has_value());
+  ExpectOneError(parsed.error(), "10:12: hosts: the array is empty");
+}
+
 Test(ParseHostSettings, RefusesZonesThatTheDeploymentDoesNotHave) {
   const DeploymentConfig deployment{
       .name = "d",
