Membership: who is alive, which targets there are, and who holds them

HostView orders heartbeats and suspects by silence on all channels together. TargetDirectory orders reports by the target's own numbers and passes them on with their age, so that a dead target is noticed everywhere at once. HolderDirectory answers with the latest claim.

--- a/knapweedroad/admission/lease_holder.cc
+++ b/knapweedroad/admission/lease_holder.cc
@@ -127,6 +127,20 @@
   return held;
 }
 
+std::vector<HeldTarget> LeaseHolder::Holdings(TimePoint now) const {
+  std::vector<HeldTarget> holdings;
+  for (const auto& [target, entry] : this->entries) {
+    if (entry.share.slots > 0) {
+      holdings.push_back(
+          {.target = target,
+           .slots = entry.share.slots,
+           .isolated = entry.lease.phase == LeasePhase::kIsolated,
+           .held_for = now - entry.held_since});
+    }
+  }
+  return holdings;
+}
+
 const HostId* LeaseHolder::Preferred(const Entry& entry) const {
   for (const HostId& host : entry.order) {
     if (this->eligible.contains(host)) {
@@ -315,6 +329,9 @@
       entry.may_have_work = true;
       this->next_wake = std::min(this->next_wake, share.valid_until);
     }
+    if (share.slots > 0 && entry.share.slots == 0) {
+      entry.held_since = now;
+    }
     if (share != entry.share) {
       entry.share = share;
       actions.shares.push_back({.target = target, .share = share});
--- a/knapweedroad/admission/lease_holder.h
+++ b/knapweedroad/admission/lease_holder.h
@@ -24,6 +24,7 @@
 #include "knapweedroad/admission/target_share.h"
 #include "knapweedroad/admission/zone_contacts.h"
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/target/held_target.h"
 
 namespace knapweedroad {
 
@@ -112,6 +113,8 @@
   }
   // The targets that this host may use now, for heartbeats and status.
   std::vector<TargetId> HeldTargets() const;
+  // The same with what heartbeats say of them.
+  std::vector<HeldTarget> Holdings(TimePoint now) const;
 
  private:
   struct Entry {
@@ -119,6 +122,7 @@
     std::vector<HostId> order;
     Duration work_time{};
     TargetShare share;
+    TimePoint held_since{};
     // Attempts under a former or present share may run.
     bool may_have_work = false;
     TimePoint next_ask{};
--- a/knapweedroad/admission/zone_leases.h
+++ b/knapweedroad/admission/zone_leases.h
@@ -79,6 +79,9 @@
   std::vector<TargetId> HeldTargets() const {
     return this->holder.HeldTargets();
   }
+  std::vector<HeldTarget> Holdings(TimePoint now) const {
+    return this->holder.Holdings(now);
+  }
 
  private:
   static LeaseHolder::Options HolderOptions(const Options& options);
--- /dev/null
+++ b/knapweedroad/membership/holder_directory_test.cc
@@ -0,0 +1,57 @@
+#include "knapweedroad/membership/holder_directory.h"
+
+#include <criterion/criterion.h>
+
+#include "knapweedroad/membership/heartbeat.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+const TargetId target_t("t");
+
+Heartbeat Claim(const char* host, Duration held_for, bool isolated = false) {
+  Heartbeat heartbeat{.host = HostId(host)};
+  heartbeat.held = {{.target = target_t,
+                     .slots = 2,
+                     .isolated = isolated,
+                     .held_for = held_for}};
+  return heartbeat;
+}
+
+// The new holder's claim comes in, and after it one that the former holder had
+// sent before it gave the target away. The older one must not send callers
+// back.
+Test(HolderDirectory, AClaimDelayedOnItsWayReplacesNoLaterOne) {
+  HolderDirectory directory({});
+  directory.OnHeartbeat(Claim("new", milliseconds(10)), kStart);
+  directory.OnHeartbeat(Claim("old", seconds(60)), kStart);
+  cr_assert(directory.HolderOf(target_t, kStart) == HostId("new"));
+}
+
+Test(HolderDirectory, WhatAHostNoLongerNamesIsNotItsOwn) {
+  HolderDirectory directory({});
+  directory.OnHeartbeat(Claim("a", seconds(1)), kStart);
+  directory.OnHeartbeat({.host = HostId("a")}, kStart);
+  cr_assert(!directory.HolderOf(target_t, kStart).has_value());
+}
+
+Test(HolderDirectory, AClaimThatIsNotRepeatedEnds) {
+  HolderDirectory directory({});
+  directory.OnHeartbeat(Claim("a", seconds(1)), kStart);
+  cr_assert(directory.HolderOf(target_t, kStart + seconds(1)).has_value());
+  cr_assert(!directory.HolderOf(target_t, kStart + seconds(2)).has_value());
+}
+
+Test(HolderDirectory, AMajoritysHolderGoesBeforeAnIsolatedOne) {
+  HolderDirectory directory({});
+  directory.OnHeartbeat(Claim("alone", milliseconds(1), true), kStart);
+  directory.OnHeartbeat(Claim("holder", seconds(9)), kStart);
+  cr_assert(directory.HolderOf(target_t, kStart) == HostId("holder"));
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/membership/host_view_test.cc
@@ -0,0 +1,90 @@
+#include "knapweedroad/membership/host_view.h"
+
+#include <criterion/criterion.h>
+
+#include "knapweedroad/config/host_settings.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+const HostId host_b("b");
+
+HostView ViewOfTwo() {
+  std::vector<PeerSettings> hosts(2);
+  hosts[0].name = HostId("a");
+  hosts[1].name = host_b;
+  hosts[1].zone = ZoneId("z");
+  return HostView({.self = HostId("a"), .hosts = hosts});
+}
+
+Heartbeat Beat(uint64_t incarnation, uint64_t sequence) {
+  return {.host = host_b,
+          .incarnation = incarnation,
+          .sequence = sequence,
+          .configuration_version = sequence,
+          .can_hold = true};
+}
+
+Test(HostView, AHostIsDeadUntilHeardAndAfterASecondOfSilence) {
+  HostView view = ViewOfTwo();
+  cr_assert(!view.IsAlive(host_b, kStart));
+  cr_assert(view.OnHeartbeat(Beat(1, 1), kStart));
+  cr_assert(view.IsAlive(host_b, kStart + milliseconds(999)));
+  cr_assert(!view.IsAlive(host_b, kStart + seconds(1)));
+}
+
+// A firewall forgets the UDP flow between two hosts, or a TCP connection goes
+// silent. As long as anything at all comes through, the host isn't dead.
+Test(HostView, AnythingHeardOnAnyChannelIsALifeSign) {
+  HostView view = ViewOfTwo();
+  view.OnHeartbeat(Beat(1, 1), kStart);
+  view.OnHeard(host_b, kStart + milliseconds(900));
+  cr_assert(view.IsAlive(host_b, kStart + milliseconds(1500)));
+}
+
+Test(HostView, AnOlderHeartbeatChangesNothing) {
+  HostView view = ViewOfTwo();
+  view.OnHeartbeat(Beat(2, 5), kStart);
+  cr_assert(!view.OnHeartbeat(Beat(2, 5), kStart), "sent over both ways");
+  cr_assert(!view.OnHeartbeat(Beat(2, 4), kStart));
+  cr_assert(!view.OnHeartbeat(Beat(1, 9), kStart));
+  cr_assert_eq(view.InForceOn(5), 1u);
+  cr_assert_eq(view.InForceOn(6), 0u);
+}
+
+Test(HostView, AClockSetBackIsBelievedAfterLongSilence) {
+  HostView view = ViewOfTwo();
+  view.OnHeartbeat(Beat(9, 5), kStart);
+  cr_assert(!view.OnHeartbeat(Beat(3, 1), kStart + seconds(5)));
+  cr_assert(view.OnHeartbeat(Beat(3, 2), kStart + seconds(11)));
+}
+
+// A host says goodbye and exits. A heartbeat sent just before is delayed and
+// comes in now: no lease may be left for a host that is gone.
+Test(HostView, AGoodbyeHoldsUntilALaterIncarnation) {
+  HostView view = ViewOfTwo();
+  view.OnHeartbeat(Beat(1, 1), kStart);
+  view.OnGoodbye(host_b, 1);
+  view.OnHeartbeat(Beat(1, 2), kStart);
+  cr_assert(!view.IsAlive(host_b, kStart));
+  view.OnHeartbeat(Beat(2, 1), kStart);
+  cr_assert(view.IsAlive(host_b, kStart));
+}
+
+Test(HostView, OnlyHostsThatCanHoldAreCandidates) {
+  HostView view = ViewOfTwo();
+  Heartbeat heartbeat = Beat(1, 1);
+  view.OnHeartbeat(heartbeat, kStart);
+  cr_assert_eq(view.LeaseCandidates(ZoneId("z"), kStart).size(), 1u);
+  heartbeat.sequence = 2;
+  heartbeat.leaving = true;
+  view.OnHeartbeat(heartbeat, kStart);
+  cr_assert(view.LeaseCandidates(ZoneId("z"), kStart).empty());
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/membership/target_directory.cc
@@ -0,0 +1,132 @@
+#include "knapweedroad/membership/target_directory.h"
+
+#include <algorithm>
+
+namespace knapweedroad {
+
+TargetDirectory::TargetDirectory(Options options)
+    : options(std::move(options)) {}
+
+bool TargetDirectory::OnReport(const TargetReport& report, TimePoint now) {
+  return this->Accept(report, now, true, now);
+}
+
+bool TargetDirectory::OnPassedOn(const AgedReport& aged, TimePoint now) {
+  const Duration age = std::max<Duration>(aged.age, Duration::zero());
+  return this->Accept(aged.report, now - age, false, now);
+}
+
+bool TargetDirectory::Accept(const TargetReport& report,
+                             TimePoint heard_at,
+                             bool first_hand,
+                             TimePoint now) {
+  this->Forget(now);
+  if (now - heard_at >= this->options.forget_after) {
+    return false;
+  }
+  const auto [found, added] = this->entries.try_emplace(report.target);
+  Entry& entry = found->second;
+  const TargetReport& known = entry.report;
+  if (!added && std::pair(report.incarnation, report.sequence) <=
+                    std::pair(known.incarnation, known.sequence)) {
+    return false;
+  }
+  const bool same_life = !added && report.incarnation == known.incarnation;
+  const bool was_leaving = same_life && known.state == TargetState::kLeaving;
+  const bool news = !same_life || report.state != known.state;
+  this->by_service[{known.front, known.service}].erase(report.target);
+  this->by_service[{report.front, report.service}].insert(report.target);
+  entry.report = report;
+  entry.heard_at = heard_at;
+  // A target that leaves is not chosen again in this life, whatever a report
+  // composed by another of its threads says a moment later.
+  if (was_leaving) {
+    entry.report.state = TargetState::kLeaving;
+  }
+  const bool urgent = news && report.state != TargetState::kReady;
+  entry.urgent = urgent || (entry.urgent && entry.sends_left > 0);
+  if (urgent) {
+    entry.sends_left = this->options.urgent_repeats;
+  } else if (first_hand) {
+    entry.sends_left = std::max<uint32_t>(entry.sends_left, 1);
+  }
+  return true;
+}
+
+void TargetDirectory::Forget(TimePoint now) {
+  std::erase_if(this->entries, [&](const auto& item) {
+    const Entry& entry = item.second;
+    if (now - entry.heard_at < this->options.forget_after) {
+      return false;
+    }
+    const TargetReport& report = entry.report;
+    this->by_service[{report.front, report.service}].erase(report.target);
+    return true;
+  });
+  std::erase_if(this->by_service,
+                [](const auto& item) { return item.second.empty(); });
+}
+
+std::vector<AgedReport> TargetDirectory::TakeFresh(std::size_t most,
+                                                   TimePoint now) {
+  std::vector<AgedReport> fresh;
+  for (const bool urgent : {true, false}) {
+    for (auto& [target, entry] : this->entries) {
+      const bool due = entry.sends_left > 0 && entry.urgent == urgent;
+      if (!due || fresh.size() >= most) {
+        continue;
+      }
+      --entry.sends_left;
+      fresh.push_back({.report = entry.report, .age = now - entry.heard_at});
+    }
+  }
+  return fresh;
+}
+
+bool TargetDirectory::IsStale(const Entry& entry, TimePoint now) const {
+  return now - entry.heard_at >= this->options.stale_after;
+}
+
+std::vector<TargetCandidate> TargetDirectory::Candidates(
+    const FrontId& front,
+    const ServiceId& service,
+    TimePoint now) const {
+  std::vector<TargetCandidate> candidates;
+  const auto targets = this->by_service.find({front, service});
+  if (targets == this->by_service.end()) {
+    return candidates;
+  }
+  for (const TargetId& target : targets->second) {
+    const Entry& entry = this->entries.at(target);
+    const TargetReport& report = entry.report;
+    const bool out =
+        this->options.zone_out && this->options.zone_out(report.zone);
+    candidates.push_back({.target = target,
+                          .zone = report.zone,
+                          .state = report.state,
+                          .holds = report.holds,
+                          .in_flight = report.in_flight,
+                          .queued = report.queued,
+                          .usable = !out && !this->IsStale(entry, now) &&
+                                    report.state != TargetState::kLeaving});
+  }
+  return candidates;
+}
+
+const TargetReport* TargetDirectory::Find(const TargetId& target) const {
+  const auto found = this->entries.find(target);
+  return found == this->entries.end() ? nullptr : &found->second.report;
+}
+
+std::vector<TargetReport> TargetDirectory::LiveTargets(const ZoneId& zone,
+                                                       TimePoint now) const {
+  std::vector<TargetReport> reports;
+  for (const auto& [target, entry] : this->entries) {
+    if (entry.report.zone == zone && !this->IsStale(entry, now)) {
+      reports.push_back(entry.report);
+    }
+  }
+  return reports;
+}
+
+}  // namespace knapweedroad
