--- a/knapweedroad/cli/searcher_command_line.cc
+++ b/knapweedroad/cli/searcher_command_line.cc
@@ -1,3 +1,5 @@
+#include <sstream>
+
 #include <gflags/gflags.h>
 
 #include "knapweedroad/cli/command.h"
@@ -5,6 +7,9 @@
 #include "knapweedroad/testing/searcher_command.h"
 
 DEFINE_string(targets, "*", "which searchers to run; * for any text");
+DEFINE_string(zones,
+              "",
+              "only the searchers of these zones, separated by commas");
 DEFINE_string(hosts, "", "target addresses of hosts, IP:PORT,...; required");
 DEFINE_int32(searcher_port, 9000, "the first searcher's port");
 DEFINE_int32(control_port, 9500, "the first searcher's control port");
@@ -16,6 +21,15 @@
 namespace knapweedroad {
 namespace {
 
+std::vector<ZoneId> ParseZones(const std::string& list) {
+  std::vector<ZoneId> zones;
+  std::istringstream words(list);
+  for (std::string word; std::getline(words, word, ',');) {
+    zones.emplace_back(word);
+  }
+  return zones;
+}
+
 int RunSearcher(std::span<const std::string> words) {
   if (words.size() != 1 || FLAGS_hosts.empty()) {
     return UsageError(kSearcherCommand,
@@ -31,6 +45,7 @@
       {.deployment_file = words[0],
        .fleet = {
            .targets = FLAGS_targets,
+           .zones = ParseZones(FLAGS_zones),
            .first_port = static_cast<uint16_t>(FLAGS_searcher_port),
            .first_control_port = static_cast<uint16_t>(FLAGS_control_port),
            .host_addresses = *hosts,
