--- /dev/null
+++ b/bench/query/query_overload_bench.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
