--- a/knapweedroad/load/load_command.cc
+++ b/knapweedroad/load/load_command.cc
@@ -80,7 +80,8 @@
     return std::nullopt;
   }
   LoadRunOptions run{.plan = std::move(*plan),
-                     .run = options.run.empty() ? RunName() : options.run};
+                     .run = options.run.empty() ? RunName() : options.run,
+                     .warms_targets = options.warms_targets};
   if (!ReadAddresses("callers", options.callers, run.callers) ||
       !ReadAddresses("operators", options.operators, run.operators) ||
       !ReadAddresses("controls", options.controls, run.controls)) {
--- a/knapweedroad/load/load_command.h
+++ b/knapweedroad/load/load_command.h
@@ -21,6 +21,8 @@
   std::optional<uint64_t> seed;
   // Multiplies every rate of the scenario.
   double rate_scale = 1.0;
+  // Ends all cold starts first: for hosts that can't.
+  bool warms_targets = false;
   // Files to write, where given: the report, and a gnuplot script that draws
   // it into `plot_image`.
   std::string json_file;
--- a/knapweedroad/load/load_plan.h
+++ b/knapweedroad/load/load_plan.h
@@ -54,8 +54,8 @@
 // Something done to the deployment during a run.
 struct TimelineEvent {
   Duration at{};
-  // A fault sent to the targets that match: name with `*` for any text, zone
-  // (all where absent), and of these each `every`th.
+  // A fault sent to the targets that match: names (see MatchesPatterns()),
+  // zone (all where absent), and of these each `every`th.
   std::string fault;
   std::string targets = "*";
   std::optional<ZoneId> target_zone;
--- a/knapweedroad/load/load_runner.h
+++ b/knapweedroad/load/load_runner.h
@@ -29,6 +29,8 @@
   // The stand-in searchers' control addresses; without them nothing is known
   // of the targets' side.
   std::vector<Endpoint> controls;
+  // Ends the cold starts of all targets before the run.
+  bool warms_targets = false;
 };
 
 class LoadRunner {
--- a/knapweedroad/load/target_controls.cc
+++ b/knapweedroad/load/target_controls.cc
@@ -1,7 +1,5 @@
 #include "knapweedroad/load/target_controls.h"
 
-#include <fnmatch.h>
-
 #include <algorithm>
 #include <span>
 #include <utility>
@@ -10,6 +8,7 @@
 
 #include "knapweedroad/net/http_client.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/testing/name_pattern.h"
 
 namespace knapweedroad {
 namespace {
@@ -64,9 +63,9 @@
   size_t matching = 0;
   size_t taken = 0;
   for (Control& control : this->controls) {
-    const bool matches = ::fnmatch(selection.targets.c_str(),
-                                   control.target.str().c_str(), 0) == 0 &&
-                         (!selection.zone || *selection.zone == control.zone);
+    const bool matches =
+        MatchesPatterns(selection.targets, control.target.str()) &&
+        (!selection.zone || *selection.zone == control.zone);
     if (!matches || matching++ % selection.every != 0) {
       continue;
     }
--- a/knapweedroad/load/target_controls.h
+++ b/knapweedroad/load/target_controls.h
@@ -23,7 +23,7 @@
 class HttpClient;
 class Runtime;
 
-// Which targets a fault goes to: by name with `*` for any text, by zone, and
+// Which targets a fault goes to: by name (see MatchesPatterns()), by zone, and
 // of the rest each `every`th.
 struct TargetSelection {
   std::string targets = "*";
--- a/knapweedroad/load/timeline_runner.cc
+++ b/knapweedroad/load/timeline_runner.cc
@@ -38,6 +38,9 @@
   }
   this->controls->SendFault(R"({"fault": "misbehave"})", {});
   this->controls->SendFault(R"({"fault": "mark_zone_in"})", {});
+  if (this->options->warms_targets) {
+    this->controls->SendFault(R"({"fault": "warm_up"})", {});
+  }
   this->controls->SendFault(R"({"fault": "reset_counts"})", {});
 }
 
--- a/knapweedroad/testing/stand_in_fleet_test.cc
+++ b/knapweedroad/testing/stand_in_fleet_test.cc
@@ -28,6 +28,12 @@
   cr_assert_eq(fleet[0].core.snapshot.generation, 4);
 }
 
+Test(StandInFleet, PicksByAnyOfSeveralPatterns) {
+  const auto fleet = PlanFleet(Deployment(), {.targets = "x-*,s-*-2"});
+  cr_assert_eq(fleet.size(), 1);
+  cr_assert_eq(fleet[0].core.target.str(), "s-1-2");
+}
+
 Test(StandInFleet, APartKeepsItsPorts) {
   const auto fleet =
       PlanFleet(Deployment(), {.zones = {ZoneId("b")}, .first_port = 9000});
