--- a/knapweedroad/query/choices_test.cc
+++ b/knapweedroad/query/choices_test.cc
@@ -61,6 +61,17 @@
   cr_assert(!budget.Take(), "a quiet hour saves up no more");
 }
 
+Test(TokenBudget, KeepsHalfForWhatIsUrgent) {
+  // Stragglers wait in full: requests a little over the quantile, of which
+  // there are five times as many, have used the budget up.
+  TokenBudget budget({.share = 0.05, .burst = 4});
+  cr_assert(budget.CanTake(false));
+  budget.Take();
+  budget.Take();
+  cr_assert(!budget.CanTake(false));
+  cr_assert(budget.CanTake(true));
+}
+
 class Choosing {
  public:
   std::optional<TargetCandidate> Choose() {
--- a/knapweedroad/query/query_hedge_test.cc
+++ b/knapweedroad/query/query_hedge_test.cc
@@ -67,6 +67,17 @@
   cr_assert(run.OnTimer(world.At(12)).empty());
 }
 
+Test(QueryHedge, AStragglerIsHedgedOutOfTheKeptHalfOfTheBudget) {
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  world.state.hedges = TokenBudget({.share = 0.0, .burst = 2});
+  world.state.hedges.Take();
+  auto run = world.MakeRun();
+  run.Start(world.At(0));
+  cr_assert(run.OnTimer(world.At(12)).empty());
+  cr_assert_eq(Sends(run.OnTimer(world.At(17))).size(), 1);
+}
+
 Test(QueryHedge, AStragglerThatLostStaysInTheQuantile) {
   // Hedging that feeds itself: cancelled stragglers are left out of the
   // latencies, the quantile sinks, and ever more is hedged.
--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -173,8 +173,14 @@
   if (now + typical >= context.answer_by) {
     return;
   }
+  // Failure: what is merely slower than most uses the budget up, and a true
+  // straggler finds it empty. So half of it is kept for those far over.
+  const LiveAttempt& slow = this->live.front();
+  const auto expected = context.state.latencies.Quantile(
+      this->service_id, slow.zone, context.front.hedge_quantile);
+  const bool urgent = expected && now - slow.sent >= *expected * 3 / 2;
   TokenBudget& budget = context.state.hedges;
-  if (budget.CanTake() &&
+  if (budget.CanTake(urgent) &&
       this->TrySend(context, AttemptPurpose::kHedge, now, actions)) {
     budget.Take();
     context.stats.hedges += 1;
--- a/knapweedroad/query/token_budget.cc
+++ b/knapweedroad/query/token_budget.cc
@@ -15,8 +15,9 @@
       std::min(this->options.burst, this->tokens + this->options.share);
 }
 
-bool TokenBudget::CanTake() const {
-  return !this->is_suspended && this->tokens >= 1.0;
+bool TokenBudget::CanTake(bool urgent) const {
+  const double kept = urgent ? 0.0 : this->options.burst / 2;
+  return !this->is_suspended && this->tokens >= 1.0 + kept;
 }
 
 bool TokenBudget::Take() {
--- a/knapweedroad/query/token_budget.h
+++ b/knapweedroad/query/token_budget.h
@@ -25,8 +25,9 @@
 
   void OnFirstTry();
 
-  // Whether one extra attempt may be sent now.
-  bool CanTake() const;
+  // Whether one extra attempt may be sent now. One that isn't urgent leaves
+  // half of what can be saved up to those that are.
+  bool CanTake(bool urgent = true) const;
 
   // CanTake(); if so it is counted.
   bool Take();
