A quantile needs ten samples above it; a new service is judged by its front

Two samples above a quantile gave a poor one, and stragglers among few samples lifted it to their own latency. Until a service has answered enough, the latencies of all services of the front count.

--- a/knapweedroad/query/choices_test.cc
+++ b/knapweedroad/query/choices_test.cc
@@ -51,6 +51,24 @@
   cr_assert(!book.Quantile(ServiceId("s1"), ZoneId("z"), 0.5));
 }
 
+Test(LatencyBook, ANewServiceIsJudgedByTheFrontUntilItHasAnsweredEnough) {
+  // After each start of a host nothing is hedged for seconds, or by a quantile
+  // of three samples.
+  LatencyBook book;
+  const ZoneId zone("z");
+  for (int i = 0; i < 1000; ++i) {
+    book.Record(ServiceId("old"), zone, milliseconds(10));
+  }
+  book.Record(ServiceId("new"), zone, milliseconds(100));
+  const auto slow = book.Quantile(ServiceId("new"), zone, 0.9);
+  cr_assert_leq(*slow, milliseconds(11));
+  for (int i = 0; i < 100; ++i) {
+    book.Record(ServiceId("new"), zone, milliseconds(100));
+  }
+  const auto own = book.Quantile(ServiceId("new"), zone, 0.9);
+  cr_assert_geq(*own, milliseconds(100));
+}
+
 Test(TokenBudget, GivesAShareOfFirstTriesAndASmallBurst) {
   TokenBudget budget({.share = 0.05, .burst = 2});
   for (int i = 0; i < 1000; ++i) {
--- a/knapweedroad/query/latency_book.cc
+++ b/knapweedroad/query/latency_book.cc
@@ -15,7 +15,7 @@
 constexpr double kHighestSeconds = 100.0;
 constexpr int kBuckets = 317;
 // A quantile q needs that many samples above it to be worth anything.
-constexpr double kTailSamples = 2.0;
+constexpr double kTailSamples = 10.0;
 constexpr double kFewestSamples = 20.0;
 
 const Axis& LogAxis() {
@@ -64,11 +64,12 @@
   return std::chrono::duration_cast<Duration>(edge);
 }
 
-LatencyBook::LatencyBook(double window) : window(window) {}
+LatencyBook::LatencyBook(double window) : window(window), front(window) {}
 
 void LatencyBook::Record(const ServiceId& service,
                          const ZoneId& zone,
                          Duration latency) {
+  this->front.Record(latency);
   auto entry = this->entries.try_emplace(
       service, Entry{DecayingHistogram(this->window), {}});
   entry.first->second.all.Record(latency);
@@ -82,7 +83,7 @@
                                               double quantile) const {
   const auto entry = this->entries.find(service);
   if (entry == this->entries.end()) {
-    return std::nullopt;
+    return this->front.Quantile(quantile);
   }
   const auto in_zone = entry->second.zones.find(zone);
   if (in_zone != entry->second.zones.end()) {
@@ -90,7 +91,8 @@
       return latency;
     }
   }
-  return entry->second.all.Quantile(quantile);
+  const auto latency = entry->second.all.Quantile(quantile);
+  return latency ? latency : this->front.Quantile(quantile);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/query/latency_book.h
+++ b/knapweedroad/query/latency_book.h
@@ -43,9 +43,9 @@
 
   void Record(const ServiceId& service, const ZoneId& zone, Duration latency);
 
-  // The quantile of the service's targets in that zone, or, while too few of
-  // them have answered, of all of its targets. Nothing while these are too
-  // few.
+  // The quantile of the service's targets in that zone; while too few of them
+  // have answered, of all of its targets; while these are too few, of all
+  // services. Nothing while even these are too few.
   std::optional<Duration> Quantile(const ServiceId& service,
                                    const ZoneId& zone,
                                    double quantile) const;
@@ -57,6 +57,8 @@
   };
 
   double window;
+  // Of all services.
+  DecayingHistogram front;
   std::map<ServiceId, Entry> entries;
 };
 
