Hosts in parts: leases, gossip, lookups at most once, graceful stop

Cause: the first whole path kept everything in one file and guessed holders and live hosts. Change: the lease, heartbeat, lookup, platform and attempt parts stand alone; a key's lookup is begun by one host of the settings only; a stopping host says so, drains, answers, hands its leases over and then ends; overload is refused at the door.

--- a/knapweedroad/host/caller_request.cc
+++ b/knapweedroad/host/caller_request.cc
@@ -198,6 +198,8 @@
           "a lookup needs Idempotency-Key, 1 to 64 of A-Za-z0-9._-"));
     }
     request.idempotency_key = *key;
+    request.first_send =
+        FindHeader(http.headers, "Knapweed-First-Send") == "true";
   }
   return {};
 }
--- a/knapweedroad/host/caller_request.h
+++ b/knapweedroad/host/caller_request.h
@@ -35,6 +35,8 @@
   std::string request_id;
   // Lookups only.
   std::string idempotency_key;
+  // The caller says that it never sent this key before.
+  bool first_send = false;
   // Searches: the body as it came, and the hits wanted.
   std::string query_body;
   uint32_t limit = 10;
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -14,6 +14,7 @@
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
+#include "knapweedroad/query/front_gate.h"
 #include "knapweedroad/query/lookup_run.h"
 #include "knapweedroad/query/query_run.h"
 #include "knapweedroad/query/record_run.h"
@@ -30,10 +31,13 @@
 // What a front's requests share on this host.
 struct FrontRuntime {
   explicit FrontRuntime(std::shared_ptr<const FrontConfig> front)
-      : front(std::move(front)), state(*this->front) {}
+      : front(std::move(front)),
+        state(*this->front),
+        gate({.front = *this->front}) {}
 
   std::shared_ptr<const FrontConfig> front;
   FrontState state;
+  FrontGate gate;
 };
 
 struct Coordinator::State : std::enable_shared_from_this<Coordinator::State> {
@@ -239,6 +243,13 @@
   const auto result = live->RunToEnd();
   const QueryRunStats& stats = live->decisions().stats();
   this->options.metrics.CountAttempts(request.front->name, stats);
+  front.gate.Finish({.tenant = request.tenant,
+                     .class_name = request.request_class,
+                     .start = request.start,
+                     .deadline = request.deadline,
+                     .sub_refused = live->refused_attempts(),
+                     .abandoned = !result.has_value()},
+                    Runtime::Now());
   if (!result) {
     return {.status = kCallerLeft};
   }
@@ -271,6 +282,13 @@
   const auto result = live->RunToEnd();
   this->options.metrics.CountAttempts(request.front->name,
                                       live->decisions().stats());
+  front.gate.Finish({.tenant = request.tenant,
+                     .class_name = request.request_class,
+                     .start = request.start,
+                     .deadline = request.deadline,
+                     .sub_refused = live->refused_attempts(),
+                     .abandoned = !result.has_value()},
+                    Runtime::Now());
   if (!result) {
     return {.status = kCallerLeft};
   }
@@ -281,24 +299,33 @@
 }
 
 HttpResponse Coordinator::State::AnswerLookup(const CallerRequest& request) {
+  const RecordResult result = this->options.lookup(request);
+  if (const auto* reply = std::get_if<RecordReply>(&result)) {
+    return RecordResponse(request, *reply, this->options.host);
+  }
+  return ProblemResponse(std::get<QueryRefusal>(result), request.request_id);
+}
+
+RecordResult Coordinator::RunLookup(const CallerRequest& request) {
   using Live = LiveRun<LookupRun, RecordReply>;
+  const std::shared_ptr<State> self = this->state;
   auto live = std::make_shared<Live>(
-      this->runtime, this->options.router,
-      [self = this->shared_from_this(), request](const SendAttempt& send) {
+      self->runtime, self->options.router,
+      [self, request](const SendAttempt& send) {
         return self->CallFor(request, send);
       },
       [](AttemptReply reply) { return ReadRecordReply(std::move(reply)); },
       LookupRun({.front = *request.front,
                  .service = request.front->services.front().name,
-                 .own_zone = this->options.own_zone,
+                 .own_zone = self->options.own_zone,
                  .start = request.start,
                  .deadline = request.deadline,
-                 .hooks = this->HooksFor(request)}));
+                 .hooks = self->HooksFor(request)}));
   const auto result = live->RunToEnd();
   if (const auto* reply = std::get_if<RecordReply>(&*result)) {
-    return RecordResponse(request, *reply, this->options.host);
+    return *reply;
   }
-  return ProblemResponse(std::get<QueryRefusal>(*result), request.request_id);
+  return std::get<QueryRefusal>(*result);
 }
 
 Coordinator::Coordinator(Runtime& runtime, CoordinatorOptions options)
@@ -311,13 +338,23 @@
   const std::shared_ptr<State> self = this->state;
   const std::shared_ptr<FrontRuntime> front = self->FrontOf(request);
   HttpResponse response;
-  if (request.work == AttemptWork::kSearch) {
+  const auto refusal =
+      request.work == AttemptWork::kLookup
+          ? std::nullopt
+          : front->gate.Arrive({.tenant = request.tenant,
+                                .class_name = request.request_class,
+                                .deadline = request.deadline},
+                               Runtime::Now());
+  if (refusal) {
+    response = ProblemResponse(*refusal, request.request_id);
+  } else if (request.work == AttemptWork::kSearch) {
     response = self->AnswerQuery(request, *front, exchange);
   } else if (request.work == AttemptWork::kRecord) {
     response = self->AnswerRecord(request, *front, exchange);
   } else {
     response = self->AnswerLookup(request);
   }
+  front->state.SetOverloaded(front->gate.Overloaded(Runtime::Now()));
   const Duration took = Runtime::Now() - request.start;
   self->options.metrics.ObserveRequest(request.front->name, request.tenant,
                                        request.request_class, response.status,
--- a/knapweedroad/host/coordinator.h
+++ b/knapweedroad/host/coordinator.h
@@ -19,6 +19,7 @@
 #include "knapweedroad/net/http_message.h"
 #include "knapweedroad/query/front_state.h"
 #include "knapweedroad/query/query_action.h"
+#include "knapweedroad/query/record_run.h"
 #include "knapweedroad/query/sub_failure.h"
 #include "knapweedroad/target/target_candidate.h"
 
@@ -38,6 +39,8 @@
   std::string process_id;
   std::function<std::vector<TargetCandidate>(const FrontId&, const ServiceId&)>
       candidates;
+  // Runs a lookup at the host that is responsible for its key.
+  std::function<RecordResult(const CallerRequest&)> lookup;
   uint64_t seed = 1;
 };
 
@@ -49,6 +52,10 @@
   // Blocks the calling fiber until the answer or refusal is there.
   HttpResponse Answer(const CallerRequest& request, HttpExchange& exchange);
 
+  // Runs a lookup from this host, whoever is responsible for its key. Blocks
+  // the calling fiber.
+  RecordResult RunLookup(const CallerRequest& request);
+
   // A new configuration is in force: measured state of fronts that are gone
   // is dropped.
   void OnConfiguration(const DeploymentConfig& configuration);
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -1,358 +1,313 @@
 #include "knapweedroad/host/host.h"
 
+#include <algorithm>
 #include <chrono>
-#include <map>
 #include <random>
-#include <set>
 #include <utility>
 #include <vector>
 
-#include "knapweedroad/admission/zone_leases.h"
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/host/attempt_router.h"
+#include "knapweedroad/host/attempt_service.h"
 #include "knapweedroad/host/caller_request.h"
 #include "knapweedroad/host/configuration_keeper.h"
 #include "knapweedroad/host/coordinator.h"
+#include "knapweedroad/host/gossip.h"
+#include "knapweedroad/host/lease_service.h"
+#include "knapweedroad/host/lookup_service.h"
 #include "knapweedroad/host/peer_links.h"
+#include "knapweedroad/host/platform_api.h"
 #include "knapweedroad/host/problem.h"
 #include "knapweedroad/host/report_json.h"
-#include "knapweedroad/host/target_link.h"
 #include "knapweedroad/host/target_table.h"
+#include "knapweedroad/membership/holder_directory.h"
+#include "knapweedroad/membership/host_view.h"
+#include "knapweedroad/membership/target_directory.h"
 #include "knapweedroad/metrics/host_metrics.h"
 #include "knapweedroad/net/http_server.h"
-#include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
-#include "knapweedroad/wire/cancel_call.h"
-#include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
 namespace {
 
-using namespace std::chrono_literals;
+constexpr Duration kReportWait = std::chrono::milliseconds(100);
 
-struct Heartbeat {
-  HostId host;
-  uint64_t config_version = 0;
-  std::vector<TargetId> held;
-  std::vector<TargetReport> reports;
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(host, config_version, held, reports);
-  }
-};
+uint64_t WallClockNow() {
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::nanoseconds>(wall).count());
+}
+
+uint64_t RandomNumber() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
 
-constexpr Duration kHeartbeatInterval = 200ms;
-constexpr Duration kTargetStale = 5s;
-constexpr Duration kLeaseTick = 50ms;
-constexpr Duration kLeaseLength = 1500ms;
+bool IsUrgent(const TargetReport& report) {
+  return report.state != TargetState::kReady;
+}
 
 }  // namespace
 
 struct Host::State {
-  State(Runtime& runtime, HostOptions options)
-      : runtime(runtime),
-        options(std::move(options)),
-        links(runtime, this->options.settings),
-        targets(runtime, this->options.settings.zone),
-        router({.holder_of =
-                    [this](const TargetId& target) {
-                      const auto found = this->holders.find(target);
-                      return found == this->holders.end() ? HostId()
-                                                          : found->second;
-                    },
-                .local =
-                    [this](const TargetId& target) {
-                      return this->targets.FindHeld(target);
-                    },
-                .peer =
-                    [this](const HostId& host) {
-                      return this->links.Find(host);
-                    }}) {}
+  State(Runtime& runtime, HostOptions options);
 
-  void AcceptReport(const TargetReport& report);
-  std::vector<TargetCandidate> Candidates(const FrontId& front,
-                                          const ServiceId& service);
+  bool ZoneIsOut(const ZoneId& zone) const;
+  std::shared_ptr<const FrontConfig> FindFront(const FrontId& name) const;
+  bool IsReady() const { return this->is_started && !this->is_stopping; }
   HttpResponse HandleCaller(const HttpRequest& http, HttpExchange& exchange);
   HttpResponse HandleTarget(const HttpRequest& http);
-  void HeartbeatLoop();
-  void LeaseLoop();
-  void Perform(const ZoneLeases::Actions& actions);
+  HttpResponse HandleOperator(const HttpRequest& http);
+  void FillHeartbeat(Heartbeat& beat) const;
+  tl::expected<void, std::string> StartServers();
 
   Runtime& runtime;
   HostOptions options;
+  const HostSettings& settings;
+  uint64_t incarnation;
   HostMetrics metrics;
   PeerLinks links;
-  TargetTable targets;
   ConfigurationKeeper keeper;
+  HostView view;
+  HolderDirectory holders;
+  TargetDirectory directory;
+  TargetTable targets;
   AttemptRouter router;
-  std::unique_ptr<ZoneLeases> leases;
-  std::unique_ptr<Coordinator> coordinator;
-  std::unique_ptr<HttpServer> caller_server;
-  std::unique_ptr<HttpServer> target_server;
-  std::unique_ptr<HttpServer> operator_server;
-  std::map<TargetId, std::pair<TargetReport, TimePoint>> reports;
-  std::set<TargetId> fresh;
-  std::map<TargetId, HostId> holders;
-  std::map<HostId, TimePoint> heard;
-  bool is_ready = false;
+  LeaseService leases;
+  Gossip gossip;
+  Coordinator coordinator;
+  LookupService lookups;
+  HttpServer caller_server;
+  HttpServer target_server;
+  HttpServer operator_server;
+  bool is_started = false;
   bool is_stopping = false;
 };
 
-void Host::State::AcceptReport(const TargetReport& report) {
-  auto& [known, heard_at] = this->reports[report.target];
-  if (std::pair(report.incarnation, report.sequence) <=
-      std::pair(known.incarnation, known.sequence)) {
-    return;
-  }
-  known = report;
-  heard_at = Runtime::Now();
-  this->targets.OnReport(report);
+Host::State::State(Runtime& runtime, HostOptions given)
+    : runtime(runtime),
+      options(std::move(given)),
+      settings(this->options.settings),
+      incarnation(WallClockNow()),
+      links(runtime, this->settings),
+      view({.self = this->settings.name, .hosts = this->settings.hosts}),
+      holders({}),
+      directory(
+          {.zone_out =
+               [this](const ZoneId& zone) { return this->ZoneIsOut(zone); }}),
+      targets(runtime, this->settings.zone),
+      router(
+          {.holder_of =
+               [this](const TargetId& target) {
+                 return this->holders.HolderOf(target, Runtime::Now())
+                     .value_or(HostId());
+               },
+           .local =
+               [this](const TargetId& target) {
+                 return this->targets.FindHeld(target);
+               },
+           .peer =
+               [this](const HostId& host) { return this->links.Find(host); }}),
+      leases(runtime,
+             {.settings = this->settings,
+              .incarnation = this->incarnation,
+              .links = this->links,
+              .targets = this->targets,
+              .view = this->view}),
+      gossip(runtime,
+             {.settings = this->settings,
+              .incarnation = this->incarnation,
+              .links = this->links,
+              .view = this->view,
+              .holders = this->holders,
+              .directory = this->directory,
+              .fill = [this](Heartbeat& beat) { this->FillHeartbeat(beat); },
+              .on_report =
+                  [this](const TargetReport& report) {
+                    this->targets.OnReport(report);
+                  },
+              .on_version = [](const HostId&, uint64_t) {}}),
+      coordinator(runtime,
+                  {.host = this->settings.name,
+                   .own_zone = this->settings.zone,
+                   .router = this->router,
+                   .metrics = this->metrics,
+                   .process_id = this->settings.name.str() + "-" +
+                                 std::to_string(this->incarnation),
+                   .candidates =
+                       [this](const FrontId& front, const ServiceId& service) {
+                         return this->directory.Candidates(front, service,
+                                                           Runtime::Now());
+                       },
+                   .lookup =
+                       [this](const CallerRequest& request) {
+                         return this->lookups.Run(request);
+                       },
+                   .seed = RandomNumber()}),
+      lookups(
+          runtime,
+          {.settings = this->settings,
+           .links = this->links,
+           .run =
+               [this](const CallerRequest& request) {
+                 return this->coordinator.RunLookup(request);
+               },
+           .find_front =
+               [this](const FrontId& name) { return this->FindFront(name); }}),
+      caller_server(
+          runtime,
+          {.endpoint = this->settings.caller_address,
+           .handler =
+               [this](const HttpRequest& request, HttpExchange& exchange) {
+                 return this->HandleCaller(request, exchange);
+               }}),
+      target_server(runtime,
+                    {.endpoint = this->settings.target_address,
+                     .handler =
+                         [this](const HttpRequest& request, HttpExchange&) {
+                           return this->HandleTarget(request);
+                         }}),
+      operator_server(
+          runtime,
+          {.endpoint = this->settings.operator_address,
+           .handler = [this](const HttpRequest& request, HttpExchange&) {
+             return this->HandleOperator(request);
+           }}) {}
+
+bool Host::State::ZoneIsOut(const ZoneId& name) const {
+  const auto& zones = this->keeper.current()->zones;
+  return std::any_of(zones.begin(), zones.end(), [&](const ZoneConfig& zone) {
+    return zone.name == name && zone.out;
+  });
 }
 
-std::vector<TargetCandidate> Host::State::Candidates(const FrontId& front,
-                                                     const ServiceId& service) {
-  std::vector<TargetCandidate> candidates;
-  const TimePoint now = Runtime::Now();
-  for (const auto& [target, entry] : this->reports) {
-    const TargetReport& report = entry.first;
-    if (report.front != front || report.service != service) {
-      continue;
+std::shared_ptr<const FrontConfig> Host::State::FindFront(
+    const FrontId& name) const {
+  const auto& current = this->keeper.current();
+  for (const FrontConfig& front : current->fronts) {
+    if (front.name == name) {
+      return {current, &front};
     }
-    bool out = false;
-    for (const ZoneConfig& zone : this->keeper.current()->zones) {
-      out = out || (zone.name == report.zone && zone.out);
-    }
-    candidates.push_back({.target = target,
-                          .zone = report.zone,
-                          .state = report.state,
-                          .holds = report.holds,
-                          .in_flight = report.in_flight,
-                          .queued = report.queued,
-                          .usable = !out && now - entry.second < kTargetStale &&
-                                    report.state != TargetState::kLeaving});
   }
-  return candidates;
+  return nullptr;
 }
 
 HttpResponse Host::State::HandleCaller(const HttpRequest& http,
                                        HttpExchange& exchange) {
-  if (http.path == "/healthz") {
-    return {.body = "{\"healthy\": true}"};
-  }
-  if (http.path == "/readyz") {
-    return this->is_ready && !this->is_stopping
-               ? HttpResponse{.body = "{\"ready\": true}"}
-               : HttpResponse{.status = 503, .body = "{\"ready\": false}"};
-  }
-  if (http.path == "/metrics") {
-    return {.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-            .body = this->metrics.Text()};
+  if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
+    return std::move(*answer);
   }
   const auto request =
-      ReadCallerRequest(http, this->keeper.current(), exchange.received, [] {
-        std::random_device device;
-        return "r-" + std::to_string((uint64_t{device()} << 32) | device());
-      });
+      ReadCallerRequest(http, this->keeper.current(), exchange.received,
+                        [] { return "r-" + std::to_string(RandomNumber()); });
   if (!request) {
     return ProblemResponse(request.error(), EchoedRequestId(http));
   }
-  return this->coordinator->Answer(*request, exchange);
+  return this->coordinator.Answer(*request, exchange);
 }
 
 HttpResponse Host::State::HandleTarget(const HttpRequest& http) {
   if (http.path != "/v1/targets/report" || http.method != "POST") {
     return ProblemResponse(
-        BadRequest(404, "Not found", "POST /v1/targets/report"), "");
+        BadRequest(404, "Not found", "targets POST /v1/targets/report"), "");
   }
   const auto report = ReadReportJson(http.body);
   if (!report) {
     return ProblemResponse(BadRequest(400, "Bad report", report.error()), "");
   }
-  this->AcceptReport(*report);
-  this->fresh.insert(report->target);
+  const TargetReport* known = this->directory.Find(report->target);
+  if (known != nullptr && *known == *report) {
+    // Sent again, as its first answer was lost.
+    return {.body = "{\"accepted\": true}"};
+  }
+  if (!this->directory.OnReport(*report, Runtime::Now())) {
+    return {.status = 409,
+            .body =
+                "{\"accepted\": false, \"detail\": \"a newer report of "
+                "this target is known\"}"};
+  }
+  this->targets.OnReport(*report);
+  if (IsUrgent(*report)) {
+    this->gossip.SendNow();
+  }
   return {.body = "{\"accepted\": true}"};
 }
 
-void Host::State::HeartbeatLoop() {
-  while (true) {
-    Heartbeat beat{.host = this->options.settings.name,
-                   .config_version = this->keeper.version(),
-                   .held = this->leases->HeldTargets()};
-    for (const TargetId& target : this->fresh) {
-      beat.reports.push_back(this->reports[target].first);
-    }
-    this->fresh.clear();
-    this->links.SendToAll(PeerMessageType::kHeartbeat, EncodeBytes(beat));
-    Runtime::SleepFor(kHeartbeatInterval);
+HttpResponse Host::State::HandleOperator(const HttpRequest& http) {
+  if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
+    return std::move(*answer);
   }
+  return ProblemResponse(BadRequest(404, "Not found", "no such path"), "");
 }
 
-void Host::State::Perform(const ZoneLeases::Actions& actions) {
-  for (const auto& share : actions.shares) {
-    this->targets.SetShare(share.target, share.share);
-  }
-  for (const auto& message : actions.requests) {
-    this->links.Send(
-        message.to, PeerMessageType::kLease,
-        EncodeBytes(std::variant<LeaseRequest, LeaseReply>(message.request)));
-  }
-  for (const auto& reply : actions.replies) {
-    this->links.Send(
-        reply.to, PeerMessageType::kLease,
-        EncodeBytes(std::variant<LeaseRequest, LeaseReply>(reply.reply)));
-  }
+void Host::State::FillHeartbeat(Heartbeat& beat) const {
+  const TimePoint now = Runtime::Now();
+  beat.configuration_version = this->keeper.version();
+  beat.can_hold = this->leases.CanHold(now);
+  beat.leaving = this->is_stopping;
+  beat.held = this->leases.Held(now);
 }
 
-void Host::State::LeaseLoop() {
-  while (true) {
-    const TimePoint now = Runtime::Now();
-    this->leases->SetTargets(this->targets.LeaseTargets(), now);
-    std::vector<HostId> eligible = {this->options.settings.name};
-    for (const PeerSettings& peer : this->links.others()) {
-      if (peer.zone == this->options.settings.zone &&
-          now - this->heard[peer.name] < 1s) {
-        eligible.push_back(peer.name);
-      }
-    }
-    this->leases->SetEligibleHosts(eligible, now);
-    for (const TargetId& target : this->targets.Drained()) {
-      this->leases->OnDrained(target);
+tl::expected<void, std::string> Host::State::StartServers() {
+  if (const auto started = this->links.Start(); !started) {
+    return tl::unexpected(started.error().detail);
+  }
+  for (HttpServer* server :
+       {&this->caller_server, &this->target_server, &this->operator_server}) {
+    if (const auto started = server->Start(); !started) {
+      return tl::unexpected(started.error().detail);
     }
-    this->Perform(this->leases->Tick(now));
-    Runtime::SleepFor(kLeaseTick);
   }
+  return {};
 }
 
 Host::Host(Runtime& runtime, HostOptions options)
-    : state(std::make_shared<State>(runtime, std::move(options))) {}
+    : state(std::make_unique<State>(runtime, std::move(options))) {}
+
 Host::~Host() = default;
 
 tl::expected<void, std::string> Host::Start() {
   State& self = *this->state;
-  const HostSettings& settings = self.options.settings;
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  self.keeper.OnChange([&self](const DeploymentConfig&) {
+  self.keeper.OnChange([&self](const DeploymentConfig& configuration) {
     self.targets.OnConfiguration(self.keeper.current());
+    self.coordinator.OnConfiguration(configuration);
   });
   if (!self.options.initial_configuration.empty()) {
-    if (auto offered = self.keeper.Offer(1, self.options.initial_configuration,
+    if (auto offered = self.keeper.Offer(0, self.options.initial_configuration,
                                          Runtime::Now());
         !offered) {
       return offered;
     }
   }
-  self.leases = std::make_unique<ZoneLeases>(ZoneLeases::Options{
-      .self = settings.name,
-      .zone = settings.zone,
-      .hosts = settings.hosts,
-      .incarnation = static_cast<uint64_t>(wall.count()),
-      .started = Runtime::Now(),
-      .timing = {.length = kLeaseLength, .max_work_time = kMaxWorkTime}});
-  self.coordinator = std::make_unique<Coordinator>(
-      self.runtime,
-      CoordinatorOptions{
-          .host = settings.name,
-          .own_zone = settings.zone,
-          .router = self.router,
-          .metrics = self.metrics,
-          .process_id =
-              settings.name.str() + "-" + std::to_string(wall.count()),
-          .candidates =
-              [&self](const FrontId& front, const ServiceId& service) {
-                return self.Candidates(front, service);
-              },
-          .seed = std::random_device()()});
-  self.links.OnCall(
-      PeerMessageType::kAttempt,
-      [&self](PeerMessageType,
-              std::string body) -> tl::expected<std::string, std::string> {
-        const auto call = DecodeBytes<AttemptCall>(body);
-        if (!call) {
-          return tl::unexpected(call.error());
-        }
-        TargetLink* link = self.targets.FindHeld(call->target);
-        if (link == nullptr) {
-          return EncodeBytes(AttemptReply{.end = AttemptEnd::kNotHolder,
-                                          .outcome = RunOutcome::kNotRun});
-        }
-        return EncodeBytes(
-            link->Run(*call, Runtime::Now() + Duration(call->remaining_ns)));
-      });
-  self.links.OnCall(
-      PeerMessageType::kCancel,
-      [&self](PeerMessageType,
-              std::string body) -> tl::expected<std::string, std::string> {
-        const auto call = DecodeBytes<CancelCall>(body);
-        if (call) {
-          if (TargetLink* link = self.targets.Find(call->target)) {
-            link->Cancel(call->attempt);
-          }
-        }
-        return std::string();
-      });
-  self.links.OnDatagram(PeerMessageType::kHeartbeat,
-                        [&self](std::string_view body) {
-                          const auto beat = DecodeBytes<Heartbeat>(body);
-                          if (!beat) {
-                            return;
-                          }
-                          self.heard[beat->host] = Runtime::Now();
-                          for (const TargetId& target : beat->held) {
-                            self.holders[target] = beat->host;
-                          }
-                          for (const TargetReport& report : beat->reports) {
-                            self.AcceptReport(report);
-                          }
-                        });
-  self.links.OnDatagram(
-      PeerMessageType::kLease, [&self](std::string_view body) {
-        const auto message =
-            DecodeBytes<std::variant<LeaseRequest, LeaseReply>>(body);
-        if (!message) {
-          return;
-        }
-        if (const auto* request = std::get_if<LeaseRequest>(&*message)) {
-          self.Perform(self.leases->OnRequest(*request, Runtime::Now()));
-        } else {
-          self.Perform(self.leases->OnReply(std::get<LeaseReply>(*message),
-                                            Runtime::Now()));
-        }
-      });
-  self.caller_server = std::make_unique<HttpServer>(
-      self.runtime,
-      HttpServerOptions{.endpoint = settings.caller_address,
-                        .handler = [&self](const HttpRequest& request,
-                                           HttpExchange& exchange) {
-                          return self.HandleCaller(request, exchange);
-                        }});
-  self.target_server = std::make_unique<HttpServer>(
-      self.runtime,
-      HttpServerOptions{
-          .endpoint = settings.target_address,
-          .handler = [&self](const HttpRequest& request, HttpExchange&) {
-            return self.HandleTarget(request);
-          }});
-  if (const auto started = self.links.Start(); !started) {
-    return tl::unexpected(started.error().detail);
-  }
-  for (HttpServer* server :
-       {self.caller_server.get(), self.target_server.get()}) {
-    if (const auto started = server->Start(); !started) {
-      return tl::unexpected(started.error().detail);
-    }
+  ServeAttempts(self.links, self.targets);
+  self.lookups.Start();
+  self.leases.Start();
+  self.gossip.Start();
+  if (auto started = self.StartServers(); !started) {
+    return started;
   }
-  self.runtime.Spawn([state = this->state] { state->HeartbeatLoop(); });
-  self.runtime.Spawn([state = this->state] { state->LeaseLoop(); });
-  self.is_ready = true;
+  self.is_started = true;
   return {};
 }
 
 void Host::Shutdown() {
   State& self = *this->state;
+  const TimePoint deadline =
+      Runtime::Now() + self.options.drain_time + self.options.stop_timeout;
+  LogLine("host_stopping").Add("host", self.settings.name).Info();
   self.is_stopping = true;
-  self.caller_server->StartDraining();
+  self.caller_server.StartDraining();
+  self.gossip.SendNow();
   Runtime::SleepFor(self.options.drain_time);
-  self.caller_server->Stop(Runtime::Now() + self.options.stop_timeout);
+  self.caller_server.Stop(deadline);
+  // Other hosts' attempts run through this one until the leases are handed
+  // over; what runs then has its answer first.
+  self.leases.Leave(deadline);
+  while (self.links.running_calls() > 0 && Runtime::Now() < deadline) {
+    Runtime::SleepFor(kReportWait);
+  }
+  self.operator_server.Stop(deadline);
+  self.target_server.Stop(deadline);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/host/host.h
+++ b/knapweedroad/host/host.h
@@ -47,7 +47,7 @@
 
  private:
   struct State;
-  std::shared_ptr<State> state;
+  std::unique_ptr<State> state;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/host/peer_links.cc
+++ b/knapweedroad/host/peer_links.cc
@@ -19,7 +19,14 @@
       this->clients.emplace(
           peer.name,
           std::make_unique<PeerClient>(
-              runtime, PeerClientOptions{.endpoint = peer.peer_address}));
+              runtime,
+              PeerClientOptions{
+                  .endpoint = peer.peer_address,
+                  .on_refused = [this, name = peer.name](TimePoint attempted) {
+                    if (this->refused_listener) {
+                      this->refused_listener(name, attempted);
+                    }
+                  }}));
     }
   }
 }
@@ -34,6 +41,11 @@
   this->datagram_handlers[type] = std::move(handler);
 }
 
+void PeerLinks::OnRefused(
+    std::function<void(const HostId&, TimePoint)> listener) {
+  this->refused_listener = std::move(listener);
+}
+
 tl::expected<void, NetError> PeerLinks::Start() {
   this->server = std::make_unique<PeerServer>(
       this->runtime,
--- a/knapweedroad/host/peer_links.h
+++ b/knapweedroad/host/peer_links.h
@@ -18,6 +18,7 @@
 #include <tl/expected.hpp>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
 #include "knapweedroad/config/host_settings.h"
 #include "knapweedroad/net/net_error.h"
 #include "knapweedroad/net/peer_server.h"
@@ -39,6 +40,8 @@
   // One handler a type, set before Start(); what has none is dropped.
   void OnCall(PeerMessageType type, PeerHandler handler);
   void OnDatagram(PeerMessageType type, DatagramHandler handler);
+  // Called when the host's peer port refused a connection begun then.
+  void OnRefused(std::function<void(const HostId&, TimePoint)> listener);
 
   tl::expected<void, NetError> Start();
 
@@ -69,6 +72,7 @@
   std::map<PeerMessageType, DatagramHandler> datagram_handlers;
   std::unique_ptr<PeerServer> server;
   std::unique_ptr<UdpSocket> socket;
+  std::function<void(const HostId&, TimePoint)> refused_listener;
   uint64_t sent_bytes = 0;
 };
 
--- a/knapweedroad/host/target_table.cc
+++ b/knapweedroad/host/target_table.cc
@@ -109,6 +109,9 @@
           .Add("cold_allowed", share.cold_allowed)
           .Info();
     }
+    if (found->second.share.slots == 0 && share.slots > 0) {
+      found->second.held_since = Runtime::Now();
+    }
     found->second.share = share;
     found->second.link->SetShare(share);
   }
@@ -138,6 +141,19 @@
   return targets;
 }
 
+std::vector<HeldTarget> TargetTable::Held(TimePoint now, bool isolated) const {
+  std::vector<HeldTarget> held;
+  for (const auto& [target, entry] : this->entries) {
+    if (entry.share.slots > 0 && now < entry.share.valid_until) {
+      held.push_back({.target = target,
+                      .slots = entry.share.slots,
+                      .isolated = isolated,
+                      .held_for = now - entry.held_since});
+    }
+  }
+  return held;
+}
+
 std::vector<TargetId> TargetTable::Drained() const {
   std::vector<TargetId> drained;
   for (const auto& [target, entry] : this->entries) {
--- a/knapweedroad/host/target_table.h
+++ b/knapweedroad/host/target_table.h
@@ -1,7 +1,7 @@
 // The targets of this host's zone as it talks to them: one TargetLink for
 // each, made when the target is first heard of.
 //
-//   TargetTable table(runtime, {.own_zone = zone, .metrics = metrics});
+//   TargetTable table(runtime, zone);
 //   table.OnConfiguration(configuration);
 //   table.OnReport(report);
 //   TargetLink* link = table.Find(target);   // null where this isn't its zone
@@ -19,6 +19,7 @@
 #include "knapweedroad/admission/target_share.h"
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/config/deployment_config.h"
+#include "knapweedroad/target/held_target.h"
 #include "knapweedroad/target/target_report.h"
 
 namespace knapweedroad {
@@ -54,6 +55,9 @@
   // Targets without a slot by lease and with nothing running.
   std::vector<TargetId> Drained() const;
 
+  // What this host may use now, for heartbeats.
+  std::vector<HeldTarget> Held(TimePoint now, bool isolated) const;
+
   // The longest deadline of the configuration's fronts.
   Duration MaxDeadline() const;
 
@@ -62,6 +66,7 @@
     std::unique_ptr<TargetLink> link;
     TargetReport report;
     TargetShare share;
+    TimePoint held_since;
     TargetAdmission::Options options;
   };
 
--- a/knapweedroad/net/peer_client.cc
+++ b/knapweedroad/net/peer_client.cc
@@ -92,6 +92,7 @@
       socket->close(ignored);
     }
   });
+  const TimePoint attempted = Runtime::Now();
   FiberEvent connected;
   socket->async_connect(tcp::endpoint(address, this->options.endpoint.port),
                         [&](error_code result) {
@@ -100,6 +101,9 @@
                         });
   connected.Wait();
   timer.cancel();
+  if (error == asio::error::connection_refused && this->options.on_refused) {
+    this->options.on_refused(attempted);
+  }
   if (error) {
     return tl::unexpected(NetError{.kind = NetErrorKind::kConnect,
                                    .detail = "connect: " + error.message()});
--- a/knapweedroad/net/peer_client.h
+++ b/knapweedroad/net/peer_client.h
@@ -6,6 +6,7 @@
 #ifndef KNAPWEEDROAD_NET_PEER_CLIENT_H_
 #define KNAPWEEDROAD_NET_PEER_CLIENT_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,6 +28,9 @@
   // taken for silent: calls from then on go over a new one.
   Duration silence = std::chrono::milliseconds(300);
   Duration connect_timeout = std::chrono::milliseconds(500);
+  // Called when a connection begun at `attempted` was refused: no process
+  // listens there. Silence never calls it.
+  std::function<void(TimePoint attempted)> on_refused;
 };
 
 class PeerClient {
