Admission modes to weigh; the ramp steps up only on the target's own word

A step now needs a window of clean answers and a report (or answer) of after the last fall that says ready; a wrong step makes the next one rarer; one lost or refused connection is evidence of a restart.

--- a/knapweedroad/admission/cold_start_ramp.cc
+++ b/knapweedroad/admission/cold_start_ramp.cc
@@ -33,7 +33,8 @@
   }
   this->window.Add(latency);
   ++this->window_count;
-  const bool full = this->window_count >= this->options.window_answers &&
+  const uint32_t needed = this->options.window_answers * this->patience;
+  const bool full = this->window_count >= needed &&
                     now - this->window_start >= this->options.window_time;
   if (full) {
     this->CloseWindow(now);
@@ -63,14 +64,32 @@
     this->Fall(now);
     return;
   }
-  if (clean && !this->reported_cold && this->current < this->options.slots) {
+  if (!clean || !this->said_ready) {
+    return;
+  }
+  if (this->current < this->options.slots) {
     ++this->current;
     ++this->steps;
+  } else {
+    this->patience = 1;
   }
 }
 
+void ColdStartRamp::OnReported(bool ready, TimePoint now) {
+  this->said_ready = ready && now >= this->believe_reports_from;
+}
+
+void ColdStartRamp::OnAnsweredReady(uint64_t epoch) {
+  this->said_ready = this->said_ready || epoch == this->falls;
+}
+
 void ColdStartRamp::Fall(TimePoint now) {
   ++this->falls;
+  if (!this->cold()) {
+    this->patience = std::min(this->patience * 2, this->options.most_patience);
+  }
+  this->said_ready = false;
+  this->believe_reports_from = now + this->options.report_lag;
   this->current = this->cold_limit();
   this->StartWindow(now);
 }
--- a/knapweedroad/admission/cold_start_ramp.h
+++ b/knapweedroad/admission/cold_start_ramp.h
@@ -7,7 +7,8 @@
 //   if (in_flight < ramp.limit()) ...
 //
 // What the target says can only lower the limit: reports lag and may mislead,
-// so that "ready" permits the ramp but is no step of it.
+// so that "ready" permits the ramp but is no step of it. Without that word
+// there is no step either, as a cold target may answer a light load quickly.
 
 #ifndef KNAPWEEDROAD_ADMISSION_COLD_START_RAMP_H_
 #define KNAPWEEDROAD_ADMISSION_COLD_START_RAMP_H_
@@ -32,6 +33,12 @@
     // evidence of warmth; above the second one, it is evidence of cold.
     double clean_factor = 2.0;
     double cold_factor = 5.0;
+    // Reports may be so old when they come in: for so long after a fall, one
+    // that says "ready" may be of before it.
+    Duration report_lag = std::chrono::seconds(1);
+    // A step that is followed by a fall was wrong, and doubles the answers
+    // that the next window needs, up to this many times the first number.
+    uint32_t most_patience = 16;
   };
 
   explicit ColdStartRamp(const Options& options);
@@ -43,8 +50,11 @@
   // Any evidence of cold: a shed, a new incarnation, the target's own word.
   void Fall(TimePoint now);
 
-  // Whether the target's last word is that it is cold: no step up while it is.
-  void SetReportedCold(bool cold) { this->reported_cold = cold; }
+  // The target's report says whether it is ready for its slots.
+  void OnReported(bool ready, TimePoint now);
+
+  // An answer to an attempt begun in `epoch` says that it is ready.
+  void OnAnsweredReady(uint64_t epoch);
 
   // Requests at once, between the cold limit and the slots.
   uint32_t limit() const { return this->current; }
@@ -64,7 +74,10 @@
 
   Options options;
   uint32_t current;
-  bool reported_cold = false;
+  // The target's last word, as far as it counts, is that it is ready.
+  bool said_ready = false;
+  TimePoint believe_reports_from{};
+  uint32_t patience = 1;
   uint64_t falls = 0;
   uint64_t steps = 0;
   LatencyBaseline usual;
--- a/knapweedroad/admission/cold_start_ramp_test.cc
+++ b/knapweedroad/admission/cold_start_ramp_test.cc
@@ -7,7 +7,13 @@
 
 using std::chrono::milliseconds;
 
-// Feeds clean windows, 10 ms apart an answer.
+ColdStartRamp ReadyRamp(uint32_t slots) {
+  ColdStartRamp ramp({.slots = slots, .cold_slots = 1});
+  ramp.OnReported(true, TimePoint{});
+  return ramp;
+}
+
+// Feeds answers, 40 ms apart.
 TimePoint Answer(ColdStartRamp& ramp,
                  int answers,
                  Duration latency,
@@ -20,7 +26,7 @@
 }
 
 Test(ColdStartRamp, StartsColdAndStepsOnceAWindow) {
-  ColdStartRamp ramp({.slots = 3, .cold_slots = 1, .window_answers = 8});
+  ColdStartRamp ramp = ReadyRamp(3);
   cr_assert_eq(ramp.limit(), 1u);
   TimePoint now = Answer(ramp, 8, milliseconds(20), TimePoint{});
   cr_assert_eq(ramp.limit(), 2u);
@@ -34,7 +40,7 @@
 // while it was warm still come in, quick and clean; were they counted, it
 // would get its full load back within one window, and fall over.
 Test(ColdStartRamp, AnswersToWorkOfBeforeTheFallWarmNothing) {
-  ColdStartRamp ramp({.slots = 2, .cold_slots = 1, .window_answers = 8});
+  ColdStartRamp ramp = ReadyRamp(2);
   TimePoint now = Answer(ramp, 8, milliseconds(20), TimePoint{});
   const uint64_t before = ramp.epoch();
   ramp.Fall(now);
@@ -46,14 +52,46 @@
 }
 
 Test(ColdStartRamp, StaysColdWhileTheTargetSaysSo) {
-  ColdStartRamp ramp({.slots = 2, .cold_slots = 1});
-  ramp.SetReportedCold(true);
+  ColdStartRamp ramp = ReadyRamp(2);
+  ramp.OnReported(false, TimePoint{});
   Answer(ramp, 100, milliseconds(20), TimePoint{});
   cr_assert_eq(ramp.limit(), 1u);
 }
 
+// A target falls cold and sheds. A report that it sent before, "ready", comes
+// in after that, and its quick answers to the light load look warm: with the
+// next step it would be overloaded again.
+Test(ColdStartRamp, AReportOfBeforeTheFallPermitsNothing) {
+  ColdStartRamp ramp = ReadyRamp(2);
+  TimePoint now = Answer(ramp, 8, milliseconds(20), TimePoint{});
+  ramp.Fall(now);
+  ramp.OnReported(true, now + milliseconds(900));
+  now = Answer(ramp, 50, milliseconds(20), now);
+  cr_assert_eq(ramp.limit(), 1u);
+  ramp.OnReported(true, now);
+  Answer(ramp, 16, milliseconds(20), now);
+  cr_assert_eq(ramp.limit(), 2u);
+}
+
+// The reports lie: always "ready". Each step to the full slots ends in a shed,
+// and the next one must not come as soon as the last.
+Test(ColdStartRamp, EachWrongStepMakesTheNextOneRarer) {
+  ColdStartRamp ramp = ReadyRamp(2);
+  TimePoint now{};
+  int answers[2] = {0, 0};
+  for (int& count : answers) {
+    for (; ramp.limit() == 1; ++count) {
+      ramp.OnReported(true, now);
+      now = Answer(ramp, 1, milliseconds(20), now);
+    }
+    ramp.Fall(now);
+    now += std::chrono::seconds(1);
+  }
+  cr_assert_geq(answers[1], 2 * answers[0]);
+}
+
 Test(ColdStartRamp, FallsOnAWindowFarAboveTheBaseline) {
-  ColdStartRamp ramp({.slots = 2, .cold_slots = 1});
+  ColdStartRamp ramp = ReadyRamp(2);
   TimePoint now = Answer(ramp, 80, milliseconds(20), TimePoint{});
   cr_assert_eq(ramp.limit(), 2u);
   now = Answer(ramp, 8, milliseconds(200), now);
@@ -61,7 +99,7 @@
 }
 
 Test(ColdStartRamp, SlowAnswersAreNoStepUp) {
-  ColdStartRamp ramp({.slots = 2, .cold_slots = 1});
+  ColdStartRamp ramp = ReadyRamp(2);
   TimePoint now = Answer(ramp, 80, milliseconds(20), TimePoint{});
   ramp.Fall(now);
   Answer(ramp, 16, milliseconds(60), now);
@@ -69,7 +107,7 @@
 }
 
 Test(ColdStartRamp, OneStragglerInAWindowChangesNothing) {
-  ColdStartRamp ramp({.slots = 2, .cold_slots = 1});
+  ColdStartRamp ramp = ReadyRamp(2);
   TimePoint now = Answer(ramp, 80, milliseconds(20), TimePoint{});
   for (int round = 0; round < 10; ++round) {
     now = Answer(ramp, 1, milliseconds(400), now);
--- a/knapweedroad/admission/target_admission.cc
+++ b/knapweedroad/admission/target_admission.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/admission/target_admission.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace knapweedroad {
@@ -24,6 +25,7 @@
 TargetAdmission::TargetAdmission(const Options& options)
     : options(options),
       ramp(RampOptions(options)),
+      alone({.highest = options.slots}),
       service_time(options.initial_service_time) {}
 
 AdmissionActions TargetAdmission::Submit(AdmissionRequest request,
@@ -105,6 +107,9 @@
       this->Abandon(attempt, found->second, actions);
       break;
   }
+  if (result.state == TargetState::kReady) {
+    this->ramp.OnAnsweredReady(ended.epoch);
+  }
   // An answer of a former incarnation says nothing of this one's leaving.
   if (result.state && (*result.state == TargetState::kCold ||
                        ended.incarnation == this->incarnation)) {
@@ -144,7 +149,7 @@
     this->paused_until = TimePoint{};
     this->Fall(now);
   }
-  this->ramp.SetReportedCold(report.state == TargetState::kCold);
+  this->ramp.OnReported(report.state == TargetState::kReady, now);
   this->OnState(report.state, now);
   return this->Settle(now, {});
 }
@@ -178,6 +183,7 @@
   this->options = options;
   if (!same_limits) {
     this->ramp = ColdStartRamp(RampOptions(options));
+    this->alone = AdaptiveLimit({.highest = options.slots});
   }
   return this->Settle(now, {});
 }
@@ -207,8 +213,11 @@
   if (this->ramp.cold() && !this->share.cold_allowed) {
     return 0;
   }
+  const uint32_t found = this->options.adaptive
+                             ? this->alone.limit()
+                             : std::numeric_limits<uint32_t>::max();
   return std::min(
-      {this->ramp.limit(), this->share.slots, this->ConnectionLimit()});
+      {this->ramp.limit(), this->share.slots, this->ConnectionLimit(), found});
 }
 
 uint32_t TargetAdmission::ConnectionLimit() const {
@@ -276,8 +285,9 @@
   }
 }
 
-// One broken connection is chance; several in a row, with no answer between
-// them, are the trace of a target that restarted unannounced.
+// A request that is cut off, or a port that refuses, is the first trace of a
+// target that restarted unannounced. (A kept connection that the target closes
+// while it idles is opened anew before anything is said here.)
 void TargetAdmission::OnLostConnection(TimePoint now) {
   ++this->counts.lost_connections;
   this->Pause(now);
@@ -289,6 +299,7 @@
 // Guards against a loop of sends that a target which bears nothing now sheds
 // or cuts off at once: such a loop empties the queue within milliseconds.
 void TargetAdmission::Pause(TimePoint now) {
+  this->alone.OnOverload(now);
   ++this->failures_in_row;
   Duration pause = this->options.failure_pause;
   for (uint32_t i = 1; i < this->failures_in_row; ++i) {
@@ -306,6 +317,7 @@
                               TimePoint now) {
   ++this->counts.finished_ok;
   this->failures_in_row = 0;
+  this->alone.OnAnswer(latency, now);
   const Duration counted =
       std::min<Duration>(latency, this->service_time * kServiceTimeClip);
   this->service_time += (counted - this->service_time) / kServiceTimeDivisor;
--- a/knapweedroad/admission/target_admission.h
+++ b/knapweedroad/admission/target_admission.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 
+#include "knapweedroad/admission/adaptive_limit.h"
 #include "knapweedroad/admission/admission_action.h"
 #include "knapweedroad/admission/admission_request.h"
 #include "knapweedroad/admission/attempt_result.h"
@@ -50,8 +51,10 @@
     // After failures in a row, starts wait this long, doubled with each more.
     Duration failure_pause = std::chrono::milliseconds(20);
     Duration max_failure_pause = std::chrono::seconds(1);
-    // Failures in a row that count as evidence of a restart.
-    uint32_t failures_to_fall = 2;
+    // Connections lost or refused in a row that are evidence of a restart.
+    uint32_t failures_to_fall = 1;
+    // For a host that has no lease and finds its limit alone (`AdmissionMode`).
+    bool adaptive = false;
     // `slots` and `cold_slots` in here are overwritten by the ones above.
     ColdStartRamp::Options ramp = {};
   };
@@ -166,6 +169,7 @@
 
   Options options;
   ColdStartRamp ramp;
+  AdaptiveLimit alone;
   FairQueue queue;
   std::map<std::string, Running, std::less<>> running;
   TargetShare share;
--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -47,6 +47,7 @@
 TargetAdmission WarmTarget(TimePoint& now) {
   TargetAdmission admission({.slots = 2, .cold_slots = 1, .connections = 25});
   admission.SetShare({.slots = 2}, now);
+  admission.OnReport({.incarnation = 4, .state = TargetState::kReady}, now);
   while (admission.limit(now) < 2) {
     now += milliseconds(40);
     admission.Submit(Request("warm-up", now + seconds(1)), now);
@@ -104,7 +105,8 @@
 Test(TargetAdmission, ANewIncarnationIsCold) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
-  TargetReport report{.incarnation = 4, .state = TargetState::kReady};
+  TargetReport report{
+      .incarnation = 4, .sequence = 1, .state = TargetState::kReady};
   admission.OnReport(report, now);
   cr_assert_eq(admission.limit(now), 2u);
   report.incarnation = 5;
@@ -112,16 +114,16 @@
   cr_assert_eq(admission.limit(now), 1u);
 }
 
-Test(TargetAdmission, ConnectionsLostInARowAreARestart) {
+Test(TargetAdmission, ALostOrRefusedConnectionIsARestart) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
-  for (const char* attempt : {"a", "b"}) {
-    admission.Submit(Request(attempt, now + seconds(1)), now);
-    admission.OnFinished(attempt, {.status = AttemptStatus::kConnectFailed},
-                         now);
-    now += milliseconds(100);
-  }
+  admission.Submit(Request("a", now + seconds(1)), now);
+  admission.OnFinished("a", {.status = AttemptStatus::kConnectionLost}, now);
   cr_assert_eq(admission.limit(now), 1u);
+  TargetAdmission refused = WarmTarget(now);
+  refused.Submit(Request("b", now + seconds(1)), now);
+  refused.OnFinished("b", {.status = AttemptStatus::kConnectFailed}, now);
+  cr_assert_eq(refused.limit(now), 1u);
 }
 
 // A caller leaves, or a hedge wins, and the slot is given to the next one. The
@@ -235,7 +237,7 @@
   admission.Submit(Request("a", now + seconds(5)), now);
   admission.Submit(Request("b", now + seconds(5)), now);
   admission.Submit(Request("c", now + seconds(5)), now);
-  TargetReport report{.incarnation = 1, .sequence = 9};
+  TargetReport report{.incarnation = 4, .sequence = 9};
   report.state = TargetState::kLeaving;
   const auto actions = admission.OnReport(report, now);
   cr_assert_eq(Refusal(actions)->attempt, "c");
@@ -245,7 +247,7 @@
   report.state = TargetState::kReady;
   admission.OnReport(report, now);
   cr_assert(admission.leaving());
-  report.incarnation = 2;
+  report.incarnation = 5;
   admission.OnReport(report, now);
   cr_assert(!admission.leaving());
 }
@@ -256,10 +258,7 @@
 Test(TargetAdmission, ALateReportOfAFormerIncarnationChangesNothing) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
-  TargetReport report{.incarnation = 2, .state = TargetState::kReady};
-  admission.OnReport(report, now);
-  report.incarnation = 1;
-  report.sequence = 50;
+  TargetReport report{.incarnation = 3, .sequence = 50};
   report.state = TargetState::kLeaving;
   admission.OnReport(report, now);
   cr_assert(!admission.leaving());
--- a/knapweedroad/membership/holder_directory_test.cc
+++ b/knapweedroad/membership/holder_directory_test.cc
@@ -27,9 +27,9 @@
 // back.
 Test(HolderDirectory, AClaimDelayedOnItsWayReplacesNoLaterOne) {
   HolderDirectory directory({});
-  directory.OnHeartbeat(Claim("new", milliseconds(10)), kStart);
-  directory.OnHeartbeat(Claim("old", seconds(60)), kStart);
-  cr_assert(directory.HolderOf(target_t, kStart) == HostId("new"));
+  directory.OnHeartbeat(Claim("b-new", milliseconds(10)), kStart);
+  directory.OnHeartbeat(Claim("a-old", seconds(60)), kStart);
+  cr_assert(directory.HolderOf(target_t, kStart) == HostId("b-new"));
 }
 
 Test(HolderDirectory, WhatAHostNoLongerNamesIsNotItsOwn) {
