--- a/knapweedroad/admission/admission_mode_test.cc
+++ b/knapweedroad/admission/admission_mode_test.cc
@@ -15,6 +15,7 @@
 
 Test(AdmissionMode, ASplitGivesOutAllSlotsAndNoMore) {
   std::vector<HostId> hosts;
+  hosts.reserve(9);
   for (int i = 0; i < 9; ++i) {
     hosts.emplace_back("h" + std::to_string(i));
   }
--- a/knapweedroad/admission/cold_start_ramp.cc
+++ b/knapweedroad/admission/cold_start_ramp.cc
@@ -75,6 +75,17 @@
   }
 }
 
+void ColdStartRamp::FallOnReport(TimePoint now) {
+  const TimePoint believe_from = this->believe_reports_from;
+  this->Fall(now);
+  this->believe_reports_from = believe_from;
+}
+
+void ColdStartRamp::Restarted(TimePoint now) {
+  this->Fall(now);
+  this->believe_reports_from = now;
+}
+
 void ColdStartRamp::OnReported(bool ready, TimePoint now) {
   this->said_ready = ready && now >= this->believe_reports_from;
 }
--- a/knapweedroad/admission/cold_start_ramp.h
+++ b/knapweedroad/admission/cold_start_ramp.h
@@ -50,6 +50,14 @@
   // Any evidence of cold: a shed, a new incarnation, the target's own word.
   void Fall(TimePoint now);
 
+  // Its report says that it is cold: reports are in order, so that the next
+  // "ready" is of after this.
+  void FallOnReport(TimePoint now);
+
+  // The target has started anew: its reports from now on are of after that,
+  // however old they are.
+  void Restarted(TimePoint now);
+
   // The target's report says whether it is ready for its slots.
   void OnReported(bool ready, TimePoint now);
 
--- a/knapweedroad/admission/cold_start_ramp_test.cc
+++ b/knapweedroad/admission/cold_start_ramp_test.cc
@@ -73,6 +73,24 @@
   cr_assert_eq(ramp.limit(), 2u);
 }
 
+Test(ColdStartRamp, AReadyReportAfterAColdOneIsBelieved) {
+  ColdStartRamp ramp = ReadyRamp(2);
+  ramp.FallOnReport(TimePoint{});
+  ramp.OnReported(true, TimePoint(milliseconds(10)));
+  Answer(ramp, 16, milliseconds(20), TimePoint{});
+  cr_assert_eq(ramp.limit(), 2u);
+}
+
+Test(ColdStartRamp, ANewLifesFirstReportIsBelieved) {
+  ColdStartRamp ramp = ReadyRamp(2);
+  const TimePoint now = Answer(ramp, 8, milliseconds(20), TimePoint{});
+  ramp.Restarted(now);
+  cr_assert_eq(ramp.limit(), 1u);
+  ramp.OnReported(true, now);
+  Answer(ramp, 16, milliseconds(20), now);
+  cr_assert_eq(ramp.limit(), 2u);
+}
+
 // The reports lie: always "ready". Each step to the full slots ends in a shed,
 // and the next one must not come as soon as the last.
 Test(ColdStartRamp, EachWrongStepMakesTheNextOneRarer) {
--- a/knapweedroad/admission/target_admission.cc
+++ b/knapweedroad/admission/target_admission.cc
@@ -147,10 +147,16 @@
     this->target_leaving = false;
     this->failures_in_row = 0;
     this->paused_until = TimePoint{};
-    this->Fall(now);
+    this->CountFall();
+    this->ramp.Restarted(now);
+  }
+  if (report.state == TargetState::kCold) {
+    this->CountFall();
+    this->ramp.FallOnReport(now);
+  } else {
+    this->OnState(report.state, now);
   }
   this->ramp.OnReported(report.state == TargetState::kReady, now);
-  this->OnState(report.state, now);
   return this->Settle(now, {});
 }
 
@@ -265,7 +271,7 @@
   return actions;
 }
 
-void TargetAdmission::Fall(TimePoint now) {
+void TargetAdmission::CountFall() {
   const uint32_t cold_limit = this->ramp.cold_limit();
   if (!this->ramp.cold()) {
     ++this->counts.falls_to_cold;
@@ -273,6 +279,10 @@
         this->in_flight() - std::min(this->in_flight(), cold_limit);
     this->counts.above_cold_at_fall += above;
   }
+}
+
+void TargetAdmission::Fall(TimePoint now) {
+  this->CountFall();
   this->ramp.Fall(now);
 }
 
--- a/knapweedroad/admission/target_admission.h
+++ b/knapweedroad/admission/target_admission.h
@@ -40,6 +40,10 @@
     uint32_t connections = 2;
     // Attempts that may wait.
     uint32_t max_queue = 64;
+    // Of the time that an attempt has left, the part after which it is expected
+    // to be done, or it is refused. With all of it, an overloaded queue holds
+    // each attempt until it can just be done or just not.
+    double planned_part = 0.5;
     // No attempt runs longer: a later deadline is brought forward to this. The
     // next holder of the lease waits as long before it sends.
     Duration max_deadline = std::chrono::seconds(10);
@@ -144,6 +148,7 @@
 
   bool Blocked(TimePoint now, RefusalKind& kind) const;
   bool FitsBehindQueue(const AdmissionRequest& request, TimePoint now) const;
+  Duration MissesBy(const AdmissionRequest& request, TimePoint now) const;
   Duration WaitFor(uint32_t positions, TimePoint now) const;
   Duration RetryAfter(const AdmissionRequest& request, TimePoint now) const;
   void Refuse(const AdmissionRequest& request,
@@ -161,6 +166,7 @@
   void StartWaiting(TimePoint now, AdmissionActions& actions);
   void PlanWake(TimePoint now);
   AdmissionActions Settle(TimePoint now, AdmissionActions actions);
+  void CountFall();
   void Fall(TimePoint now);
   void OnState(TargetState state, TimePoint now);
   void OnLostConnection(TimePoint now);
--- a/knapweedroad/admission/target_admission_queue.cc
+++ b/knapweedroad/admission/target_admission_queue.cc
@@ -32,9 +32,18 @@
 
 bool TargetAdmission::FitsBehindQueue(const AdmissionRequest& request,
                                       TimePoint now) const {
+  return this->MissesBy(request, now) <= Duration::zero();
+}
+
+// By how much it would be done after the planned part of its time; less than
+// zero where it fits.
+Duration TargetAdmission::MissesBy(const AdmissionRequest& request,
+                                   TimePoint now) const {
   const uint32_t ahead = this->queue.PositionOf(request);
-  const Duration wait = this->WaitFor(ahead + 1, now);
-  return now + wait + this->ramp.baseline() <= request.deadline;
+  const Duration needed = this->WaitFor(ahead + 1, now) + this->ramp.baseline();
+  const auto left = static_cast<double>((request.deadline - now).count());
+  const double planned = left * this->options.planned_part;
+  return needed - Duration(static_cast<Duration::rep>(planned));
 }
 
 // The time in which so many slots come free, at the mean service time.
@@ -49,10 +58,7 @@
 // After this long, the same request would fit if nothing else came.
 Duration TargetAdmission::RetryAfter(const AdmissionRequest& request,
                                      TimePoint now) const {
-  const uint32_t ahead = this->queue.PositionOf(request);
-  const TimePoint done =
-      now + this->WaitFor(ahead + 1, now) + this->ramp.baseline();
-  return std::max<Duration>(done - request.deadline, kMinRetryAfter);
+  return std::max(this->MissesBy(request, now), kMinRetryAfter);
 }
 
 // Gives what waits its answer as soon as it is certain, instead of near its
--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -44,8 +44,11 @@
 }
 
 // A target of two slots, warmed by answers, under a lease of both.
-TargetAdmission WarmTarget(TimePoint& now) {
-  TargetAdmission admission({.slots = 2, .cold_slots = 1, .connections = 25});
+TargetAdmission WarmTarget(TimePoint& now, double planned_part = 0.5) {
+  TargetAdmission admission({.slots = 2,
+                             .cold_slots = 1,
+                             .connections = 25,
+                             .planned_part = planned_part});
   admission.SetShare({.slots = 2}, now);
   admission.OnReport({.incarnation = 4, .state = TargetState::kReady}, now);
   while (admission.limit(now) < 2) {
@@ -159,7 +162,7 @@
 
 Test(TargetAdmission, RefusesAtOnceWhatCannotBeDoneByItsDeadline) {
   TimePoint now = kStart;
-  TargetAdmission admission = WarmTarget(now);
+  TargetAdmission admission = WarmTarget(now, 1.0);
   const TimePoint deadline = now + milliseconds(100);
   const RefuseAttempt* refusal = nullptr;
   AdmissionActions actions;
@@ -176,6 +179,22 @@
   cr_assert(refusal->retry_after > Duration::zero());
 }
 
+// Under overload, a queue as long as the deadlines allow makes every attempt
+// late by a little or just in time, and half of the target's work is wasted.
+Test(TargetAdmission, PlansForAPartOfTheTimeLeft) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now, 0.5);
+  const TimePoint deadline = now + milliseconds(200);
+  uint32_t accepted = 0;
+  for (int i = 0; i < 50; ++i) {
+    const auto actions =
+        admission.Submit(Request(std::to_string(i), deadline), now);
+    accepted += Refusal(actions) == nullptr ? 1 : 0;
+  }
+  cr_assert_geq(accepted, 6u);
+  cr_assert_leq(accepted, 14u);
+}
+
 Test(TargetAdmission, DropsWhatPassedItsDeadlineBeforeItIsSent) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
