--- a/knapweedroad/query/choices_test.cc
+++ b/knapweedroad/query/choices_test.cc
@@ -51,6 +51,24 @@
   cr_assert(!book.Quantile(ServiceId("s1"), ZoneId("z"), 0.5));
 }
 
+Test(LatencyBook, ANewServiceIsJudgedByTheFrontUntilItHasAnsweredEnough) {
+  // After each start of a host nothing is hedged for seconds, or by a quantile
+  // of three samples.
+  LatencyBook book;
+  const ZoneId zone("z");
+  for (int i = 0; i < 1000; ++i) {
+    book.Record(ServiceId("old"), zone, milliseconds(10));
+  }
+  book.Record(ServiceId("new"), zone, milliseconds(100));
+  const auto slow = book.Quantile(ServiceId("new"), zone, 0.9);
+  cr_assert_leq(*slow, milliseconds(11));
+  for (int i = 0; i < 100; ++i) {
+    book.Record(ServiceId("new"), zone, milliseconds(100));
+  }
+  const auto own = book.Quantile(ServiceId("new"), zone, 0.9);
+  cr_assert_geq(*own, milliseconds(100));
+}
+
 Test(TokenBudget, GivesAShareOfFirstTriesAndASmallBurst) {
   TokenBudget budget({.share = 0.05, .burst = 2});
   for (int i = 0; i < 1000; ++i) {
@@ -61,6 +79,17 @@
   cr_assert(!budget.Take(), "a quiet hour saves up no more");
 }
 
+Test(TokenBudget, KeepsHalfForWhatIsUrgent) {
+  // Stragglers wait in full: requests a little over the quantile, of which
+  // there are five times as many, have used the budget up.
+  TokenBudget budget({.share = 0.05, .burst = 4});
+  cr_assert(budget.CanTake(false));
+  budget.Take();
+  budget.Take();
+  cr_assert(!budget.CanTake(false));
+  cr_assert(budget.CanTake(true));
+}
+
 class Choosing {
  public:
   std::optional<TargetCandidate> Choose() {
