--- a/knapweedroad/admission/target_admission.h
+++ b/knapweedroad/admission/target_admission.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 
+#include "knapweedroad/admission/adaptive_limit.h"
 #include "knapweedroad/admission/admission_action.h"
 #include "knapweedroad/admission/admission_request.h"
 #include "knapweedroad/admission/attempt_result.h"
@@ -39,6 +40,10 @@
     uint32_t connections = 2;
     // Attempts that may wait.
     uint32_t max_queue = 64;
+    // Of the time that an attempt has left, the part after which it is expected
+    // to be done, or it is refused. With all of it, an overloaded queue holds
+    // each attempt until it can just be done or just not.
+    double planned_part = 0.5;
     // No attempt runs longer: a later deadline is brought forward to this. The
     // next holder of the lease waits as long before it sends.
     Duration max_deadline = std::chrono::seconds(10);
@@ -50,8 +55,10 @@
     // After failures in a row, starts wait this long, doubled with each more.
     Duration failure_pause = std::chrono::milliseconds(20);
     Duration max_failure_pause = std::chrono::seconds(1);
-    // Failures in a row that count as evidence of a restart.
-    uint32_t failures_to_fall = 2;
+    // Connections lost or refused in a row that are evidence of a restart.
+    uint32_t failures_to_fall = 1;
+    // For a host that has no lease and finds its limit alone (`AdmissionMode`).
+    bool adaptive = false;
     // `slots` and `cold_slots` in here are overwritten by the ones above.
     ColdStartRamp::Options ramp = {};
   };
@@ -141,6 +148,7 @@
 
   bool Blocked(TimePoint now, RefusalKind& kind) const;
   bool FitsBehindQueue(const AdmissionRequest& request, TimePoint now) const;
+  Duration MissesBy(const AdmissionRequest& request, TimePoint now) const;
   Duration WaitFor(uint32_t positions, TimePoint now) const;
   Duration RetryAfter(const AdmissionRequest& request, TimePoint now) const;
   void Refuse(const AdmissionRequest& request,
@@ -158,6 +166,7 @@
   void StartWaiting(TimePoint now, AdmissionActions& actions);
   void PlanWake(TimePoint now);
   AdmissionActions Settle(TimePoint now, AdmissionActions actions);
+  void CountFall();
   void Fall(TimePoint now);
   void OnState(TargetState state, TimePoint now);
   void OnLostConnection(TimePoint now);
@@ -166,6 +175,7 @@
 
   Options options;
   ColdStartRamp ramp;
+  AdaptiveLimit alone;
   FairQueue queue;
   std::map<std::string, Running, std::less<>> running;
   TargetShare share;
