A second hedge, and hedges from the first seconds of a host on

A hedge straggles as often as a first try, and until a quantile could be told nothing was hedged. Now a hedge that is slow itself is hedged once, and while there are too few samples three medians count as slow.

--- a/bench/query/query_tail_bench.cc
+++ b/bench/query/query_tail_bench.cc
@@ -17,6 +17,7 @@
 DEFINE_double(hedge_quantile, 0.95, "as in the front's configuration");
 DEFINE_double(hedge_budget, 0.05, "as in the front's configuration");
 DEFINE_double(tail_ms, 80, "the tail target of the front that has one");
+DEFINE_uint32(warm_up, 0, "first seconds whose queries aren't reported");
 DEFINE_uint32(view_ms, 50, "age of a host's view of loads");
 
 namespace {
@@ -30,7 +31,12 @@
   straggling.straggler_share = 0.01;
   options.load = {{.until = std::chrono::seconds(FLAGS_seconds),
                    .queries_per_second = FLAGS_load * Capacity(straggling)}};
-  const Summary summary = Summarize(RunExperiment(options));
+  ExperimentResult result = RunExperiment(options);
+  const TimePoint from{std::chrono::seconds(FLAGS_warm_up)};
+  std::erase_if(result.queries, [from](const QueryRecord& query) {
+    return query.arrived < from;
+  });
+  const Summary summary = Summarize(result);
   std::fputs(Row(name, summary).c_str(), stdout);
   return summary;
 }
--- a/knapweedroad/query/query_hedge_test.cc
+++ b/knapweedroad/query/query_hedge_test.cc
@@ -27,6 +27,34 @@
   cr_assert(Answer(last)->coverage.IsWhole());
 }
 
+Test(QueryHedge, AHedgeThatStragglesIsHedgedOnce) {
+  // One query in a thousand meets a straggler twice in a row.
+  QueryTestWorld world;
+  world.LearnLatency(milliseconds(10));
+  world.AddTarget("s1", "s1-c", "there");
+  world.AddTarget("s1", "s1-d", "there");
+  auto run = world.MakeRun();
+  const auto sends = Sends(run.Start(world.At(0)));
+  run.OnReply(sends[1].attempt, world.Reply("b"), world.At(9));
+  cr_assert_eq(Sends(run.OnTimer(world.At(11))).size(), 1);
+  cr_assert(run.OnTimer(world.At(15)).empty());
+  cr_assert_eq(Sends(run.OnTimer(world.At(22))).size(), 1);
+  cr_assert(run.OnTimer(world.At(60)).empty(), "two hedges at most");
+}
+
+Test(QueryHedge, FewSamplesAreEnoughForAFirstHedge) {
+  // For the first seconds after each start of a host nothing is hedged.
+  QueryTestWorld world;
+  for (int sample = 0; sample < 20; ++sample) {
+    world.state.latencies.Record(ServiceId("s1"), ZoneId("here"),
+                                 milliseconds(10));
+  }
+  auto run = world.MakeRun();
+  run.Start(world.At(0));
+  cr_assert(run.OnTimer(world.At(29)).empty());
+  cr_assert_eq(Sends(run.OnTimer(world.At(33))).size(), 2);
+}
+
 Test(QueryHedge, AFailedFirstTryLeavesTheHedgeRunning) {
   // A third request for a part that another target is answering already.
   QueryTestWorld world;
--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -11,11 +11,33 @@
 namespace {
 
 constexpr uint32_t kMaxRounds = 3;
+constexpr double kMedian = 0.5;
+constexpr int kSlowMedians = 3;
+// A hedge straggles as often as a first try.
+constexpr size_t kMaxHedges = 2;
 // Between two tries to get a hedge that had no budget or no free slot, at
 // least, and before a target is asked again.
 constexpr Duration kShortestHedgeWait = std::chrono::milliseconds(1);
 constexpr Duration kShortestRetryWait = std::chrono::milliseconds(1);
 
+// When a request to that zone counts as slow. After a start there are too few
+// samples for a high quantile, but soon enough for a median.
+std::optional<Duration> SlowAfter(const CallContext& context,
+                                  const ServiceId& service,
+                                  const ZoneId& zone) {
+  const LatencyBook& latencies = context.state.latencies;
+  const auto slow =
+      latencies.Quantile(service, zone, context.front.hedge_quantile);
+  if (slow) {
+    return std::max(*slow, kShortestHedgeWait);
+  }
+  const auto median = latencies.Quantile(service, zone, kMedian);
+  if (median) {
+    return std::max(*median * kSlowMedians, kShortestHedgeWait);
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 ServiceCall::ServiceCall(const ServiceId& service,
@@ -99,8 +121,7 @@
     // It took at least this long. Left out, stragglers that lose to a hedge
     // would vanish from the quantile, which would sink and cause more hedges.
     LatencyBook& latencies = context.state.latencies;
-    const auto slow = latencies.Quantile(this->service_id, attempt.zone,
-                                         context.front.hedge_quantile);
+    const auto slow = SlowAfter(context, this->service_id, attempt.zone);
     if (slow && now - attempt.sent >= *slow) {
       latencies.Record(this->service_id, attempt.zone, now - attempt.sent);
     }
@@ -157,11 +178,11 @@
 }
 
 void ServiceCall::PlanHedge(const CallContext& context, TimePoint now) {
-  const auto slow = context.state.latencies.Quantile(
-      this->service_id, this->live.back().zone, context.front.hedge_quantile);
+  const auto slow =
+      SlowAfter(context, this->service_id, this->live.back().zone);
   this->hedge_at.reset();
   if (slow) {
-    this->hedge_at = now + std::max(*slow, kShortestHedgeWait);
+    this->hedge_at = now + *slow;
   }
 }
 
@@ -176,14 +197,16 @@
   // Failure: what is merely slower than most uses the budget up, and a true
   // straggler finds it empty. So half of it is kept for those far over.
   const LiveAttempt& slow = this->live.front();
-  const auto expected = context.state.latencies.Quantile(
-      this->service_id, slow.zone, context.front.hedge_quantile);
+  const auto expected = SlowAfter(context, this->service_id, slow.zone);
   const bool urgent = expected && now - slow.sent >= *expected * 3 / 2;
   TokenBudget& budget = context.state.hedges;
   if (budget.CanTake(urgent) &&
       this->TrySend(context, AttemptPurpose::kHedge, now, actions)) {
     budget.Take();
     context.stats.hedges += 1;
+    if (this->live.size() <= kMaxHedges && expected) {
+      this->hedge_at = now + *expected;
+    }
     return;
   }
   this->hedge_at = now + std::max(typical / 4, kShortestHedgeWait);
@@ -249,7 +272,6 @@
 }
 
 Duration TypicalLatency(const CallContext& context, const ServiceId& service) {
-  constexpr double kMedian = 0.5;
   return context.state.latencies.Quantile(service, context.own_zone, kMedian)
       .value_or(Duration::zero());
 }
