Replicas: two at random over all zones, the own zone between near equals

Own zone first made hosts' loads uneven (3 of 9 hosts share a zone, services have 3 searchers in 4 zones) and, with a view of loads 50 ms old, sent all hosts of a zone to the same target.

--- a/knapweedroad/query/choices_test.cc
+++ b/knapweedroad/query/choices_test.cc
@@ -108,7 +108,7 @@
   std::mt19937_64 random{1};
 };
 
-Test(ReplicaChoice, TakesTheOwnZoneWhileItHasAFreeSlot) {
+Test(ReplicaChoice, TakesTheOwnZoneOfTwoThatAreAboutAsBusy) {
   Choosing choosing;
   choosing.targets[1].in_flight = 1;
   cr_assert_eq(choosing.Choose()->target, TargetId("near"));
@@ -116,6 +116,22 @@
   cr_assert_eq(choosing.Choose()->target, TargetId("far"));
 }
 
+Test(ReplicaChoice, SpreadsOverAllZonesAndSparesTheBusiest) {
+  // A search front is slow at half load: hosts of one zone all ask the same
+  // target, while the targets of a zone with few hosts idle.
+  Choosing choosing;
+  choosing.targets.push_back(
+      {.target = TargetId("busy"), .zone = ZoneId("here"), .holds = {kOld}});
+  choosing.targets[2].in_flight = 2;
+  std::map<TargetId, int> chosen;
+  for (int i = 0; i < 300; ++i) {
+    chosen[choosing.Choose()->target] += 1;
+  }
+  cr_assert_eq(chosen[TargetId("busy")], 0);
+  cr_assert_gt(chosen[TargetId("far")], 60);
+  cr_assert_gt(chosen[TargetId("near")], 150);
+}
+
 Test(ReplicaChoice, NeverAColdOneWhileAWarmOneIsThere) {
   // A cold searcher of the own zone falls over under its zone's full load.
   Choosing choosing;
--- a/knapweedroad/query/replica_choice.cc
+++ b/knapweedroad/query/replica_choice.cc
@@ -1,19 +1,17 @@
 #include "knapweedroad/query/replica_choice.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace knapweedroad {
 namespace {
 
 // Lower is better.
-enum class Tier : uint8_t {
-  kFreeInZone,
-  kFreeElsewhere,
-  kBusy,
-  kFreeCold,
-  kBusyCold,
-};
+enum class Tier : uint8_t { kWarm, kFreeCold, kBusyCold };
+
+// A view of loads that is some requests old can't tell a difference of one.
+constexpr uint32_t kEqualLoads = 1;
 
 uint32_t Load(const TargetCandidate& candidate) {
   return candidate.in_flight + candidate.queued;
@@ -24,11 +22,13 @@
     const bool room = Load(candidate) < request.cold_slots;
     return room ? Tier::kFreeCold : Tier::kBusyCold;
   }
-  if (Load(candidate) >= request.slots) {
-    return Tier::kBusy;
-  }
-  return candidate.zone == request.own_zone ? Tier::kFreeInZone
-                                            : Tier::kFreeElsewhere;
+  return Tier::kWarm;
+}
+
+bool HasFreeWarmSlot(const TargetCandidate& candidate,
+                     const ReplicaRequest& request) {
+  return candidate.state != TargetState::kCold &&
+         Load(candidate) < request.slots;
 }
 
 bool Excluded(const TargetCandidate& candidate, const ReplicaRequest& request) {
@@ -36,19 +36,27 @@
          request.excluded.end();
 }
 
-// The less loaded of two different ones: always taking the least loaded would
-// send every host to the same target while their view of it lags.
+// Failure: targets of a zone with more hosts drown while others idle, and all
+// hosts jump on the target that was the least loaded a while ago. So it is one
+// of two picked at random, and the own zone only decides between two that are
+// about as busy.
 const TargetCandidate* BetterOfTwo(
     const std::vector<const TargetCandidate*>& equals,
-    const std::function<uint64_t()>& random) {
+    const ReplicaRequest& request) {
   if (equals.size() == 1) {
     return equals.front();
   }
-  const size_t first = random() % equals.size();
-  const size_t step = 1 + random() % (equals.size() - 1);
-  const size_t second = (first + step) % equals.size();
-  return Load(*equals[second]) < Load(*equals[first]) ? equals[second]
-                                                      : equals[first];
+  const size_t first = request.random() % equals.size();
+  const size_t step = 1 + request.random() % (equals.size() - 1);
+  const TargetCandidate* one = equals[first];
+  const TargetCandidate* other = equals[(first + step) % equals.size()];
+  if (Load(*other) < Load(*one)) {
+    std::swap(one, other);
+  }
+  const bool about_equal = Load(*other) - Load(*one) <= kEqualLoads;
+  const bool nearer =
+      other->zone == request.own_zone && one->zone != request.own_zone;
+  return about_equal && nearer ? other : one;
 }
 
 }  // namespace
@@ -81,7 +89,7 @@
       continue;
     }
     const Tier tier = TierOf(candidate, request);
-    if (request.free_slot_only && tier > Tier::kFreeElsewhere) {
+    if (request.free_slot_only && !HasFreeWarmSlot(candidate, request)) {
       continue;
     }
     if (tier < best_tier) {
@@ -95,7 +103,7 @@
   if (best.empty()) {
     return std::nullopt;
   }
-  return *BetterOfTwo(best, request.random);
+  return *BetterOfTwo(best, request);
 }
 
 }  // namespace knapweedroad
