--- a/bench/query/experiment.h
+++ b/bench/query/experiment.h
@@ -52,6 +52,7 @@
   bool baseline = false;
   // Whether queries pass a FrontGate.
   bool gate = false;
+  double slow_share = 0.5;
   std::vector<TenantConfig> tenants;
   std::vector<LoadPhase> load;
 };
--- a/bench/query/experiment_host.cc
+++ b/bench/query/experiment_host.cc
@@ -26,7 +26,7 @@
       zone(zone),
       result(result),
       state(front),
-      gate({.front = front}),
+      gate({.front = front, .slow_share = options.slow_share}),
       random(fleet.service_times()) {
   if (options.baseline) {
     this->state.SetOverloaded(true);
--- a/knapweedroad/query/front_state.h
+++ b/knapweedroad/query/front_state.h
@@ -18,15 +18,27 @@
       : hedges({.share = front.hedge_budget}),
         retries({.share = front.retry_budget}) {}
 
-  // Under overload there are neither hedges nor retries.
+  // Under overload there are neither hedges nor retries, and no latency is
+  // recorded. Failure: the waits of an overload would stay in the quantiles,
+  // and stragglers wouldn't be hedged for minutes after it has ended.
   void SetOverloaded(bool overloaded) {
+    this->is_overloaded = overloaded;
     this->hedges.SetSuspended(overloaded);
     this->retries.SetSuspended(overloaded);
   }
 
+  void RecordLatency(const ServiceId& service,
+                     const ZoneId& zone,
+                     Duration latency) {
+    if (!this->is_overloaded) {
+      this->latencies.Record(service, zone, latency);
+    }
+  }
+
   LatencyBook latencies;
   TokenBudget hedges;
   TokenBudget retries;
+  bool is_overloaded = false;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -66,8 +66,8 @@
                              const LiveAttempt& attempt,
                              TimePoint now,
                              QueryActions& actions) {
-  context.state.latencies.Record(this->service_id, attempt.zone,
-                                 now - attempt.sent);
+  context.state.RecordLatency(this->service_id, attempt.zone,
+                              now - attempt.sent);
   this->call_state = State::kAnswered;
   this->CancelLive(context, now, actions);
 }
@@ -120,10 +120,10 @@
     actions.emplace_back(CancelAttempt{attempt.id, attempt.target});
     // It took at least this long. Left out, stragglers that lose to a hedge
     // would vanish from the quantile, which would sink and cause more hedges.
-    LatencyBook& latencies = context.state.latencies;
     const auto slow = SlowAfter(context, this->service_id, attempt.zone);
     if (slow && now - attempt.sent >= *slow) {
-      latencies.Record(this->service_id, attempt.zone, now - attempt.sent);
+      context.state.RecordLatency(this->service_id, attempt.zone,
+                                  now - attempt.sent);
     }
   }
   this->live.clear();
