A refused hedge goes to another replica at once; holders' real queue in the bench

A lease holder never lets a hedge wait, so a hedge that meets no free slot comes back as not run. Now another replica is asked at once, the same one by the next timer, the budget is given back, and a retry may still go to that replica. Such refusals aren't counted as overload (stats().refused).

--- a/bench/query/experiment_host.cc
+++ b/bench/query/experiment_host.cc
@@ -94,14 +94,36 @@
   this->Arm(query);
 }
 
+AdmissionRequest ExperimentHost::RequestOf(uint64_t query,
+                                           const SendAttempt& send) const {
+  AdmissionRequest request{.attempt = send.attempt.str(),
+                           .deadline = send.deadline};
+  if (send.purpose != AttemptPurpose::kFirst) {
+    request.kind = send.purpose == AttemptPurpose::kHedge ? AttemptKind::kHedge
+                                                          : AttemptKind::kRetry;
+  }
+  const QueryRecord& record = this->open.at(query).record;
+  request.tenant = TenantId(record.tenant);
+  request.request_class = record.class_name;
+  for (const TenantConfig& tenant : this->front.tenants) {
+    if (tenant.name == request.tenant) {
+      request.tenant_weight = tenant.weight;
+      const auto weight = tenant.class_weights.find(record.class_name);
+      const bool named = weight != tenant.class_weights.end();
+      request.class_weight = named ? weight->second : 1;
+    }
+  }
+  return request;
+}
+
 void ExperimentHost::Send(uint64_t query, const SendAttempt& send) {
   // Drawn here, in the order of sends, and not where it runs.
   const Duration time = this->ServiceTime();
-  this->events.Post(this->HopTo(send.target), [this, query, send, time] {
+  const AdmissionRequest request = this->RequestOf(query, send);
+  this->events.Post(this->HopTo(send.target), [=, this] {
     this->fleet.targets.at(send.target)
         .searcher->Submit(
-            {.attempt = send.attempt,
-             .deadline = send.deadline,
+            {.request = request,
              .service_time = time,
              .done = [this, query, send](JobEnd end, Duration retry_after) {
                this->events.Post(this->HopTo(send.target), [=, this] {
@@ -126,7 +148,6 @@
     this->Perform(query, run.OnReply(send.attempt, reply, now));
     return;
   }
-  found->second.sub_refused += 1;
   const bool refused = end == JobEnd::kRefused;
   SubFailure failure{
       .outcome = RunOutcome::kNotRun,
@@ -139,7 +160,8 @@
 
 void ExperimentHost::Cancel(const CancelAttempt& cancel) {
   this->events.Post(this->HopTo(cancel.target), [this, cancel] {
-    this->fleet.targets.at(cancel.target).searcher->Cancel(cancel.attempt);
+    this->fleet.targets.at(cancel.target)
+        .searcher->Cancel(cancel.attempt.str());
   });
 }
 
@@ -156,7 +178,7 @@
                        .class_name = opened.record.class_name,
                        .start = opened.record.arrived,
                        .deadline = opened.deadline,
-                       .sub_refused = opened.sub_refused},
+                       .sub_refused = stats.refused},
                       now);
     this->state.SetOverloaded(this->gate.Overloaded(now));
   }
--- a/bench/query/experiment_host.h
+++ b/bench/query/experiment_host.h
@@ -50,11 +50,11 @@
     std::unique_ptr<QueryRun> run;
     QueryRecord record;
     TimePoint deadline;
-    uint32_t sub_refused = 0;
   };
 
   QueryHooks Hooks();
   void Perform(uint64_t query, const QueryActions& actions);
+  AdmissionRequest RequestOf(uint64_t query, const SendAttempt& send) const;
   void Send(uint64_t query, const SendAttempt& send);
   void Deliver(uint64_t query,
                const SendAttempt& send,
--- a/bench/query/searcher.cc
+++ b/bench/query/searcher.cc
@@ -13,23 +13,30 @@
     this->Begin(std::move(job));
     return;
   }
-  const auto ahead = static_cast<int64_t>(this->queue.size()) + 1;
+  if (job.request.kind == AttemptKind::kHedge) {
+    job.done(JobEnd::kRefused, {});
+    return;
+  }
+  const int64_t ahead = int64_t{this->queue.PositionOf(job.request)} + 1;
   const Duration wait =
       this->options.expected_time * ahead / this->options.slots;
-  const bool too_late = this->events.now() + wait >= job.deadline;
+  const bool too_late = this->events.now() + wait >= job.request.deadline;
   if (too_late || this->queue.size() >= this->options.max_queue) {
     job.done(JobEnd::kRefused, wait);
     return;
   }
-  this->queue.push_back(std::move(job));
+  this->queue.Push(job.request);
+  this->waiting.emplace(job.request.attempt, std::move(job));
 }
 
-void Searcher::Cancel(const AttemptId& attempt) {
-  std::erase_if(this->queue,
-                [&attempt](const Job& job) { return job.attempt == attempt; });
+void Searcher::Cancel(const std::string& attempt) {
+  if (this->queue.Remove(attempt)) {
+    this->waiting.erase(attempt);
+    return;
+  }
   for (auto running = this->jobs.begin(); running != this->jobs.end();
        ++running) {
-    if (running->job.attempt == attempt) {
+    if (running->job.request.attempt == attempt) {
       this->busy_time += this->events.now() - running->begun;
       this->jobs.erase(running);
       this->BeginNext();
@@ -59,9 +66,9 @@
 
 void Searcher::BeginNext() {
   while (!this->queue.empty() && this->jobs.size() < this->options.slots) {
-    Job job = std::move(this->queue.front());
-    this->queue.pop_front();
-    if (this->events.now() >= job.deadline) {
+    const std::string attempt = this->queue.Pop()->attempt;
+    Job job = std::move(this->waiting.extract(attempt).mapped());
+    if (this->events.now() >= job.request.deadline) {
       job.done(JobEnd::kExpired, {});
     } else {
       this->Begin(std::move(job));
--- a/bench/query/searcher.h
+++ b/bench/query/searcher.h
@@ -1,25 +1,26 @@
-// One target with its lease holder's queue, in virtual time: slots, a queue
-// that refuses what can't begin before its deadline, and cancellation.
+// One target with its lease holder's queue, in virtual time: slots, a fair
+// queue that refuses what can't begin before its deadline, and cancellation.
 
 #ifndef BENCH_QUERY_SEARCHER_H_
 #define BENCH_QUERY_SEARCHER_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <list>
+#include <map>
+#include <string>
 
 #include "bench/query/event_queue.h"
+#include "knapweedroad/admission/admission_request.h"
+#include "knapweedroad/admission/fair_queue.h"
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/target/attempt_id.h"
 
 namespace knapweedroad::bench {
 
 enum class JobEnd : uint8_t { kAnswered, kRefused, kExpired };
 
 struct Job {
-  AttemptId attempt;
-  TimePoint deadline;
+  AdmissionRequest request;
   Duration service_time{};
   // Called once, unless it is cancelled. With kRefused: when to come back.
   std::function<void(JobEnd end, Duration retry_after)> done;
@@ -37,10 +38,10 @@
   Searcher(EventQueue& events, SearcherOptions options);
 
   void Submit(Job job);
-  void Cancel(const AttemptId& attempt);
+  void Cancel(const std::string& attempt);
 
   uint32_t running() const { return static_cast<uint32_t>(this->jobs.size()); }
-  uint32_t queued() const { return static_cast<uint32_t>(this->queue.size()); }
+  uint32_t queued() const { return this->queue.size(); }
   // Jobs that were begun, and the time slots were taken by them.
   uint64_t begun() const { return this->begun_jobs; }
   Duration busy() const { return this->busy_time; }
@@ -59,7 +60,8 @@
   EventQueue& events;
   SearcherOptions options;
   std::list<Running> jobs;
-  std::deque<Job> queue;
+  FairQueue queue;
+  std::map<std::string, Job> waiting;
   uint64_t begun_jobs = 0;
   Duration busy_time{};
 };
--- a/knapweedroad/query/call_context.h
+++ b/knapweedroad/query/call_context.h
@@ -33,6 +33,8 @@
   uint32_t hedges = 0;
   uint32_t retries = 0;
   uint32_t restarts = 0;
+  // First tries and retries that a holder or target refused for want of room.
+  uint32_t refused = 0;
   // Answers of another snapshot than the one asked for.
   uint32_t wrong_snapshots = 0;
 };
--- a/knapweedroad/query/front_gate.h
+++ b/knapweedroad/query/front_gate.h
@@ -60,7 +60,7 @@
   std::string class_name;
   TimePoint start;
   TimePoint deadline;
-  // Sub-requests that a holder or target refused for want of room.
+  // QueryRunStats::refused.
   uint32_t sub_refused = 0;
   // The caller left, so that its duration says nothing.
   bool abandoned = false;
--- a/knapweedroad/query/query_run.cc
+++ b/knapweedroad/query/query_run.cc
@@ -75,7 +75,7 @@
       part.snapshot_lost = true;
       const SubFailure failure{.outcome = RunOutcome::kRun,
                                .kind = FailureKind::kBroken};
-      part.call.OnFailed(this->Context(), failure, now, actions);
+      part.call.OnFailed(this->Context(), *taken, failure, now, actions);
     }
     this->Settle(now, actions);
     break;
@@ -88,13 +88,14 @@
                                  TimePoint now) {
   QueryActions actions;
   for (Part& part : this->parts) {
-    if (!part.call.Take(attempt)) {
+    const auto taken = part.call.Take(attempt);
+    if (!taken) {
       continue;
     }
     this->NoteOutcome(failure.outcome);
     part.snapshot_lost =
         part.snapshot_lost || failure.kind == FailureKind::kNoSnapshot;
-    part.call.OnFailed(this->Context(), failure, now, actions);
+    part.call.OnFailed(this->Context(), *taken, failure, now, actions);
     this->Settle(now, actions);
     break;
   }
--- a/knapweedroad/query/record_run.cc
+++ b/knapweedroad/query/record_run.cc
@@ -37,12 +37,12 @@
                                 const SubFailure& failure,
                                 TimePoint now) {
   RecordStep step;
-  if (this->call.Take(attempt)) {
+  if (const auto taken = this->call.Take(attempt)) {
     this->any_run = this->any_run || failure.outcome == RunOutcome::kRun;
     this->any_unknown =
         this->any_unknown || failure.outcome == RunOutcome::kUnknown;
     this->any_broken = this->any_broken || failure.kind == FailureKind::kBroken;
-    this->call.OnFailed(this->Context(), failure, now, step.actions);
+    this->call.OnFailed(this->Context(), *taken, failure, now, step.actions);
     this->Settle(now, step);
   }
   return step;
--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -38,6 +38,11 @@
   return std::nullopt;
 }
 
+bool IsRefusedHedge(const LiveAttempt& attempt, const SubFailure& failure) {
+  return attempt.purpose == AttemptPurpose::kHedge &&
+         failure.outcome == RunOutcome::kNotRun;
+}
+
 }  // namespace
 
 ServiceCall::ServiceCall(const ServiceId& service,
@@ -73,14 +78,22 @@
 }
 
 void ServiceCall::OnFailed(const CallContext& context,
+                           const LiveAttempt& attempt,
                            const SubFailure& failure,
                            TimePoint now,
                            QueryActions& actions) {
+  this->NoteRefusal(context, attempt, failure);
   if (failure.retry_after) {
     this->shortest_wait = std::min(
         *failure.retry_after, this->shortest_wait.value_or(Duration::max()));
   }
   if (!this->live.empty()) {
+    if (IsRefusedHedge(attempt, failure)) {
+      // Its slot was gone when it came: another target at once, and the same
+      // one again only by the timer, or refused hedges would chase each other.
+      this->full_for_hedges.push_back(attempt.target);
+      this->TryHedge(context, now, actions);
+    }
     return;
   }
   this->hedge_at.reset();
@@ -89,6 +102,7 @@
     this->GiveUp();
     return;
   }
+  this->AskFullOnesAgain();
   if (this->TryAnotherTarget(context, failure.outcome, now, actions)) {
     return;
   }
@@ -102,10 +116,25 @@
   this->WaitOrGiveUp(context, now);
 }
 
+void ServiceCall::NoteRefusal(const CallContext& context,
+                              const LiveAttempt& attempt,
+                              const SubFailure& failure) {
+  // A hedge that met no free slot cost nothing, and isn't a sign of overload.
+  if (IsRefusedHedge(attempt, failure)) {
+    context.state.hedges.GiveBack();
+    context.stats.hedges -= 1;
+    return;
+  }
+  const bool no_room = failure.kind == FailureKind::kRefusedQueue ||
+                       failure.kind == FailureKind::kShed;
+  context.stats.refused += no_room ? 1 : 0;
+}
+
 void ServiceCall::OnTimer(const CallContext& context,
                           TimePoint now,
                           QueryActions& actions) {
   if (this->hedge_at && now >= *this->hedge_at) {
+    this->AskFullOnesAgain();
     this->TryHedge(context, now, actions);
   }
   if (this->retry_at && now >= *this->retry_at) {
@@ -155,6 +184,7 @@
   LiveAttempt attempt{.id = context.hooks.next_attempt_id(),
                       .target = choice->target,
                       .zone = choice->zone,
+                      .purpose = purpose,
                       .sent = now};
   actions.emplace_back(
       SendAttempt{.attempt = attempt.id,
@@ -227,6 +257,13 @@
   this->WaitOrGiveUp(context, now);
 }
 
+void ServiceCall::AskFullOnesAgain() {
+  for (const TargetId& target : this->full_for_hedges) {
+    std::erase(this->tried, target);
+  }
+  this->full_for_hedges.clear();
+}
+
 bool ServiceCall::TryAnotherTarget(const CallContext& context,
                                    RunOutcome outcome,
                                    TimePoint now,
--- a/knapweedroad/query/service_call.h
+++ b/knapweedroad/query/service_call.h
@@ -27,6 +27,7 @@
   AttemptId id;
   TargetId target;
   ZoneId zone;
+  AttemptPurpose purpose = AttemptPurpose::kFirst;
   TimePoint sent;
 };
 
@@ -53,6 +54,7 @@
 
   // Asks another target, waits to ask again, or gives up.
   void OnFailed(const CallContext& context,
+                const LiveAttempt& attempt,
                 const SubFailure& failure,
                 TimePoint now,
                 QueryActions& actions);
@@ -80,6 +82,9 @@
                AttemptPurpose purpose,
                TimePoint now,
                QueryActions& actions);
+  void NoteRefusal(const CallContext& context,
+                   const LiveAttempt& attempt,
+                   const SubFailure& failure);
   void PlanHedge(const CallContext& context, TimePoint now);
   void TryHedge(const CallContext& context,
                 TimePoint now,
@@ -87,6 +92,8 @@
   void TryRetry(const CallContext& context,
                 TimePoint now,
                 QueryActions& actions);
+  // They may have a slot by now, and a retry may wait for one.
+  void AskFullOnesAgain();
   bool TryAnotherTarget(const CallContext& context,
                         RunOutcome outcome,
                         TimePoint now,
@@ -100,6 +107,8 @@
   std::vector<LiveAttempt> live;
   // Targets that aren't asked again in this round.
   std::vector<TargetId> tried;
+  // Those of `tried` that refused a hedge, for want of a free slot.
+  std::vector<TargetId> full_for_hedges;
   // When the one live attempt counts as slow.
   std::optional<TimePoint> hedge_at;
   // When to ask again; nothing is live until then.
--- a/knapweedroad/query/token_budget.cc
+++ b/knapweedroad/query/token_budget.cc
@@ -28,6 +28,10 @@
   return true;
 }
 
+void TokenBudget::GiveBack() {
+  this->tokens = std::min(this->options.burst, this->tokens + 1.0);
+}
+
 void TokenBudget::SetSuspended(bool suspended) {
   this->is_suspended = suspended;
 }
--- a/knapweedroad/query/token_budget.h
+++ b/knapweedroad/query/token_budget.h
@@ -32,6 +32,9 @@
   // CanTake(); if so it is counted.
   bool Take();
 
+  // What was taken has not run.
+  void GiveBack();
+
   // While suspended nothing can be taken and nothing is saved up.
   void SetSuspended(bool suspended);
   bool suspended() const { return this->is_suspended; }
