--- a/knapweedroad/config/parse_deployment_test.cc
+++ b/knapweedroad/config/parse_deployment_test.cc
@@ -1,9 +1,11 @@
 #include "knapweedroad/config/parse_deployment.h"
 
+#include <algorithm>
 #include <string>
 
 #include <criterion/criterion.h>
 
+#include "knapweedroad/config/error_list.h"
 #include "knapweedroad/config/print_deployment.h"
 #include "knapweedroad/config/test_text.h"
 
@@ -122,6 +124,17 @@
          "21:24: fronts[0].generations[0].note: the key");
 }
 
+// A key with a line break in it would make two lines of one error, and one of
+// 100 KB would bury the others.
+Test(ParseDeployment, KeepsAnErrorOnOneShortLine) {
+  Expect("\"kind\"", "\"a\\nb\": 1, \"kind\"", "8:7: fronts[0].a?b: the key");
+  const auto errors = Errors("{\"" + std::string(100'000, 'x') + "\": 1}");
+  cr_assert(!errors.empty());
+  for (const ConfigError& error : errors) {
+    cr_expect(error.ToString().size() < 300);
+  }
+}
+
 Test(ParseDeployment, RefusesAKeyThatStandsTwice) {
   Expect("\"kind\": \"search\",",
          "\"kind\": \"search\", \"kind\": \"records\",",
@@ -244,6 +257,8 @@
          "21:54: fronts[0].generations[0].units.s-1: expected a whole number");
   Expect("\"search\"", "3",
          "8:15: fronts[0].kind: expected \"search\" or \"records\"");
+  Expect("{\"s-1\": 10}", "3",
+         "21:46: fronts[0].generations[0].units: expected");
 }
 
 Test(ParseDeployment, RefusesEmptyLists) {
@@ -286,6 +301,23 @@
          "'s-2'; did you mean 's-1'?");
 }
 
+// An operator sends 1 MB of misspelt services. Each was compared with every
+// service there is, and the host's thread did nothing else for 24 s: callers'
+// queries ran past their deadlines.
+Test(ParseDeployment, LooksUpABoundedNumberOfNames) {
+  std::string units = "\"s-1\": 10";
+  for (size_t i = 0; i < 2 * ErrorList::kMaxSuggestions; ++i) {
+    units += ", \"s-x" + std::to_string(i) + "\": 10";
+  }
+  const auto errors = Errors(Replaced(kValid, "\"s-1\": 10", units));
+  cr_assert(errors.size() == 2 * ErrorList::kMaxSuggestions);
+  const auto suggests = [](const ConfigError& error) {
+    return error.remedy.starts_with("did you mean");
+  };
+  const auto count = std::count_if(errors.begin(), errors.end(), suggests);
+  cr_assert(count == static_cast<ptrdiff_t>(ErrorList::kMaxSuggestions));
+}
+
 Test(ParseDeployment, RefusesAServiceInNoGeneration) {
   const std::string more =
       std::string(kService) + ", " + Replaced(kService, "s-1", "s-2");
