--- a/knapweedroad/load/load_report.cc
+++ b/knapweedroad/load/load_report.cc
@@ -45,6 +45,19 @@
           {"answers", coverage.answers}};
 }
 
+ordered_json ToJson(const std::map<std::string, TargetRow>& rows) {
+  ordered_json object = ordered_json::object();
+  for (const auto& [name, row] : rows) {
+    object[name] = {{"zone", row.zone},
+                    {"received", row.received},
+                    {"shed", row.shed},
+                    {"peak_in_flight", row.peak_in_flight},
+                    {"peak_connections", row.peak_connections},
+                    {"connections_opened", row.connections_opened}};
+  }
+  return object;
+}
+
 ordered_json ToJson(const TargetsReport& targets) {
   return {{"targets", targets.targets},
           {"received", targets.received},
@@ -63,6 +76,7 @@
           {"over_cold_limit", targets.over_cold_limit},
           {"over_connections", targets.over_connections},
           {"violations", targets.violations},
+          {"by_target", ToJson(targets.by_target)},
           {"first_violations", targets.first_violations}};
 }
 
@@ -91,6 +105,13 @@
 void AddTarget(const TargetCounts& target, TargetsReport& sum) {
   const SearcherCounts& counts = target.counts;
   ++sum.targets;
+  sum.by_target[target.target.str()] = {
+      .zone = target.zone.str(),
+      .received = counts.received,
+      .shed = counts.shed + counts.shed_by_fault,
+      .peak_in_flight = counts.peak_in_flight,
+      .peak_connections = counts.peak_connections,
+      .connections_opened = counts.connections_opened};
   sum.received += counts.received;
   sum.executed += counts.executed;
   sum.shed += counts.shed + counts.shed_by_fault;
--- a/knapweedroad/load/load_report.h
+++ b/knapweedroad/load/load_report.h
@@ -56,6 +56,16 @@
   double whole_share = 0.0;
 };
 
+// One target, as it counted for itself.
+struct TargetRow {
+  std::string zone;
+  uint64_t received = 0;
+  uint64_t shed = 0;
+  uint32_t peak_in_flight = 0;
+  uint32_t peak_connections = 0;
+  uint64_t connections_opened = 0;
+};
+
 // All targets together, as each counted for itself.
 struct TargetsReport {
   uint64_t targets = 0;
@@ -78,6 +88,7 @@
   uint32_t over_cold_limit = 0;
   uint32_t over_connections = 0;
   std::map<std::string, uint64_t> violations;
+  std::map<std::string, TargetRow> by_target;
   // The first ones: "TARGET at 1234 ms: kind: detail".
   std::vector<std::string> first_violations;
 };
