--- a/knapweedroad/load/load_report.cc
+++ b/knapweedroad/load/load_report.cc
@@ -186,6 +186,7 @@
                                {"by_tenant", ToJson(report.by_tenant)},
                                {"coverage", ToJson(report.coverage)},
                                {"statuses", report.statuses},
+                               {"snapshots", report.snapshots},
                                {"refusals", report.refusals},
                                {"retry_after",
                                 {{"present", report.retry_after_present},
--- a/knapweedroad/load/load_report.h
+++ b/knapweedroad/load/load_report.h
@@ -113,6 +113,8 @@
   CoverageReport coverage;
   // "200", "503 not_run", "none timeout", ...
   std::map<std::string, uint64_t> statuses;
+  // Answers by the snapshot they were of, "FRONT SNAPSHOT".
+  std::map<std::string, uint64_t> snapshots;
   // Refusals by the problem's title and whether they said when to come back.
   std::map<std::string, uint64_t> refusals;
   uint64_t retry_after_present = 0;
--- a/knapweedroad/load/load_report_text.cc
+++ b/knapweedroad/load/load_report_text.cc
@@ -97,6 +97,7 @@
       << ", mean " << report.coverage.mean << ", whole "
       << report.coverage.whole_share << " of the answers\n";
   WriteTable(out, "statuses", report.statuses);
+  WriteTable(out, "answers by snapshot", report.snapshots);
   WriteTable(out, "refusals", report.refusals);
   out << "  with Retry-After " << report.retry_after_present << ", without "
       << report.retry_after_absent << "\n"
--- a/knapweedroad/load/load_tally.cc
+++ b/knapweedroad/load/load_tally.cc
@@ -138,6 +138,9 @@
   std::string status = std::to_string(call.status);
   if (call.status == kStatusAnswered) {
     ++this->report.statuses[status];
+    std::string snapshot = call.front.str() + " ";
+    snapshot += FindHeader(call.headers, "Knapweed-Snapshot");
+    ++this->report.snapshots[snapshot];
     return;
   }
   status += " ";
--- a/knapweedroad/load/load_tally_test.cc
+++ b/knapweedroad/load/load_tally_test.cc
@@ -60,6 +60,7 @@
   cr_assert_eq(report.by_class.at("urgent").calls, 3);
   cr_assert_eq(report.coverage.answers.at("1.0"), 2);
   cr_assert_eq(report.coverage.lowest, 0.5);
+  cr_assert_eq(report.snapshots.at("redactie 1.1"), 3);
   cr_assert_eq(report.seconds.size(), 2);
 }
 
