Versions pass between hosts of two releases; the agreed text wins under its number

Cause: the checksum of a pushed configuration was of the text as the parsed configuration prints it. A release that prints one more default makes another text of the same version, so that in the midst of an upgrade no host could take a version from a host of the other release. A host with another text under the agreed number kept it until the next change.

Change: texts are compared, patched and summed as JSON without comments and layout; OfferAgreed() replaces another text under the number in force.

Ruled out: reprinting on every host, for the reason above.

--- a/knapweedroad/host/configuration_keeper.cc
+++ b/knapweedroad/host/configuration_keeper.cc
@@ -1,6 +1,8 @@
 #include "knapweedroad/host/configuration_keeper.h"
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include <xxhash.h>
@@ -9,7 +11,6 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/config/config_error.h"
 #include "knapweedroad/config/parse_deployment.h"
-#include "knapweedroad/config/print_deployment.h"
 
 namespace knapweedroad {
 namespace {
@@ -23,15 +24,25 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
-// The difference between two printed configurations, or nothing where it is no
+// The text without comments and layout, with keys in one order: what is
+// compared, summed and patched. It isn't printed from the parsed
+// configuration: programs of two releases would print two texts of one
+// version, and during an upgrade no host could take a version from another.
+std::optional<std::string> CanonicalText(std::string_view text) {
+  const json document = json::parse(text, nullptr, /*allow_exceptions=*/false,
+                                    /*ignore_comments=*/true);
+  if (document.is_discarded()) {
+    return std::nullopt;
+  }
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// The difference between two canonical texts, or nothing where it is no
 // shorter than the whole.
 std::optional<std::string> Difference(const std::string& from,
                                       const std::string& to) {
   const json old_document = json::parse(from, nullptr, false);
   const json new_document = json::parse(to, nullptr, false);
-  if (old_document.is_discarded() || new_document.is_discarded()) {
-    return std::nullopt;
-  }
   std::string patch = json::diff(old_document, new_document).dump();
   if (patch.size() >= to.size()) {
     return std::nullopt;
@@ -67,15 +78,38 @@
     uint64_t version,
     const std::string& text,
     TimePoint now) {
-  if (this->configuration != nullptr && !this->current_text.empty() &&
-      version <= this->current_version) {
+  if (!this->current_text.empty() && version <= this->current_version) {
     return {};
   }
+  return this->PutIntoForce(version, text, now);
+}
+
+tl::expected<void, std::string> ConfigurationKeeper::OfferAgreed(
+    uint64_t version,
+    const std::string& text,
+    TimePoint now) {
+  // Failure: two hosts serve under one version number with different texts for
+  // as long as no further change comes. What was agreed is right.
+  if (!this->current_text.empty() && version != 0 &&
+      version == this->current_version &&
+      CanonicalText(text) != this->current_text) {
+    LogLine("configuration_conflict").Add("version", version).Error();
+    return this->PutIntoForce(version, text, now);
+  }
+  return this->Offer(version, text, now);
+}
+
+tl::expected<void, std::string> ConfigurationKeeper::PutIntoForce(
+    uint64_t version,
+    const std::string& text,
+    TimePoint now) {
   auto parsed = ParseDeployment(text, "version " + std::to_string(version));
+  auto canonical = CanonicalText(text);
   if (!parsed) {
     return tl::unexpected(parsed.error().front().ToString());
   }
-  if (!this->current_text.empty()) {
+  // A text that was replaced under its own number is no base of a difference.
+  if (!this->current_text.empty() && version != this->current_version) {
     this->past.push_back(
         {.version = this->current_version, .text = this->current_text});
     if (this->past.size() > kPastVersions) {
@@ -83,9 +117,7 @@
     }
   }
   this->current_version = version;
-  // Printed anew, so that every host holds the same text, whatever the
-  // comments and layout of the one that was applied.
-  this->current_text = PrintDeployment(*parsed);
+  this->current_text = std::move(*canonical);
   this->configuration =
       std::make_shared<const DeploymentConfig>(std::move(*parsed));
   this->in_force_since = now;
@@ -130,14 +162,10 @@
     }
     text = std::move(*patched);
   }
-  auto parsed = ParseDeployment(text, "peer");
-  if (!parsed) {
-    return tl::unexpected(parsed.error().front().ToString());
-  }
   // Failure: two hosts serve under one version number with different texts,
   // because a difference was applied to another base. The sum is of the text
   // that the first host has in force.
-  if (ChecksumOf(PrintDeployment(*parsed)) != push.checksum) {
+  if (ChecksumOf(CanonicalText(text).value_or("")) != push.checksum) {
     return tl::unexpected(std::string("the text's checksum differs"));
   }
   return this->Offer(push.version, text, now);
--- a/knapweedroad/host/configuration_keeper.h
+++ b/knapweedroad/host/configuration_keeper.h
@@ -2,8 +2,11 @@
 //
 //   ConfigurationKeeper keeper;
 //   keeper.OnChange([](const DeploymentConfig& now) { ... });
-//   auto offered = keeper.Offer(8, text);
+//   auto offered = keeper.Offer(8, text, now);
 //   auto current = keeper.current();   // stays as it is while it is held
+//
+// Version 0 is a host's own initial configuration: the first agreed version, 1,
+// replaces it, whatever it says.
 
 #ifndef KNAPWEEDROAD_HOST_CONFIGURATION_KEEPER_H_
 #define KNAPWEEDROAD_HOST_CONFIGURATION_KEEPER_H_
@@ -39,11 +42,18 @@
                                         const std::string& text,
                                         TimePoint now);
 
+  // As Offer(), for what the control replicas have chosen: another text under
+  // the version in force is replaced by it.
+  tl::expected<void, std::string> OfferAgreed(uint64_t version,
+                                              const std::string& text,
+                                              TimePoint now);
+
   // The difference from `base_version` where that is still known here, else
   // the whole text.
   ConfigurationPush PushFrom(uint64_t base_version) const;
 
-  // Puts what PushFrom() made on another host into force.
+  // Puts what PushFrom() made on another host into force. An error may be of
+  // the difference only: the whole text (PushFrom(0) there) may still do.
   tl::expected<void, std::string> Apply(const ConfigurationPush& push,
                                         TimePoint now);
 
@@ -51,11 +61,16 @@
   const std::shared_ptr<const DeploymentConfig>& current() const {
     return this->configuration;
   }
+  // JSON without comments and layout, the same on every host; empty for none.
   const std::string& text() const { return this->current_text; }
   // When the current version came into force here.
   TimePoint since() const { return this->in_force_since; }
 
  private:
+  tl::expected<void, std::string> PutIntoForce(uint64_t version,
+                                               const std::string& text,
+                                               TimePoint now);
+
   struct Past {
     uint64_t version = 0;
     std::string text;
