--- a/knapweedroad/host/change_gateway.cc
+++ b/knapweedroad/host/change_gateway.cc
@@ -106,8 +106,12 @@
 void ChangeGateway::AskReplicas(OperatorCall call,
                                 TimePoint deadline,
                                 const IsSettled& is_settled) {
-  while (this->options.now() < deadline) {
-    for (const HostId& host : this->options.replicas()) {
+  while (this->options.replicas && this->options.now() < deadline) {
+    const auto replicas = this->options.replicas();
+    if (replicas.empty()) {
+      return;
+    }
+    for (const HostId& host : replicas) {
       const auto reply = this->AskOne(host, call, deadline);
       if (reply && is_settled(*reply)) {
         return;
--- a/knapweedroad/host/change_gateway.h
+++ b/knapweedroad/host/change_gateway.h
@@ -34,7 +34,8 @@
   // quorum answered is absent.
   std::function<ChangeOutcome(const ChangeRequest&, TimePoint deadline)> change;
   std::function<std::optional<ControlValue>(TimePoint deadline)> read;
-  // The hosts of the other replicas, the first to be asked in front.
+  // The hosts of the other replicas, the first to be asked in front; where
+  // none is known, nothing is waited for.
   std::function<std::vector<HostId>()> replicas;
   PeerCall call;
   // The process's clock and sleep unless set.
--- a/knapweedroad/host/configuration_age.h
+++ b/knapweedroad/host/configuration_age.h
@@ -14,7 +14,7 @@
 // Where the version in force came from.
 enum class ConfigurationSource : uint8_t {
   kNone,     // there is none
-  kInitial,  // the host's own file, as neither control nor a peer answered
+  kInitial,  // the host's own file: nothing agreed is known here
   kAgreed,   // control: chosen, or read through a quorum
   kPeer,     // another host, which had it from control
 };
