--- a/knapweedroad/cli/apply_command.cc
+++ b/knapweedroad/cli/apply_command.cc
@@ -1,8 +1,11 @@
+#include <iostream>
+
 #include <gflags/gflags.h>
 
 #include "knapweedroad/cli/command.h"
 #include "knapweedroad/cli/one_call.h"
 #include "knapweedroad/cli/operator_call.h"
+#include "knapweedroad/cli/status_printer.h"
 #include "knapweedroad/config/config_error.h"
 #include "knapweedroad/config/parse_deployment.h"
 
@@ -16,6 +19,7 @@
 DEFINE_int64(base_version,
              -1,
              "the version the change was made from; required for apply");
+DEFINE_bool(json, false, "print the status as the host sent it");
 
 namespace knapweedroad {
 namespace {
@@ -73,7 +77,8 @@
   if (!response) {
     return kExitFailed;
   }
-  fputs((response->body + "\n").c_str(), stdout);
+  const auto text = FLAGS_json ? std::nullopt : StatusText(response->body);
+  std::cout << text.value_or(response->body + "\n");
   return response->status == 200 ? kExitDone : kExitFailed;
 }
 
@@ -100,7 +105,9 @@
 const Command kStatusCommand{
     .name = "status",
     .summary = "shows hosts, versions in force, targets and replicas",
-    .usage = "status\n",
+    .usage =
+        "status [--json]\n\nAs the first host that answers sees it. Exit 0, or "
+        "1 where none answers.\n",
     .flags_file = "apply_command",
     .run = RunStatus};
 
--- a/knapweedroad/cli/operator_call.cc
+++ b/knapweedroad/cli/operator_call.cc
@@ -9,6 +9,28 @@
 #include "knapweedroad/cli/one_call.h"
 
 namespace knapweedroad {
+namespace {
+
+constexpr std::string_view kUnknownResult = "unknown";
+
+// "refused" for an answer that is no change's: the request was wrong.
+std::string ResultOf(const HttpResponse& response) {
+  const auto body = nlohmann::json::parse(response.body, nullptr, false);
+  return body.is_object() ? body.value("result", "refused") : "refused";
+}
+
+void PrintFaults(const nlohmann::json& body) {
+  if (!body.is_object() || !body.contains("errors")) {
+    return;
+  }
+  for (const auto& error : body["errors"]) {
+    std::cout << "  " << error.value("path", "") << ": "
+              << error.value("message", "") << "; " << error.value("remedy", "")
+              << "\n";
+  }
+}
+
+}  // namespace
 
 std::string ChangeId(const std::string& given) {
   if (!given.empty()) {
@@ -35,14 +57,16 @@
 }
 
 int SendChange(const std::string& addresses, const HttpRequest& request) {
-  const auto response = CallHost(addresses, request, kChangeTimeout);
+  const auto response = CallHost(addresses, request, kChangeTimeout,
+                                 [](const HttpResponse& answer) {
+                                   return ResultOf(answer) != kUnknownResult;
+                                 });
   if (!response) {
     std::cout << "unknown: send it again under the same request id\n";
     return kExitUnknown;
   }
   const auto body = nlohmann::json::parse(response->body, nullptr, false);
-  const std::string result =
-      body.is_object() ? body.value("result", "refused") : "refused";
+  const std::string result = ResultOf(*response);
   std::cout << result;
   if (body.is_object() && body.contains("version")) {
     std::cout << ", version " << body["version"];
@@ -51,10 +75,11 @@
     std::cout << ": " << body.value("detail", "");
   }
   std::cout << "\n";
+  PrintFaults(body);
   if (result == "accepted") {
     return kExitDone;
   }
-  return result == "unknown" ? kExitUnknown : kExitFailed;
+  return result == kUnknownResult ? kExitUnknown : kExitFailed;
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/cli/operator_call.h
+++ b/knapweedroad/cli/operator_call.h
@@ -23,7 +23,9 @@
                             const std::string& request_id,
                             std::optional<uint64_t> base_version);
 
-// Sends a change and prints its outcome; the command's exit code.
+// Sends a change and prints its outcome; the command's exit code. While the
+// outcome is unknown it is sent again to the next address: its request id makes
+// it run once.
 int SendChange(const std::string& addresses, const HttpRequest& request);
 
 }  // namespace knapweedroad
