--- a/knapweedroad/host/configuration_service.cc
+++ b/knapweedroad/host/configuration_service.cc
@@ -68,14 +68,16 @@
   this->confirmed_at = now;
   this->newest_heard = std::max(this->newest_heard, version);
   ConfigurationKeeper& keeper = this->options.keeper;
-  if (version == 0 || version < keeper.version()) {
+  if (version == 0) {
     return;
   }
   if (const auto offered = keeper.OfferAgreed(version, text, now); !offered) {
     LogUnusable("control", offered.error());
     return;
   }
-  this->source = ConfigurationSource::kAgreed;
+  if (keeper.version() == version) {
+    this->source = ConfigurationSource::kAgreed;
+  }
 }
 
 void ConfigurationService::OnPeerVersion(const HostId& host, uint64_t version) {
--- a/knapweedroad/host/configuration_service_test.cc
+++ b/knapweedroad/host/configuration_service_test.cc
@@ -174,6 +174,17 @@
   cr_expect_eq(world.keeper.version(), 3);
 }
 
+Test(ConfigurationService, LateValueOfControlChangesNothing) {
+  // A peer had version 3 sooner than this host's replica learned version 2.
+  World world;
+  world.Give(Far(), {3});
+  world.Hear(Far(), 3);
+  world.Run();
+  world.service->OnControlValue(2, DeploymentText(2));
+  cr_expect_eq(world.keeper.version(), 3);
+  cr_expect(world.service->Age().source == ConfigurationSource::kPeer);
+}
+
 Test(ConfigurationService, PeerThatPromisedMoreThanItGivesChangesNothing) {
   // A peer speaks of version 9, restarts, and hands out version 1.
   World world;
--- a/knapweedroad/host/operator_api_test.cc
+++ b/knapweedroad/host/operator_api_test.cc
@@ -322,7 +322,10 @@
   world.Put("anna", "r-1", 0, 4);
   Expect(world.Put("anna", "r-1", 1, 5), 409,
          {{"reason", "request_id_reused"}});
-  cr_expect_eq(world.value.version, 1);
+  Expect(world.Switch("mechelen/out", "r-2"), 200, {{"version", 2}});
+  Expect(world.Switch("mechelen/in", "r-2"), 409,
+         {{"reason", "request_id_reused"}});
+  cr_expect(world.IsOut(1));
 }
 
 Test(OperatorApi, ReplicaRefusesWhatItCannotRead) {
