--- a/knapweedroad/cli/apply_command.cc
+++ b/knapweedroad/cli/apply_command.cc
@@ -19,7 +19,7 @@
 DEFINE_int64(base_version,
              -1,
              "the version the change was made from; required for apply");
-DEFINE_bool(json, false, "print the status as the host sent it");
+DEFINE_bool(as_json, false, "print the status as the host sent it");
 
 namespace knapweedroad {
 namespace {
@@ -77,7 +77,7 @@
   if (!response) {
     return kExitFailed;
   }
-  const auto text = FLAGS_json ? std::nullopt : StatusText(response->body);
+  const auto text = FLAGS_as_json ? std::nullopt : StatusText(response->body);
   std::cout << text.value_or(response->body + "\n");
   return response->status == 200 ? kExitDone : kExitFailed;
 }
@@ -106,7 +106,7 @@
     .name = "status",
     .summary = "shows hosts, versions in force, targets and replicas",
     .usage =
-        "status [--json]\n\nAs the first host that answers sees it. Exit 0, or "
+        "status [--as_json]\n\nAs the first host that answers sees it. Exit 0, or "
         "1 where none answers.\n",
     .flags_file = "apply_command",
     .run = RunStatus};
