A starting host has no configuration until control or a peer has been asked

Cause: the initial file came into force at once, and the agreed version after control had answered.

Change: CatchUp() puts the file into force at its end, and only where nothing agreed was found. status sorts hosts by name.

--- a/knapweedroad/cli/apply_command.cc
+++ b/knapweedroad/cli/apply_command.cc
@@ -106,7 +106,8 @@
     .name = "status",
     .summary = "shows hosts, versions in force, targets and replicas",
     .usage =
-        "status [--as_json]\n\nAs the first host that answers sees it. Exit 0, or "
+        "status [--as_json]\n\nAs the first host that answers sees it. Exit 0, "
+        "or "
         "1 where none answers.\n",
     .flags_file = "apply_command",
     .run = RunStatus};
--- a/knapweedroad/cli/status_printer.cc
+++ b/knapweedroad/cli/status_printer.cc
@@ -93,7 +93,7 @@
 }
 
 std::string HostTable(const json& status) {
-  std::vector<Row> rows = {{"HOST", "ZONE", "STATE", "VERSION", "HEARD"}};
+  std::vector<Row> rows;
   for (const json& host : status.at("hosts")) {
     const bool alive = host.at("alive").get<bool>();
     const bool leaving = host.at("leaving").get<bool>();
@@ -103,6 +103,8 @@
                     NumberText(host.at("version")),
                     TimeText(host.at("silent_for_ms"))});
   }
+  std::sort(rows.begin(), rows.end());
+  rows.insert(rows.begin(), {"HOST", "ZONE", "STATE", "VERSION", "HEARD"});
   return Table(rows);
 }
 
--- a/knapweedroad/cli/status_printer_test.cc
+++ b/knapweedroad/cli/status_printer_test.cc
@@ -60,7 +60,7 @@
 Test(StatusPrinter, ShowsHostsReplicasZonesAndTargets) {
   const std::string text = StatusText(StatusJson(Report())).value_or("");
   for (const char* line :
-       {"HOST      ZONE    STATE   VERSION  HEARD\n",
+       {"HOST      ZONE    STATE   VERSION  HEARD\ngent-1 ",
         "leuven-1  leuven  alive   7        0.0 s\n",
         "gent-2    gent    silent  0        never\n",
         "leuven-1  12           no         joining\n",
--- a/knapweedroad/host/configuration_service.cc
+++ b/knapweedroad/host/configuration_service.cc
@@ -5,7 +5,9 @@
 #include <utility>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/config/config_error.h"
 #include "knapweedroad/config/host_settings.h"
+#include "knapweedroad/config/parse_deployment.h"
 #include "knapweedroad/host/configuration_keeper.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/wire/codec.h"
@@ -35,14 +37,14 @@
 
 ConfigurationService::~ConfigurationService() = default;
 
-tl::expected<void, std::string> ConfigurationService::PutInitial(
-    const std::string& text) {
-  ConfigurationKeeper& keeper = this->options.keeper;
-  auto offered = keeper.Offer(0, text, this->options.now());
-  if (offered && keeper.version() == 0) {
-    this->source = ConfigurationSource::kInitial;
+tl::expected<void, std::string> ConfigurationService::SetInitial(
+    std::string text) {
+  const auto parsed = ParseDeployment(text, "initial configuration");
+  if (!parsed) {
+    return tl::unexpected(parsed.error().front().ToString());
   }
-  return offered;
+  this->initial = std::move(text);
+  return {};
 }
 
 ConfigurationAge ConfigurationService::CatchUp() {
@@ -53,6 +55,7 @@
       this->PullFromAll(this->Others(/*in_own_zone=*/false));
     }
   }
+  this->PutInitial();
   const ConfigurationAge age = this->Age();
   LogLine("configuration_at_start")
       .Add("version", age.version)
@@ -62,6 +65,17 @@
   return age;
 }
 
+void ConfigurationService::PutInitial() {
+  if (this->source != ConfigurationSource::kNone || this->initial.empty()) {
+    return;
+  }
+  const auto offered =
+      this->options.keeper.Offer(0, this->initial, this->options.now());
+  if (offered) {
+    this->source = ConfigurationSource::kInitial;
+  }
+}
+
 void ConfigurationService::OnControlValue(uint64_t version,
                                           const std::string& text) {
   const TimePoint now = this->options.now();
--- a/knapweedroad/host/configuration_service.h
+++ b/knapweedroad/host/configuration_service.h
@@ -1,7 +1,7 @@
 // Brings each agreed configuration into force on this host, and passes it on.
 //
 //   ConfigurationService service({.self = name, .keeper = keeper, ...});
-//   auto checked = service.PutInitial(text);       // version 0
+//   auto checked = service.SetInitial(text);
 //   service.CatchUp();                             // before it is ready
 //   service.OnControlValue(8, text);               // chosen by control
 //   service.OnPeerVersion(host, 8);                // of a heartbeat
@@ -64,14 +64,16 @@
   explicit ConfigurationService(ConfigurationServiceOptions options);
   ~ConfigurationService();
 
-  // Serves with the text until something agreed is known: any agreed version
-  // replaces it. The error says what is wrong with the text.
-  tl::expected<void, std::string> PutInitial(const std::string& text);
+  // The host's own file, for CatchUp(). The error says what is wrong with it.
+  tl::expected<void, std::string> SetInitial(std::string text);
 
   // Blocks the calling fiber until control has said what is in force or, where
   // it can't be reached, the peers have: those of the zone, then all others.
-  // Ends after control_wait and twice pull_timeout at the latest; Age() then
-  // says that nothing was confirmed.
+  // Ends after control_wait and twice pull_timeout at the latest, and only then
+  // puts the initial file into force if nothing agreed has been found; Age()
+  // says so. Guards against a host that goes back in its first moments: one
+  // that starts again would serve with its file until control has answered,
+  // and send work to a zone that operators took out.
   ConfigurationAge CatchUp();
 
   // The value is known to be chosen. One that is only accepted by this host's
@@ -97,6 +99,7 @@
   void PullFrom(const HostId& host, uint64_t have_version);
   void PullFromAll(const std::vector<HostId>& hosts);
   void PullRound();
+  void PutInitial();
   // Hosts that have a newer version than this one; the own zone's first.
   std::vector<HostId> Relays() const;
   std::vector<HostId> Others(bool in_own_zone) const;
@@ -108,6 +111,7 @@
   };
 
   ConfigurationServiceOptions options;
+  std::string initial;
   ConfigurationSource source = ConfigurationSource::kNone;
   std::map<HostId, Peer> peers;
   uint64_t newest_heard = 0;
--- a/knapweedroad/host/configuration_service_test.cc
+++ b/knapweedroad/host/configuration_service_test.cc
@@ -224,7 +224,8 @@
 
 Test(ConfigurationService, FirstVersionReplacesTheInitialConfiguration) {
   World world;
-  cr_assert(world.service->PutInitial(DeploymentText(7)).has_value());
+  cr_assert(world.service->SetInitial(DeploymentText(7)).has_value());
+  world.service->CatchUp();
   cr_expect(world.service->Age().source == ConfigurationSource::kInitial);
   world.service->OnControlValue(1, DeploymentText(1));
   cr_expect_eq(world.keeper.current()->fronts[0].tenants[0].weight, 1);
@@ -232,7 +233,7 @@
 
 Test(ConfigurationService, StartAsksControlFirst) {
   World world;
-  cr_assert(world.service->PutInitial(DeploymentText(7)).has_value());
+  cr_assert(world.service->SetInitial(DeploymentText(7)).has_value());
   world.agreed = AgreedConfiguration{.version = 4, .text = DeploymentText(4)};
   const ConfigurationAge age = world.service->CatchUp();
   cr_expect_eq(age.version, 4);
@@ -240,11 +241,25 @@
   cr_expect(world.asked.empty());
 }
 
+Test(ConfigurationService, StartNeverServesWithTheInitialOneBeforeAnAgreedOne) {
+  // Operators took a zone out; the host is killed and starts again. Its own
+  // file has the zone in: in force for a moment, it sends work there.
+  World world;
+  cr_assert(world.service->SetInitial(DeploymentText(7)).has_value());
+  std::vector<uint32_t> weights;
+  world.keeper.OnChange([&](const DeploymentConfig& configuration) {
+    weights.push_back(configuration.fronts[0].tenants[0].weight);
+  });
+  world.agreed = AgreedConfiguration{.version = 4, .text = DeploymentText(4)};
+  world.service->CatchUp();
+  cr_expect(weights == std::vector<uint32_t>{4});
+}
+
 Test(ConfigurationService, StartInACutOffZoneTakesTheNeighboursVersion) {
   // A zone is cut off and one of its hosts restarts. Served with its initial
   // file, the host would undo what had been accepted.
   World world;
-  cr_assert(world.service->PutInitial(DeploymentText(7)).has_value());
+  cr_assert(world.service->SetInitial(DeploymentText(7)).has_value());
   world.Give(Neighbour(), {4});
   const ConfigurationAge age = world.service->CatchUp();
   cr_expect_eq(age.version, 4);
@@ -254,7 +269,7 @@
 
 Test(ConfigurationService, StartAloneEndsWithTheInitialOneAndSaysSo) {
   World world;
-  cr_assert(world.service->PutInitial(DeploymentText(7)).has_value());
+  cr_assert(world.service->SetInitial(DeploymentText(7)).has_value());
   const TimePoint start = world.now;
   const ConfigurationAge age = world.service->CatchUp();
   cr_expect_eq(age.version, 0);
@@ -265,7 +280,7 @@
 
 Test(ConfigurationService, BadInitialConfigurationIsRefused) {
   World world;
-  cr_expect_not(world.service->PutInitial("{}").has_value());
+  cr_expect_not(world.service->SetInitial("{}").has_value());
   cr_expect(world.service->Age().source == ConfigurationSource::kNone);
 }
 
--- a/knapweedroad/host/operator_api.cc
+++ b/knapweedroad/host/operator_api.cc
@@ -195,8 +195,8 @@
   }
   HttpResponse response =
       ProblemResponse(BadRequest(400, "Bad configuration",
-                                 std::to_string(errors.size()) +
-                                     " faults; nothing was applied"),
+                                 "faults: " + std::to_string(errors.size()) +
+                                     "; nothing was applied"),
                       request_id.str());
   auto body = ordered_json::parse(response.body);
   body["errors"] = std::move(list);
