Operators' changes are agreed on, synced and in force on every host

Cause: hosts served with their initial file alone. Change: hosts with a data folder run a control replica; every host catches up before it is ready, pulls newer versions from whoever has them, and takes apply, zone and status requests; a host that knows no configuration yet refuses with 503 and when to come back. The host that answers is in its own status and holder list now; before, 10 of 22 targets seemed to have none.

--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -11,6 +11,7 @@
 #include "knapweedroad/host/attempt_service.h"
 #include "knapweedroad/host/caller_request.h"
 #include "knapweedroad/host/configuration_keeper.h"
+#include "knapweedroad/host/control_plane.h"
 #include "knapweedroad/host/coordinator.h"
 #include "knapweedroad/host/gossip.h"
 #include "knapweedroad/host/lease_service.h"
@@ -19,6 +20,8 @@
 #include "knapweedroad/host/platform_api.h"
 #include "knapweedroad/host/problem.h"
 #include "knapweedroad/host/report_json.h"
+#include "knapweedroad/host/status_report.h"
+#include "knapweedroad/host/target_link.h"
 #include "knapweedroad/host/target_table.h"
 #include "knapweedroad/membership/holder_directory.h"
 #include "knapweedroad/membership/host_view.h"
@@ -30,6 +33,7 @@
 namespace knapweedroad {
 namespace {
 
+constexpr Duration kStartWait = std::chrono::seconds(3);
 constexpr Duration kReportWait = std::chrono::milliseconds(100);
 
 uint64_t WallClockNow() {
@@ -54,11 +58,14 @@
 
   bool ZoneIsOut(const ZoneId& zone) const;
   std::shared_ptr<const FrontConfig> FindFront(const FrontId& name) const;
+  // The host to go through for the target; empty where none is known.
+  HostId HolderOf(const TargetId& target) const;
   bool IsReady() const { return this->is_started && !this->is_stopping; }
   HttpResponse HandleCaller(const HttpRequest& http, HttpExchange& exchange);
   HttpResponse HandleTarget(const HttpRequest& http);
   HttpResponse HandleOperator(const HttpRequest& http);
   void FillHeartbeat(Heartbeat& beat) const;
+  void FillStatus(StatusReport& report) const;
   tl::expected<void, std::string> StartServers();
 
   Runtime& runtime;
@@ -75,6 +82,7 @@
   AttemptRouter router;
   LeaseService leases;
   Gossip gossip;
+  ControlPlane control;
   Coordinator coordinator;
   LookupService lookups;
   HttpServer caller_server;
@@ -126,7 +134,18 @@
                   [this](const TargetReport& report) {
                     this->targets.OnReport(report);
                   },
-              .on_version = [](const HostId&, uint64_t) {}}),
+              .on_version =
+                  [this](const HostId& host, uint64_t version) {
+                    this->control.OnPeerVersion(host, version);
+                  }}),
+      control(runtime,
+              {.settings = this->settings,
+               .initial_configuration = this->options.initial_configuration,
+               .links = this->links,
+               .view = this->view,
+               .keeper = this->keeper,
+               .fill_status =
+                   [this](StatusReport& report) { this->FillStatus(report); }}),
       coordinator(runtime,
                   {.host = this->settings.name,
                    .own_zone = this->settings.zone,
@@ -181,6 +200,13 @@
   });
 }
 
+HostId Host::State::HolderOf(const TargetId& target) const {
+  if (this->targets.IsHeld(target)) {
+    return this->settings.name;
+  }
+  return this->holders.HolderOf(target, Runtime::Now()).value_or(HostId());
+}
+
 std::shared_ptr<const FrontConfig> Host::State::FindFront(
     const FrontId& name) const {
   const auto& current = this->keeper.current();
@@ -197,6 +223,15 @@
   if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
     return std::move(*answer);
   }
+  if (!this->is_started) {
+    return ProblemResponse({.status = 503,
+                            .title = "Starting",
+                            .detail = "this host doesn't know yet what is in "
+                                      "force",
+                            .outcome = RunOutcome::kNotRun,
+                            .retry_after = kStartWait},
+                           EchoedRequestId(http));
+  }
   const auto request =
       ReadCallerRequest(http, this->keeper.current(), exchange.received,
                         [] { return "r-" + std::to_string(RandomNumber()); });
@@ -237,7 +272,34 @@
   if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
     return std::move(*answer);
   }
-  return ProblemResponse(BadRequest(404, "Not found", "no such path"), "");
+  return this->control.Handle(http);
+}
+
+void Host::State::FillStatus(StatusReport& report) const {
+  const TimePoint now = Runtime::Now();
+  report.hosts = this->view.Statuses(now);
+  report.hosts.push_back({.host = this->settings.name,
+                          .zone = this->settings.zone,
+                          .alive = true,
+                          .leaving = this->is_stopping,
+                          .can_hold = this->leases.CanHold(now),
+                          .incarnation = this->incarnation,
+                          .configuration_version = this->keeper.version(),
+                          .silent_for = Duration::zero()});
+  report.zones = this->keeper.current()->zones;
+  for (const ZoneConfig& zone : report.zones) {
+    for (const TargetReport& target :
+         this->directory.LiveTargets(zone.name, now)) {
+      const HostId holder = this->HolderOf(target.target);
+      report.targets.push_back({.target = target.target,
+                                .front = target.front,
+                                .service = target.service,
+                                .zone = target.zone,
+                                .state = target.state,
+                                .holder = holder,
+                                .in_flight = target.in_flight});
+    }
+  }
 }
 
 void Host::State::FillHeartbeat(Heartbeat& beat) const {
@@ -272,12 +334,8 @@
     self.targets.OnConfiguration(self.keeper.current());
     self.coordinator.OnConfiguration(configuration);
   });
-  if (!self.options.initial_configuration.empty()) {
-    if (auto offered = self.keeper.Offer(0, self.options.initial_configuration,
-                                         Runtime::Now());
-        !offered) {
-      return offered;
-    }
+  if (auto opened = self.control.Open(); !opened) {
+    return opened;
   }
   ServeAttempts(self.links, self.targets);
   self.lookups.Start();
@@ -286,7 +344,11 @@
   if (auto started = self.StartServers(); !started) {
     return started;
   }
-  self.is_started = true;
+  // Not ready before it knows what is in force; the balancer waits for that.
+  self.runtime.Spawn([&self] {
+    self.control.CatchUp();
+    self.is_started = true;
+  });
   return {};
 }
 
--- a/knapweedroad/host/target_table.cc
+++ b/knapweedroad/host/target_table.cc
@@ -122,12 +122,14 @@
   return found == this->entries.end() ? nullptr : found->second.link.get();
 }
 
-TargetLink* TargetTable::FindHeld(const TargetId& target) {
+bool TargetTable::IsHeld(const TargetId& target) const {
   const auto found = this->entries.find(target);
-  const bool is_held = found != this->entries.end() &&
-                       found->second.share.slots > 0 &&
-                       Runtime::Now() < found->second.share.valid_until;
-  return is_held ? found->second.link.get() : nullptr;
+  return found != this->entries.end() && found->second.share.slots > 0 &&
+         Runtime::Now() < found->second.share.valid_until;
+}
+
+TargetLink* TargetTable::FindHeld(const TargetId& target) {
+  return this->IsHeld(target) ? this->Find(target) : nullptr;
 }
 
 std::vector<LeaseTarget> TargetTable::LeaseTargets() const {
--- a/knapweedroad/host/target_table.h
+++ b/knapweedroad/host/target_table.h
@@ -47,6 +47,7 @@
 
   // The link of a target whose lease this host may use now, or null.
   TargetLink* FindHeld(const TargetId& target);
+  bool IsHeld(const TargetId& target) const;
   TargetLink* Find(const TargetId& target);
 
   // All targets of the own zone, for the leases.
