--- a/knapweedroad/load/caller.cc
+++ b/knapweedroad/load/caller.cc
@@ -34,6 +34,9 @@
   if (call.kind == CallKind::kLookup) {
     request.path += "/lookup";
     request.headers["Idempotency-Key"] = call.idempotency_key;
+    if (call.is_first_send) {
+      request.headers["Knapweed-First-Send"] = "true";
+    }
   }
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline);
--- a/knapweedroad/load/load_runner.cc
+++ b/knapweedroad/load/load_runner.cc
@@ -84,6 +84,7 @@
       break;
     }
     ++resends;
+    call.is_first_send = false;
     call.request_id = first_id + "-resend" + std::to_string(resends);
   }
   this->tally.Add(call, planned.at);
--- a/knapweedroad/testing/call_record.h
+++ b/knapweedroad/testing/call_record.h
@@ -23,6 +23,8 @@
   std::string request_id;
   // Of lookups; a resend has the same one.
   std::string idempotency_key;
+  // Of lookups: its key was never sent before.
+  bool is_first_send = true;
   // The query's text or the record's id.
   std::string subject;
   // Of queries: the most hits asked for.
