Bytes from the wire can't make a host fill its memory

A datagram of 17 bytes with a length field of a gigabyte made the host allocate and fill a gigabyte before it looked whether the bytes were there: cereal resizes first and reads then. The same bytes are written.

--- a/knapweedroad/control/acceptor_record.cc
+++ b/knapweedroad/control/acceptor_record.cc
@@ -1,16 +1,16 @@
 #include "knapweedroad/control/acceptor_record.h"
 
-#include "knapweedroad/control/control_codec.h"
+#include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
 
 std::string EncodeAcceptorRecord(const AcceptorRecord& record) {
-  return internal::EncodeBytes(record);
+  return EncodeBytes(record);
 }
 
 tl::expected<AcceptorRecord, std::string> DecodeAcceptorRecord(
     std::string_view bytes) {
-  return internal::DecodeBytes<AcceptorRecord>(bytes);
+  return DecodeBytes<AcceptorRecord>(bytes);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/wire/codec.h
+++ b/knapweedroad/wire/codec.h
@@ -9,9 +9,7 @@
 #define KNAPWEEDROAD_WIRE_CODEC_H_
 
 #include <exception>
-#include <istream>
 #include <sstream>
-#include <streambuf>
 #include <string>
 #include <string_view>
 
@@ -23,6 +21,8 @@
 #include <cereal/types/vector.hpp>
 #include <tl/expected.hpp>
 
+#include "knapweedroad/wire/bounded_input.h"
+
 namespace knapweedroad {
 
 template <typename Value>
@@ -33,22 +33,20 @@
   return std::move(out).str();
 }
 
-// Fails on short, long or malformed bytes. A length inside the bytes that
-// asks for more than there is shows as an exception of the archive or of the
-// allocator; both end here.
+// Fails on short, long or malformed bytes; lengths inside them are checked
+// before anything is allocated (bounded_input.h).
 template <typename Value>
 tl::expected<Value, std::string> DecodeBytes(std::string_view bytes) {
-  std::istringstream in{std::string(bytes)};
   Value value;
   try {
-    cereal::PortableBinaryInputArchive archive(in);
+    internal::BoundedInputArchive archive(bytes);
     archive(value);
+    if (archive.left() > 0) {
+      return tl::unexpected(std::string("bytes are left over"));
+    }
   } catch (const std::exception& error) {
     return tl::unexpected(std::string(error.what()));
   }
-  if (in.peek() != std::istringstream::traits_type::eof()) {
-    return tl::unexpected(std::string("bytes are left over"));
-  }
   return value;
 }
 
