--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -11,11 +11,38 @@
 namespace {
 
 constexpr uint32_t kMaxRounds = 3;
+constexpr double kMedian = 0.5;
+constexpr int kSlowMedians = 3;
+// A hedge straggles as often as a first try.
+constexpr size_t kMaxHedges = 2;
 // Between two tries to get a hedge that had no budget or no free slot, at
 // least, and before a target is asked again.
 constexpr Duration kShortestHedgeWait = std::chrono::milliseconds(1);
 constexpr Duration kShortestRetryWait = std::chrono::milliseconds(1);
 
+// When a request to that zone counts as slow. After a start there are too few
+// samples for a high quantile, but soon enough for a median.
+std::optional<Duration> SlowAfter(const CallContext& context,
+                                  const ServiceId& service,
+                                  const ZoneId& zone) {
+  const LatencyBook& latencies = context.state.latencies;
+  const auto slow =
+      latencies.Quantile(service, zone, context.front.hedge_quantile);
+  if (slow) {
+    return std::max(*slow, kShortestHedgeWait);
+  }
+  const auto median = latencies.Quantile(service, zone, kMedian);
+  if (median) {
+    return std::max(*median * kSlowMedians, kShortestHedgeWait);
+  }
+  return std::nullopt;
+}
+
+bool IsRefusedHedge(const LiveAttempt& attempt, const SubFailure& failure) {
+  return attempt.purpose == AttemptPurpose::kHedge &&
+         failure.outcome == RunOutcome::kNotRun;
+}
+
 }  // namespace
 
 ServiceCall::ServiceCall(const ServiceId& service,
@@ -44,21 +71,29 @@
                              const LiveAttempt& attempt,
                              TimePoint now,
                              QueryActions& actions) {
-  context.state.latencies.Record(this->service_id, attempt.zone,
-                                 now - attempt.sent);
+  context.state.RecordLatency(this->service_id, attempt.zone,
+                              now - attempt.sent);
   this->call_state = State::kAnswered;
   this->CancelLive(context, now, actions);
 }
 
 void ServiceCall::OnFailed(const CallContext& context,
+                           const LiveAttempt& attempt,
                            const SubFailure& failure,
                            TimePoint now,
                            QueryActions& actions) {
+  this->NoteRefusal(context, attempt, failure);
   if (failure.retry_after) {
     this->shortest_wait = std::min(
         *failure.retry_after, this->shortest_wait.value_or(Duration::max()));
   }
   if (!this->live.empty()) {
+    if (IsRefusedHedge(attempt, failure)) {
+      // Its slot was gone when it came: another target at once, and the same
+      // one again only by the timer, or refused hedges would chase each other.
+      this->full_for_hedges.push_back(attempt.target);
+      this->TryHedge(context, now, actions);
+    }
     return;
   }
   this->hedge_at.reset();
@@ -67,6 +102,7 @@
     this->GiveUp();
     return;
   }
+  this->AskFullOnesAgain();
   if (this->TryAnotherTarget(context, failure.outcome, now, actions)) {
     return;
   }
@@ -80,10 +116,25 @@
   this->WaitOrGiveUp(context, now);
 }
 
+void ServiceCall::NoteRefusal(const CallContext& context,
+                              const LiveAttempt& attempt,
+                              const SubFailure& failure) {
+  // A hedge that met no free slot cost nothing, and isn't a sign of overload.
+  if (IsRefusedHedge(attempt, failure)) {
+    context.state.hedges.GiveBack();
+    context.stats.hedges -= 1;
+    return;
+  }
+  const bool no_room = failure.kind == FailureKind::kRefusedQueue ||
+                       failure.kind == FailureKind::kShed;
+  context.stats.refused += no_room ? 1 : 0;
+}
+
 void ServiceCall::OnTimer(const CallContext& context,
                           TimePoint now,
                           QueryActions& actions) {
   if (this->hedge_at && now >= *this->hedge_at) {
+    this->AskFullOnesAgain();
     this->TryHedge(context, now, actions);
   }
   if (this->retry_at && now >= *this->retry_at) {
@@ -98,11 +149,10 @@
     actions.emplace_back(CancelAttempt{attempt.id, attempt.target});
     // It took at least this long. Left out, stragglers that lose to a hedge
     // would vanish from the quantile, which would sink and cause more hedges.
-    LatencyBook& latencies = context.state.latencies;
-    const auto slow = latencies.Quantile(this->service_id, attempt.zone,
-                                         context.front.hedge_quantile);
+    const auto slow = SlowAfter(context, this->service_id, attempt.zone);
     if (slow && now - attempt.sent >= *slow) {
-      latencies.Record(this->service_id, attempt.zone, now - attempt.sent);
+      context.state.RecordLatency(this->service_id, attempt.zone,
+                                  now - attempt.sent);
     }
   }
   this->live.clear();
@@ -134,6 +184,7 @@
   LiveAttempt attempt{.id = context.hooks.next_attempt_id(),
                       .target = choice->target,
                       .zone = choice->zone,
+                      .purpose = purpose,
                       .sent = now};
   actions.emplace_back(
       SendAttempt{.attempt = attempt.id,
@@ -157,11 +208,11 @@
 }
 
 void ServiceCall::PlanHedge(const CallContext& context, TimePoint now) {
-  const auto slow = context.state.latencies.Quantile(
-      this->service_id, this->live.back().zone, context.front.hedge_quantile);
+  const auto slow =
+      SlowAfter(context, this->service_id, this->live.back().zone);
   this->hedge_at.reset();
   if (slow) {
-    this->hedge_at = now + std::max(*slow, kShortestHedgeWait);
+    this->hedge_at = now + *slow;
   }
 }
 
@@ -176,14 +227,16 @@
   // Failure: what is merely slower than most uses the budget up, and a true
   // straggler finds it empty. So half of it is kept for those far over.
   const LiveAttempt& slow = this->live.front();
-  const auto expected = context.state.latencies.Quantile(
-      this->service_id, slow.zone, context.front.hedge_quantile);
+  const auto expected = SlowAfter(context, this->service_id, slow.zone);
   const bool urgent = expected && now - slow.sent >= *expected * 3 / 2;
   TokenBudget& budget = context.state.hedges;
   if (budget.CanTake(urgent) &&
       this->TrySend(context, AttemptPurpose::kHedge, now, actions)) {
     budget.Take();
     context.stats.hedges += 1;
+    if (this->live.size() <= kMaxHedges && expected) {
+      this->hedge_at = now + *expected;
+    }
     return;
   }
   this->hedge_at = now + std::max(typical / 4, kShortestHedgeWait);
@@ -204,6 +257,13 @@
   this->WaitOrGiveUp(context, now);
 }
 
+void ServiceCall::AskFullOnesAgain() {
+  for (const TargetId& target : this->full_for_hedges) {
+    std::erase(this->tried, target);
+  }
+  this->full_for_hedges.clear();
+}
+
 bool ServiceCall::TryAnotherTarget(const CallContext& context,
                                    RunOutcome outcome,
                                    TimePoint now,
@@ -249,7 +309,6 @@
 }
 
 Duration TypicalLatency(const CallContext& context, const ServiceId& service) {
-  constexpr double kMedian = 0.5;
   return context.state.latencies.Quantile(service, context.own_zone, kMedian)
       .value_or(Duration::zero());
 }
