--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -16,6 +16,7 @@
 namespace knapweedroad {
 namespace {
 
+constexpr Duration kCallsPoll = std::chrono::milliseconds(1);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(10);
 constexpr int kLongestBackoff = 20;  // times the first
 
@@ -28,7 +29,7 @@
   return {.reason = ChangeReason::kNoQuorum, .detail = std::move(detail)};
 }
 
-// One run and the fibers that wait for replies to it. Late replies may outlive
+// One run, shared by the fibers that wait for replies to it: late ones outlive
 // the call that made it.
 struct DrivenRun {
   DrivenRun(Runtime& runtime, ChangeRun run)
@@ -39,13 +40,15 @@
   TimePoint wake_at;
 };
 
-// What the fibers need; shared, since some may outlive the service.
+// What the fibers need.
 struct Wiring {
   Runtime& runtime;
   HostId self;
   std::shared_ptr<ControlReplica> replica;
   ControlCall call;
   Duration attempt_timeout;
+  // Calls that wait for a reply.
+  size_t running = 0;
 
   tl::expected<std::string, std::string> Ask(const HostId& host,
                                              const std::string& bytes,
@@ -60,11 +63,11 @@
   }
 };
 
-void Take(const std::shared_ptr<const Wiring>& wiring,
+void Take(const std::shared_ptr<Wiring>& wiring,
           const std::shared_ptr<DrivenRun>& driven,
           const RunActions& actions);
 
-void OnReply(const std::shared_ptr<const Wiring>& wiring,
+void OnReply(const std::shared_ptr<Wiring>& wiring,
              const std::shared_ptr<DrivenRun>& driven,
              const std::string& bytes) {
   const auto message = DecodeControlMessage(bytes);
@@ -79,17 +82,19 @@
   }
 }
 
-void Take(const std::shared_ptr<const Wiring>& wiring,
+void Take(const std::shared_ptr<Wiring>& wiring,
           const std::shared_ptr<DrivenRun>& driven,
           const RunActions& actions) {
   const TimePoint deadline = Runtime::Now() + wiring->attempt_timeout;
   for (const Envelope& envelope : actions.send) {
+    ++wiring->running;
     wiring->runtime.Spawn([wiring, driven, deadline, host = envelope.to.host,
                            bytes = EncodeControlMessage(envelope.message)] {
       const auto reply = wiring->Ask(host, bytes, deadline);
       if (reply.has_value()) {
         OnReply(wiring, driven, *reply);
       }
+      --wiring->running;
     });
   }
   driven->wake_at = actions.wake_at.value_or(TimePoint());
@@ -168,7 +173,7 @@
     }
   }
 
-  std::shared_ptr<const Wiring> wiring;
+  std::shared_ptr<Wiring> wiring;
   std::function<void(const ControlValue&)> on_chosen;
   std::mt19937_64 random;
   Proposer proposer;
@@ -178,7 +183,11 @@
 ControlService::ControlService(Runtime& runtime, ControlServiceOptions options)
     : state(std::make_unique<State>(runtime, std::move(options))) {}
 
-ControlService::~ControlService() = default;
+ControlService::~ControlService() {
+  while (this->state->wiring->running > 0) {
+    Runtime::SleepFor(kCallsPoll);
+  }
+}
 
 ChangeOutcome ControlService::Change(ChangeRequest request,
                                      TimePoint deadline) {
--- a/knapweedroad/host/control_service.h
+++ b/knapweedroad/host/control_service.h
@@ -59,6 +59,8 @@
 class ControlService {
  public:
   ControlService(Runtime& runtime, ControlServiceOptions options);
+  // Blocks the calling fiber until messages of ended runs have their replies
+  // or time out, at most `attempt_timeout` after the last run: they use `call`.
   ~ControlService();
 
   // Each blocks the calling fiber until its answer or the deadline; those of
--- a/knapweedroad/host/control_service_test.cc
+++ b/knapweedroad/host/control_service_test.cc
@@ -91,10 +91,10 @@
 void InRuntime(const std::function<void(Runtime&, Deployment&)>& story) {
   Runtime runtime;
   runtime.Spawn([&] {
-    Deployment deployment(runtime);
-    story(runtime, deployment);
-    // Late replies run out before the hosts go.
-    Runtime::SleepFor(10ms);
+    {
+      Deployment deployment(runtime);
+      story(runtime, deployment);
+    }
     runtime.Stop();
   });
   runtime.Run();
