Control replicas are added, removed and replaced by one command

POST /v1/replicas/add/HOST, remove/HOST, replace/OLD/NEW and give-up on any host's operator address, and the command `replica`. OperatorApi gets a hook `move` for ControlService::Move; until a host sets it, the paths answer 404. A change's unknown answer now carries control's own words where it has some.

--- a/knapweedroad/cli/apply_command.cc
+++ b/knapweedroad/cli/apply_command.cc
@@ -66,6 +66,28 @@
                          FLAGS_operator_id, ChangeId(FLAGS_request_id), base)});
 }
 
+int RunReplica(std::span<const std::string> words) {
+  const bool known =
+      (words.size() == 1 && words[0] == "give-up") ||
+      (words.size() == 2 && (words[0] == "add" || words[0] == "remove")) ||
+      (words.size() == 3 && words[0] == "replace");
+  if (!known || FLAGS_operator_id.empty()) {
+    return UsageError(kReplicaCommand,
+                      "it takes --operator_id and 'add HOST', 'remove HOST', "
+                      "'replace OLD NEW' or 'give-up'");
+  }
+  std::string path = "/v1/replicas";
+  for (const std::string& word : words) {
+    path += "/" + word;
+  }
+  return SendChange(
+      FLAGS_operators,
+      {.method = "POST",
+       .path = path,
+       .headers = OperatorHeaders(FLAGS_operator_id, ChangeId(FLAGS_request_id),
+                                  std::nullopt)});
+}
+
 int RunStatus(std::span<const std::string> words) {
   if (!words.empty()) {
     return UsageError(kStatusCommand, "it takes no words");
@@ -102,6 +124,18 @@
     .flags_file = "apply_command",
     .run = RunZone};
 
+const Command kReplicaCommand{
+    .name = "replica",
+    .summary = "adds, removes or replaces a control replica",
+    .usage =
+        "replica add HOST | remove HOST | replace OLD NEW | give-up "
+        "--operator_id WHO\n\nReplace a host by itself when its disk was lost. "
+        "It is done once the new replica\nholds everything; interrupted, it "
+        "goes on with the same --request_id. give-up ends\na move whose new "
+        "replica never came. Exit codes as for apply.\n",
+    .flags_file = "apply_command",
+    .run = RunReplica};
+
 const Command kStatusCommand{
     .name = "status",
     .summary = "shows hosts, versions in force, targets and replicas",
--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -39,6 +39,7 @@
 extern const Command kCheckCommand;
 extern const Command kApplyCommand;
 extern const Command kZoneCommand;
+extern const Command kReplicaCommand;
 extern const Command kStatusCommand;
 extern const Command kQueryCommand;
 extern const Command kDevCommand;
--- a/knapweedroad/host/operator_api.cc
+++ b/knapweedroad/host/operator_api.cc
@@ -16,6 +16,7 @@
 #include "knapweedroad/host/change_gateway.h"
 #include "knapweedroad/host/operator_change.h"
 #include "knapweedroad/host/problem.h"
+#include "knapweedroad/host/replica_path.h"
 #include "knapweedroad/host/status_report.h"
 #include "knapweedroad/net/runtime.h"
 
@@ -27,6 +28,7 @@
 constexpr std::string_view kConfigurationPath = "/v1/configuration";
 constexpr std::string_view kStatusPath = "/v1/status";
 constexpr std::string_view kZonesPrefix = "/v1/zones/";
+constexpr std::string_view kReplicasPrefix = "/v1/replicas/";
 constexpr std::string_view kOutSuffix = "/out";
 constexpr std::string_view kInSuffix = "/in";
 constexpr std::string_view kOperatorHeader = "Knapweed-Operator";
@@ -96,8 +98,10 @@
     case ChangeReason::kRequestIdReused:
       return "the request id was used for another change; nothing was run";
     case ChangeReason::kNoQuorum:
-      return "no majority of the control replicas answered in time; send it "
-             "again under the same request id";
+      return outcome.detail.empty()
+                 ? "no majority of the control replicas answered in time; send "
+                   "it again under the same request id"
+                 : outcome.detail;
     case ChangeReason::kStale:
       return "its first answer is no longer kept, and it was not run again; "
              "read the configuration";
@@ -217,8 +221,10 @@
 HttpResponse NotFound() {
   return ProblemResponse(
       BadRequest(404, "Not found",
-                 "there are /v1/configuration, /v1/status, /v1/zones/NAME/out "
-                 "and /v1/zones/NAME/in"),
+                 "there are /v1/configuration, /v1/status, /v1/zones/NAME/out, "
+                 "/v1/zones/NAME/in, /v1/replicas/add/HOST, "
+                 "/v1/replicas/remove/HOST, /v1/replicas/replace/OLD/NEW and "
+                 "/v1/replicas/give-up"),
       "");
 }
 
@@ -250,6 +256,9 @@
   if (path.starts_with(kZonesPrefix)) {
     return this->SwitchZone(request, path.substr(kZonesPrefix.size()));
   }
+  if (path.starts_with(kReplicasPrefix)) {
+    return this->MoveReplica(request, path.substr(kReplicasPrefix.size()));
+  }
   return NotFound();
 }
 
@@ -309,6 +318,32 @@
   return this->Change(*call);
 }
 
+HttpResponse OperatorApi::MoveReplica(const HttpRequest& request,
+                                      std::string_view words) {
+  auto move = ParseReplicaPath(words);
+  if (!move || !this->options.move) {
+    return NotFound();
+  }
+  if (request.method != "POST") {
+    return WrongMethod("POST");
+  }
+  const auto call = ReadHeaders(request, /*needs_base=*/false);
+  if (!call) {
+    return call.error();
+  }
+  move->author = call->author;
+  const ChangeOutcome outcome = this->options.move(
+      *move, this->options.now() + this->options.change_timeout);
+  LogLine("replica_move")
+      .Add("move", words)
+      .Add("operator", call->author.operator_id)
+      .Add("request_id", call->author.request_id)
+      .Add("result", ToString(outcome.result))
+      .Add("detail", outcome.detail)
+      .Info();
+  return ChangeResponse(*call, outcome);
+}
+
 HttpResponse OperatorApi::Change(const ChangeCall& call) {
   const ChangeOutcome outcome = this->options.gateway.Change(
       call, this->options.now() + this->options.change_timeout);
--- a/knapweedroad/host/operator_api.h
+++ b/knapweedroad/host/operator_api.h
@@ -17,12 +17,16 @@
 
 class ChangeGateway;
 struct ChangeCall;
+struct ChangeOutcome;
+struct MoveRequest;
 struct StatusReport;
 
 struct OperatorApiOptions {
   // Outlives the interface.
   ChangeGateway& gateway;
   std::function<StatusReport()> status;
+  // Moves control replicas: ControlService::Move of this host.
+  std::function<ChangeOutcome(const MoveRequest&, TimePoint deadline)> move;
   // The process's clock unless set.
   std::function<TimePoint()> now;
   // How long a change may be tried before its answer is "unknown", and a read
@@ -43,6 +47,7 @@
   HttpResponse ReadConfiguration(const HttpRequest& request);
   HttpResponse PutConfiguration(const HttpRequest& request);
   HttpResponse SwitchZone(const HttpRequest& request, std::string_view words);
+  HttpResponse MoveReplica(const HttpRequest& request, std::string_view words);
   HttpResponse Change(const ChangeCall& call);
 
   OperatorApiOptions options;
--- a/knapweedroad/host/operator_api_test.cc
+++ b/knapweedroad/host/operator_api_test.cc
@@ -13,6 +13,7 @@
 #include "knapweedroad/control/control_value.h"
 #include "knapweedroad/host/change_gateway.h"
 #include "knapweedroad/host/configuration_test_text.h"
+#include "knapweedroad/host/control_service.h"
 #include "knapweedroad/host/status_report.h"
 
 namespace knapweedroad {
@@ -353,5 +354,37 @@
   cr_expect_eq(world.Handle({.path = "/v1/status"}).status, 200);
 }
 
+Test(OperatorApi, MovesAReplicaByOneRequest) {
+  World world;
+  std::vector<MoveRequest> moves;
+  OperatorApi api({.gateway = world.forwarder,
+                   .move =
+                       [&](const MoveRequest& move, TimePoint) {
+                         moves.push_back(move);
+                         return ChangeOutcome{.result = ChangeResult::kAccepted,
+                                              .version = 7};
+                       },
+                   .now = [] { return TimePoint(); }});
+  const auto post = [&](const char* words) {
+    return api.Handle({.method = "POST",
+                       .path = "/v1/replicas/" + std::string(words),
+                       .headers = World::Headers("anna", "m-1", 0)});
+  };
+  Expect(post("replace/a/b"), 200, {{"result", "accepted"}});
+  cr_assert(moves.back().leaving == HostId("a"));
+  cr_assert(moves.back().joining == HostId("b"));
+  cr_assert(moves.back().author.request_id == RequestId("m-1"));
+  Expect(post("add/c"), 200, {{"request_id", "m-1"}});
+  cr_assert(!moves.back().leaving && moves.back().joining == HostId("c"));
+  Expect(post("remove/c"), 200, {});
+  cr_assert(!moves.back().joining && moves.back().leaving == HostId("c"));
+  Expect(post("give-up"), 200, {});
+  cr_assert(moves.back().give_up);
+  for (const char* words : {"", "add", "add/", "replace/a", "give-up/a"}) {
+    cr_expect_eq(post(words).status, 404);
+  }
+  cr_assert(moves.size() == 4);
+}
+
 }  // namespace
 }  // namespace knapweedroad
