Replicas are moved through any host

The paths of /v1/replicas answered 404, as no host had set the hook. Each host now has a control service, also without a disk, and moves run in it; changes and reads of a host without a replica still go to one that has one.

Tried with five processes (three replicas, a spare with a disk, one without): a deleted data folder, replace of the host by itself through the host without a disk, a resend through another one, loss of a second host, change and read.

--- a/knapweedroad/host/control_plane.cc
+++ b/knapweedroad/host/control_plane.cc
@@ -128,7 +128,7 @@
                  std::string_view body, TimePoint deadline) {
             return this->CallPeer(host, type, body, deadline);
           }};
-  if (this->service != nullptr) {
+  if (this->replica != nullptr) {
     made.change = [this](const ChangeRequest& request, TimePoint deadline) {
       return this->service->Change(request, deadline);
     };
@@ -201,7 +201,6 @@
       return tl::unexpected(opened.error().path + ": " + opened.error().detail);
     }
     self.replica = std::move(*opened);
-    self.MakeService();
     self.options.links.OnCall(
         PeerMessageType::kControl,
         [&self](PeerMessageType, const std::string& bytes) {
@@ -209,11 +208,18 @@
         });
     LogLine("control_replica_open").Add("member", self.replica->id()).Info();
   }
+  // Also without a disk: an operator may move replicas through any host.
+  self.MakeService();
   self.gateway = std::make_unique<ChangeGateway>(self.GatewayOptions());
   self.configuration =
       std::make_unique<ConfigurationService>(self.ConfigurationOptions());
   self.api = std::make_unique<OperatorApi>(OperatorApiOptions{
-      .gateway = *self.gateway, .status = [&self] { return self.Status(); }});
+      .gateway = *self.gateway,
+      .status = [&self] { return self.Status(); },
+      .move =
+          [&self](const MoveRequest& request, TimePoint deadline) {
+            return self.service->Move(request, deadline);
+          }});
   self.options.links.OnCall(PeerMessageType::kChange,
                             [&self](PeerMessageType, const std::string& body) {
                               return self.gateway->Answer(body);
@@ -235,7 +241,7 @@
       .Add("version", age.version)
       .Add("source", ToString(age.source))
       .Info();
-  if (self.service != nullptr) {
+  if (self.replica != nullptr) {
     self.runtime.Spawn([state = this->state] { state->ConfirmLoop(); });
   }
 }
