A replica starts from its own members and forms no others

After all first replicas had been replaced, a restarted replica asked only the first hosts for the members. With these gone it had no quorum for ever; with these back and blank it formed a new membership of them and answered version 0 to operators (seen with processes: add d, remove a, b, c, start all again). Now it asks the members of the value on its own disk, and a host that knows members forms none.

Left: the blank first hosts still form a membership among themselves, if all of them are blank and marked as replicas in their own settings.

--- a/knapweedroad/control/proposer.cc
+++ b/knapweedroad/control/proposer.cc
@@ -12,6 +12,15 @@
 ChangeRun Proposer::MakeRun(ControlTransform transform,
                             TimePoint deadline,
                             bool wait_for_joining) {
+  std::vector<HostId> ask_hosts = this->ask_hosts;
+  std::vector<HostId> first_hosts = this->options.first_hosts;
+  if (!ask_hosts.empty()) {
+    // Failure: first hosts that came back blank would form a second
+    // membership, and an accepted version would be gone. Where members are
+    // known one has been formed; the first hosts are only asked.
+    ask_hosts.insert(ask_hosts.end(), first_hosts.begin(), first_hosts.end());
+    first_hosts.clear();
+  }
   return ChangeRun({.transform = std::move(transform),
                     .next_ballot =
                         [this](uint64_t round) {
@@ -24,8 +33,8 @@
                     .attempt_timeout = this->options.attempt_timeout,
                     .known = this->newest,
                     .wait_for_joining = wait_for_joining,
-                    .ask_hosts = this->ask_hosts,
-                    .first_hosts = this->options.first_hosts});
+                    .ask_hosts = std::move(ask_hosts),
+                    .first_hosts = std::move(first_hosts)});
 }
 
 ChangeRun Proposer::MakeChange(ChangeRequest request, TimePoint deadline) {
--- a/knapweedroad/control/proposer.h
+++ b/knapweedroad/control/proposer.h
@@ -45,7 +45,8 @@
   // Takes over what a run has seen; after each run.
   void Learn(const ChangeRun& run);
 
-  // More hosts to ask while no value is known.
+  // Hosts of known members, to ask while no value is known; from then on no
+  // membership is formed here.
   void AskAlso(std::vector<HostId> hosts);
 
   // The newest accepted value seen.
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -114,7 +114,19 @@
             {.id = RandomNumber(),
              .first_hosts = std::move(given.first_hosts),
              .backoff = [this](int attempt) { return this->Backoff(attempt); },
-             .attempt_timeout = given.attempt_timeout}) {}
+             .attempt_timeout = given.attempt_timeout}) {
+    if (given.replica != nullptr && given.replica->accepted().has_value()) {
+      this->AskAlso(given.replica->accepted()->members);
+    }
+  }
+
+  void AskAlso(const Membership& members) {
+    std::vector<HostId> hosts;
+    for (const MemberId& member : members.Everyone()) {
+      hosts.push_back(member.host);
+    }
+    this->proposer.AskAlso(std::move(hosts));
+  }
 
   Duration Backoff(int attempt) {
     const auto longest = kFirstBackoff * std::min(attempt, kLongestBackoff);
@@ -233,11 +245,7 @@
 }
 
 void ControlService::Learn(const Membership& members) {
-  std::vector<HostId> hosts;
-  for (const MemberId& member : members.Everyone()) {
-    hosts.push_back(member.host);
-  }
-  this->state->proposer.AskAlso(std::move(hosts));
+  this->state->AskAlso(members);
   if (this->state->wiring->replica != nullptr) {
     this->state->wiring->replica->Learn(members);
   }
--- a/knapweedroad/host/control_service_test.cc
+++ b/knapweedroad/host/control_service_test.cc
@@ -202,6 +202,32 @@
   });
 }
 
+// All first replicas have been replaced, and their machines come back blank.
+// Then the new replica restarts: it asked just the first ones for the members,
+// found three blank replicas, formed a membership of them and told operators
+// version 0, with the accepted version on its own disk.
+Test(ControlService, AReplicaStartsFromItsOwnMembersAndFormsNoOthers) {
+  InRuntime([](Runtime&, Deployment& hosts) {
+    hosts.At("a").Change(Request("r-1", 0), Soon());
+    hosts.Start("d");
+    hosts.At("a").Move({.author = Author("m-d"), .joining = HostId("d")},
+                       Soon());
+    for (const char* host : {"a", "b", "c"}) {
+      const auto moved = hosts.At("d").Move(
+          {.author = Author(host), .leaving = HostId(host)}, Soon());
+      cr_assert(moved.result == ChangeResult::kAccepted);
+      hosts.Stop(host);
+      hosts.LoseDisk(host);
+    }
+    hosts.Stop("d");
+    for (const char* host : {"a", "b", "c", "d"}) {
+      hosts.Start(host);
+    }
+    const auto value = hosts.At("d").Read(Soon());
+    cr_assert(value.has_value() && value->version == 1);
+  });
+}
+
 Test(ControlService, AFolderOfAnotherHostIsRefused) {
   InRuntime([](Runtime& runtime, Deployment& hosts) {
     const std::string folder =
