A frozen host costs no coverage, and a stopped one ends

Change: a target whose holder is unheard, or leaves calls unanswered for 60 ms, is left aside while its service has another one. Change: a server's process ends without taking its parts down; a hand-over nobody takes ends after 3 s. A partial answer is logged with what lacks.

--- a/knapweedroad/cli/command.cc
+++ b/knapweedroad/cli/command.cc
@@ -1,9 +1,12 @@
 #include "knapweedroad/cli/command.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
+#include <glog/logging.h>
+
 namespace knapweedroad {
 
 void Complain(std::string_view text) {
@@ -20,6 +23,12 @@
   return std::move(text).str();
 }
 
+void EndServer(int code) {
+  std::cout.flush();
+  google::FlushLogFiles(google::INFO);
+  std::quick_exit(code);
+}
+
 int UsageError(const Command& command, std::string_view text) {
   Complain(std::string(command.name) + ": " + std::string(text) +
            "; see knapweedroad " + std::string(command.name) + " --help");
--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -52,6 +52,13 @@
 // Prints to standard error: "knapweedroad: TEXT".
 void Complain(std::string_view text);
 
+// Ends a server's process after its last answer, with the logs written.
+//
+// Failure: a host has stopped, its log says so, and its process spins for ever:
+// its fibers still sleep, wake after its parts were destroyed, and run on freed
+// memory. So the parts are never destroyed.
+[[noreturn]] void EndServer(int code);
+
 // An error of usage: prints it and where help is; returns kExitUsage.
 int UsageError(const Command& command, std::string_view text);
 
--- a/knapweedroad/cli/dev_command.cc
+++ b/knapweedroad/cli/dev_command.cc
@@ -81,7 +81,7 @@
     runtime.Stop();
   });
   runtime.Run();
-  return kExitDone;
+  EndServer(kExitDone);
 }
 
 }  // namespace
--- a/knapweedroad/cli/main.cc
+++ b/knapweedroad/cli/main.cc
@@ -77,19 +77,12 @@
   gflags::ParseCommandLineFlags(&count, &words, /*remove_flags=*/true);
   google::InitGoogleLogging(argv[0]);
   const std::vector<std::string> rest(words + 1, words + count);
-  const int code = command->run(rest);
-  google::FlushLogFiles(google::INFO);
-  return code;
+  return command->run(rest);
 }
 
 }  // namespace
 }  // namespace knapweedroad
 
 int main(int argc, char** argv) {
-  const int code = knapweedroad::Main(argc, argv);
-  // quick_exit() doesn't, and a help text in a pipe would be lost.
-  std::cout.flush();
-  // A server's fibers may still sleep; taking their scheduler down under them
-  // is not needed and not safe.
-  std::quick_exit(code);
+  knapweedroad::EndServer(knapweedroad::Main(argc, argv));
 }
--- a/knapweedroad/cli/serve_command.cc
+++ b/knapweedroad/cli/serve_command.cc
@@ -64,7 +64,7 @@
   });
   runtime.Run();
   LogLine("host_stopped").Add("host", name).Info();
-  return kExitDone;
+  EndServer(kExitDone);
 }
 
 }  // namespace
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -221,6 +221,23 @@
 
 }  // namespace
 
+namespace {
+
+void LogPartial(const CallerRequest& request, const QueryAnswer& answer) {
+  std::string missing;
+  for (const ServiceId& service : answer.missing_services) {
+    missing += (missing.empty() ? "" : ",") + service.str();
+  }
+  LogLine("answer_partial")
+      .Add("request_id", request.request_id)
+      .Add("front", request.front->name)
+      .Add("coverage", answer.coverage.ToText())
+      .Add("missing", missing)
+      .Info();
+}
+
+}  // namespace
+
 HttpResponse Coordinator::State::AnswerQuery(const CallerRequest& request,
                                              FrontRuntime& front,
                                              HttpExchange& exchange) {
@@ -256,6 +273,9 @@
   if (const auto* answer = std::get_if<QueryAnswer>(&*result)) {
     this->options.metrics.ObserveCoverage(request.front->name, request.tenant,
                                           answer->coverage.Value());
+    if (!answer->coverage.IsWhole()) {
+      LogPartial(request, *answer);
+    }
     return QueryResponse(request, *answer, this->options.host);
   }
   return ProblemResponse(std::get<QueryRefusal>(*result), request.request_id);
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -28,12 +28,18 @@
 #include "knapweedroad/membership/target_directory.h"
 #include "knapweedroad/metrics/host_metrics.h"
 #include "knapweedroad/net/http_server.h"
+#include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
 namespace {
 
+// Calls to a holder that wait so long make its targets second choice.
+constexpr Duration kSlowHolder = std::chrono::milliseconds(60);
 constexpr Duration kStartWait = std::chrono::seconds(3);
+// Handing leases over takes a few round trips. Where all hosts stop together
+// nobody takes them, and the leases run out by themselves.
+constexpr Duration kHandoverTime = std::chrono::seconds(3);
 constexpr Duration kReportWait = std::chrono::milliseconds(100);
 
 uint64_t WallClockNow() {
@@ -60,6 +66,10 @@
   std::shared_ptr<const FrontConfig> FindFront(const FrontId& name) const;
   // The host to go through for the target; empty where none is known.
   HostId HolderOf(const TargetId& target) const;
+  // Whether attempts at the target can get through now, as far as is known.
+  bool HolderAnswers(const TargetId& target, TimePoint now);
+  std::vector<TargetCandidate> Candidates(const FrontId& front,
+                                          const ServiceId& service);
   bool IsReady() const { return this->is_started && !this->is_stopping; }
   HttpResponse HandleCaller(const HttpRequest& http, HttpExchange& exchange);
   HttpResponse HandleTarget(const HttpRequest& http);
@@ -207,6 +217,36 @@
   return this->holders.HolderOf(target, Runtime::Now()).value_or(HostId());
 }
 
+bool Host::State::HolderAnswers(const TargetId& target, TimePoint now) {
+  const HostId holder = this->HolderOf(target);
+  if (holder == this->settings.name) {
+    return true;
+  }
+  const PeerClient* peer = this->links.Find(holder);
+  return peer != nullptr && this->view.IsAlive(holder, now) &&
+         peer->unanswered_for(now) < kSlowHolder;
+}
+
+// Failure: a host freezes or is cut off, and until its leases have passed on,
+// every query waits in vain for the targets that it holds: answers came with a
+// tenth or two of the index missing for seconds. A target whose holder doesn't
+// answer is left aside while its service has another one.
+std::vector<TargetCandidate> Host::State::Candidates(const FrontId& front,
+                                                     const ServiceId& service) {
+  const TimePoint now = Runtime::Now();
+  std::vector<TargetCandidate> candidates =
+      this->directory.Candidates(front, service, now);
+  const auto reachable = [&](const TargetCandidate& candidate) {
+    return candidate.usable && this->HolderAnswers(candidate.target, now);
+  };
+  if (std::ranges::any_of(candidates, reachable)) {
+    for (TargetCandidate& candidate : candidates) {
+      candidate.usable = reachable(candidate);
+    }
+  }
+  return candidates;
+}
+
 std::shared_ptr<const FrontConfig> Host::State::FindFront(
     const FrontId& name) const {
   const auto& current = this->keeper.current();
@@ -364,7 +404,7 @@
   self.caller_server.Stop(deadline);
   // Other hosts' attempts run through this one until the leases are handed
   // over; what runs then has its answer first.
-  self.leases.Leave(deadline);
+  self.leases.Leave(std::min(deadline, Runtime::Now() + kHandoverTime));
   while (self.links.running_calls() > 0 && Runtime::Now() < deadline) {
     Runtime::SleepFor(kReportWait);
   }
--- a/knapweedroad/host/host.h
+++ b/knapweedroad/host/host.h
@@ -32,6 +32,7 @@
   Duration stop_timeout = std::chrono::seconds(15);
 };
 
+// Its fibers use it until the process ends: it is never destroyed before.
 class Host {
  public:
   Host(Runtime& runtime, HostOptions options);
--- a/knapweedroad/net/peer_client.cc
+++ b/knapweedroad/net/peer_client.cc
@@ -182,6 +182,14 @@
       .detail = lost ? "the connection was lost" : "no reply in time"});
 }
 
+Duration PeerClient::unanswered_for(TimePoint now) const {
+  const std::shared_ptr<Link>& link = this->state->current;
+  if (link == nullptr || link->pending.empty()) {
+    return Duration::zero();
+  }
+  return now - link->heard;
+}
+
 size_t PeerClient::silent_connections() const {
   return this->state->silent;
 }
--- a/knapweedroad/net/peer_client.h
+++ b/knapweedroad/net/peer_client.h
@@ -44,6 +44,10 @@
                                            std::string_view body,
                                            TimePoint deadline);
 
+  // For how long calls have waited with nothing coming in; zero while none
+  // waits.
+  Duration unanswered_for(TimePoint now) const;
+
   // Connections given up as silent.
   size_t silent_connections() const;
 
