--- a/knapweedroad/admission/lease_holder_test.cc
+++ b/knapweedroad/admission/lease_holder_test.cc
@@ -158,14 +158,16 @@
   Fixture fixture;
   fixture.holder.OnPeerRequest(From(host_b, 4, false), kStart);
   fixture.holder.OnPeerRefused(host_b, kStart - milliseconds(1), kStart);
-  const TimePoint later = kStart + seconds(30);
-  for (int round = 0; round < 4; ++round) {
-    for (const auto& message : fixture.Tick(later)) {
+  // Long after the longest work, in touch with a majority without b.
+  for (int ms = 0; ms <= 13000; ms += 100) {
+    const TimePoint now = kStart + milliseconds(ms);
+    for (const auto& message : fixture.Tick(now)) {
       if (message.to != host_b) {
-        fixture.holder.OnReply(Fixture::Granting(message), later);
+        fixture.holder.OnReply(Fixture::Granting(message), now);
       }
     }
   }
+  cr_assert(fixture.holder.ReachesMajority(kStart + seconds(13)));
   cr_assert_eq(fixture.share.slots, 1u);
 }
 
@@ -209,6 +211,36 @@
   cr_assert(!fixture.share.cold_allowed);
 }
 
+// "a" reaches no majority and uses its own part. The holder, which does, can
+// reach "a" and asks for the part: "a" stops, and gives it back once drained.
+Test(LeaseHolder, AnIsolatedHostLendsItsPartWhenAsked) {
+  Fixture fixture;
+  bool wanted = false;
+  bool released = false;
+  for (int ms = 0; ms <= 13000; ms += 100) {
+    const TimePoint now = kStart + milliseconds(ms);
+    wanted = ms > 12000;
+    for (const auto& message : fixture.Tick(now)) {
+      if (message.to != host_a) {
+        continue;
+      }
+      for (const LeaseAsk& ask : message.request.asks) {
+        released = released || (wanted && ask.release);
+      }
+      LeaseReply reply = Fixture::Granting(message);
+      for (LeaseGrant& grant : reply.grants) {
+        grant.wanted = wanted;
+      }
+      fixture.holder.OnReply(reply, now);
+    }
+    cr_assert(ms != 12000 || fixture.share.slots == 1);
+    if (fixture.share.slots == 0) {
+      fixture.holder.OnDrained(only_target);
+    }
+  }
+  cr_assert(released);
+}
+
 Test(LeaseHolder, ARemovedTargetIsKeptUntilNothingRuns) {
   Fixture fixture;
   fixture.GrantAll(kStart);
--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -129,6 +129,32 @@
   cr_assert_eq(refused.limit(now), 1u);
 }
 
+// A target refuses every connection while it restarts. Sent one after the
+// other as each fails, all that waits would be used up within milliseconds.
+Test(TargetAdmission, FailuresInARowPauseTheStarts) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint deadline = now + seconds(1);
+  admission.Submit(Request("a", deadline), now);
+  admission.Submit(Request("b", deadline), now);
+  admission.Submit(Request("c", deadline), now);
+  const AttemptResult refused{.status = AttemptStatus::kConnectFailed};
+  admission.OnFinished("a", refused, now);
+  cr_assert_eq(Starts(admission.OnFinished("b", refused, now)), 0u);
+  cr_assert_eq(admission.queued(), 1u);
+  cr_assert_eq(Starts(admission.Tick(admission.NextWake())), 1u);
+}
+
+Test(TargetAdmission, ATargetOfAZoneThatComesBackIsCold) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.SetAcceptingNew(false, now);
+  const auto out = admission.Submit(Request("a", now + seconds(1)), now);
+  cr_assert(Refusal(out)->kind == RefusalKind::kNotAccepting);
+  admission.SetAcceptingNew(true, now);
+  cr_assert_eq(admission.limit(now), 1u);
+}
+
 // A caller leaves, or a hedge wins, and the slot is given to the next one. The
 // target hasn't read the cancellation yet: it counts three on its two slots
 // and sheds, or stalls all of them.
