--- a/knapweedroad/query/query_run.cc
+++ b/knapweedroad/query/query_run.cc
@@ -105,9 +105,6 @@
 QueryActions QueryRun::OnTimer(TimePoint now) {
   QueryActions actions;
   this->Settle(now, actions);
-  if (this->is_finished) {
-    return actions;
-  }
   for (Part& part : this->parts) {
     part.call.OnTimer(this->Context(), now, actions);
   }
