History of configuration changes against running hosts

ConfigurationHistory runs clients over the operators' HTTP interface: they change and read at random hosts, resend what was not answered through another, and what they saw goes to CheckLinearizable. The command `history` runs it against any hosts, through whatever is done to them meanwhile.

Not run against processes with control yet, as none has it.

--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -45,6 +45,7 @@
 extern const Command kDevCommand;
 extern const Command kSearcherCommand;
 extern const Command kLoadCommand;
+extern const Command kHistoryCommand;
 
 // The file's text, or nothing after printing why it can't be read.
 std::optional<std::string> ReadFileOrComplain(const std::string& path);
--- a/knapweedroad/cli/main.cc
+++ b/knapweedroad/cli/main.cc
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::array kCommands = {
-    &kServeCommand,    &kCheckCommand,  &kApplyCommand, &kZoneCommand,
-    &kReplicaCommand,  &kStatusCommand, &kQueryCommand, &kDevCommand,
-    &kSearcherCommand, &kLoadCommand};
+    &kServeCommand,    &kCheckCommand,  &kApplyCommand,  &kZoneCommand,
+    &kReplicaCommand,  &kStatusCommand, &kQueryCommand,  &kDevCommand,
+    &kSearcherCommand, &kLoadCommand,   &kHistoryCommand};
 
 void PrintOverview(std::ostream& out) {
   out << "knapweedroad COMMAND [words and flags]\n\n";
--- a/knapweedroad/wire/bounded_input.h
+++ b/knapweedroad/wire/bounded_input.h
@@ -78,7 +78,7 @@
 
 // What cereal looks up for each kind of value.
 template <typename Number>
-std::enable_if_t<std::is_arithmetic_v<Number>> load(  // NOLINT
+std::enable_if_t<std::is_arithmetic_v<Number>> load(
     BoundedInputArchive& archive,
     Number& number) {
   if constexpr (std::is_same_v<Number, bool>) {
@@ -95,21 +95,18 @@
 }
 
 template <typename Value>
-void load(BoundedInputArchive& archive,  // NOLINT
-          cereal::NameValuePair<Value>& pair) {
+void load(BoundedInputArchive& archive, cereal::NameValuePair<Value>& pair) {
   archive(pair.value);
 }
 
 template <typename Size>
-void load(BoundedInputArchive& archive,  // NOLINT
-          cereal::SizeTag<Size>& tag) {
+void load(BoundedInputArchive& archive, cereal::SizeTag<Size>& tag) {
   archive(tag.size);
   archive.Require(tag.size);
 }
 
 template <typename Element>
-void load(BoundedInputArchive& archive,  // NOLINT
-          cereal::BinaryData<Element>& data) {
+void load(BoundedInputArchive& archive, cereal::BinaryData<Element>& data) {
   using Value = std::remove_pointer_t<std::decay_t<Element>>;
   archive.Load(data.data, static_cast<size_t>(data.size), sizeof(Value));
 }
