--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -148,7 +148,6 @@
   }
 
   const Run& decisions() const { return this->run; }
-  uint32_t refused_attempts() const { return this->refused; }
 
  private:
   void Perform(const QueryActions& actions) {
@@ -189,9 +188,6 @@
 
   void Attempt(const SendAttempt& send) {
     AttemptReply reply = this->router.Run(this->make_call(send), send.deadline);
-    if (reply.end == AttemptEnd::kRefused || reply.end == AttemptEnd::kShed) {
-      ++this->refused;
-    }
     LogLine("attempt_ended")
         .Add("attempt", send.attempt)
         .Add("target", send.target)
@@ -216,7 +212,6 @@
   Run run;
   TimedEvent changed;
   std::optional<Result> result;
-  uint32_t refused = 0;
 };
 
 }  // namespace
@@ -264,7 +259,7 @@
                      .class_name = request.request_class,
                      .start = request.start,
                      .deadline = request.deadline,
-                     .sub_refused = live->refused_attempts(),
+                     .sub_refused = live->decisions().stats().refused,
                      .abandoned = !result.has_value()},
                     Runtime::Now());
   if (!result) {
@@ -306,7 +301,7 @@
                      .class_name = request.request_class,
                      .start = request.start,
                      .deadline = request.deadline,
-                     .sub_refused = live->refused_attempts(),
+                     .sub_refused = live->decisions().stats().refused,
                      .abandoned = !result.has_value()},
                     Runtime::Now());
   if (!result) {
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -40,6 +40,7 @@
 // Handing leases over takes a few round trips. Where all hosts stop together
 // nobody takes them, and the leases run out by themselves.
 constexpr Duration kHandoverTime = std::chrono::seconds(3);
+constexpr Duration kWarmUp = std::chrono::milliseconds(1200);
 constexpr Duration kReportWait = std::chrono::milliseconds(100);
 
 uint64_t WallClockNow() {
@@ -387,6 +388,9 @@
   // Not ready before it knows what is in force; the balancer waits for that.
   self.runtime.Spawn([&self] {
     self.control.CatchUp();
+    // Targets and holders become known by the heartbeats of a second or so; a
+    // host that is ready before refuses what others could answer.
+    Runtime::SleepFor(kWarmUp);
     self.is_started = true;
   });
   return {};
--- a/knapweedroad/host/lookup_service.cc
+++ b/knapweedroad/host/lookup_service.cc
@@ -9,9 +9,9 @@
 #include "knapweedroad/admission/rendezvous.h"
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/host/peer_links.h"
-#include "knapweedroad/net/fiber_event.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/net/timed_event.h"
 #include "knapweedroad/query/idempotency_table.h"
 #include "knapweedroad/wire/codec.h"
 #include "knapweedroad/wire/lookup_call.h"
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 QueryRefusal Unreachable(const NetError& error, bool first_send) {
   // A key that was sent before may have run on the host that can't be asked.
@@ -62,7 +63,9 @@
 
 // One caller that waits for a key that another one began.
 struct KeyWaiter {
-  FiberEvent done;
+  explicit KeyWaiter(Runtime& runtime) : done(runtime) {}
+
+  TimedEvent done;
   std::optional<RecordResult> result;
 };
 
@@ -90,6 +93,9 @@
   }
 
   RecordResult RunHere(const CallerRequest& request);
+  RecordResult WaitFor(const std::string& key,
+                       WaiterId waiter,
+                       TimePoint deadline);
   RecordResult RunAt(const HostId& host, const CallerRequest& request);
   tl::expected<std::string, std::string> OnCall(const std::string& body);
 
@@ -104,6 +110,24 @@
   WaiterId last_waiter = 0;
 };
 
+RecordResult LookupService::State::WaitFor(const std::string& key,
+                                           WaiterId waiter,
+                                           TimePoint deadline) {
+  auto waiting = std::make_shared<KeyWaiter>(this->runtime);
+  this->waiters.emplace(waiter, waiting);
+  waiting->done.WaitUntil(deadline);
+  if (waiting->result) {
+    return std::move(*waiting->result);
+  }
+  this->waiters.erase(waiter);
+  this->table.Leave(key, waiter);
+  return QueryRefusal{.status = kGatewayTimeout,
+                      .title = "Still running",
+                      .detail = "another send of this key still runs",
+                      .outcome = RunOutcome::kUnknown,
+                      .retry_after = kDefaultRetryAfter};
+}
+
 RecordResult LookupService::State::RunHere(const CallerRequest& request) {
   const std::string key = FullKey(request);
   const WaiterId waiter = ++this->last_waiter;
@@ -115,10 +139,7 @@
     return std::move(*start.result);
   }
   if (start.decision == KeyDecision::kWait) {
-    auto waiting = std::make_shared<KeyWaiter>();
-    this->waiters.emplace(waiter, waiting);
-    waiting->done.Wait();
-    return std::move(*waiting->result);
+    return this->WaitFor(key, waiter, request.deadline);
   }
   RecordResult result = this->options.run(request);
   for (const WaiterId other : this->table.Finish(key, result, Runtime::Now())) {
--- a/knapweedroad/host/target_exchange.cc
+++ b/knapweedroad/host/target_exchange.cc
@@ -140,6 +140,8 @@
                                                      : RunOutcome::kNotRun}};
   if (error.kind == NetErrorKind::kTimeout) {
     end.reply.end = AttemptEnd::kTimeout;
+  } else if (error.kind == NetErrorKind::kCancelled) {
+    end.reply.end = AttemptEnd::kNotHolder;
   }
   if (!error.written) {
     end.result.status = error.kind == NetErrorKind::kConnect
@@ -153,11 +155,9 @@
   return end;
 }
 
-bool MayRepeat(const AttemptCall& call, const NetError& error) {
-  if (!error.reused_connection || error.kind != NetErrorKind::kClosed) {
-    return false;
-  }
-  return !error.written || call.work != AttemptWork::kLookup;
+bool MayRepeat(const NetError& error) {
+  return error.reused_connection && error.kind == NetErrorKind::kClosed &&
+         !error.written;
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/host/target_exchange.h
+++ b/knapweedroad/host/target_exchange.h
@@ -32,9 +32,10 @@
 ExchangeEnd ReadTargetFailure(const NetError& error);
 
 // Whether a second try on a new connection is due before the target is blamed:
-// the first went over a used connection, which something on the way may have
-// forgotten, and a repetition can do no harm.
-bool MayRepeat(const AttemptCall& call, const NetError& error);
+// a used connection, which something on the way may have forgotten, took
+// nothing. What was written may run, and a repetition would then make two of
+// one slot.
+bool MayRepeat(const NetError& error);
 
 }  // namespace knapweedroad
 
--- a/knapweedroad/host/target_link.cc
+++ b/knapweedroad/host/target_link.cc
@@ -133,21 +133,21 @@
 AttemptReply TargetLink::State::Send(const AttemptCall& call,
                                      TimePoint deadline) {
   TimePoint sent = Runtime::Now();
-  // Failure: the process was stopped between the decision and this line and
-  // slept through its lease; the next holder already sends. Asked last, the
-  // check leaves only the write itself.
-  if (!this->admission.MaySend(call.attempt.str(), sent)) {
-    this->Perform(this->admission.OnFinished(
-        call.attempt.str(), {.status = AttemptStatus::kNotSent}, sent));
-    return {.end = AttemptEnd::kNotHolder, .outcome = RunOutcome::kNotRun};
-  }
-  auto response =
-      this->client.Send(TargetRequest(call, deadline - sent), deadline);
-  if (!response && MayRepeat(call, response.error())) {
-    this->client.DropIdle();
+  // Failure: the process was stopped between the decision and the write, or
+  // waited for a connection, and its lease has run out; the next holder already
+  // sends. Asked right before the write, the check leaves only the write
+  // itself. The time left is told as of then, too: a target that was told more
+  // would work past the moment at which its slot is taken for free.
+  HttpSendOptions options{.before_write = [&](HttpRequest& request) {
     sent = Runtime::Now();
-    response = this->client.Send(TargetRequest(call, deadline - sent), deadline,
-                                 /*fresh_connection=*/true);
+    request = TargetRequest(call, deadline - sent);
+    return sent < deadline && this->admission.MaySend(call.attempt.str(), sent);
+  }};
+  auto response = this->client.Send({}, deadline, options);
+  if (!response && MayRepeat(response.error())) {
+    this->client.DropIdle();
+    options.fresh_connection = true;
+    response = this->client.Send({}, deadline, options);
   }
   const TimePoint now = Runtime::Now();
   ExchangeEnd end =
--- a/knapweedroad/load/caller.cc
+++ b/knapweedroad/load/caller.cc
@@ -93,7 +93,7 @@
   }
   auto answer =
       host.Send(MakeRequest(call), Runtime::Now() + call.deadline + kGrace,
-                /*fresh_connection=*/false, cancel.get());
+                {.cancel = cancel.get()});
   call.latency = Runtime::Now() - due_at;
   if (answer) {
     call.status = answer->status;
--- a/knapweedroad/net/http_client.cc
+++ b/knapweedroad/net/http_client.cc
@@ -236,7 +236,6 @@
 }
 
 void HttpClient::State::Release(ConnectionPtr connection) {
-  connection->has_served = true;
   connection->stream.expires_never();
   this->idle.push_back(std::move(connection));
   if (!this->waiters.empty()) {
@@ -296,17 +295,18 @@
 }
 
 tl::expected<HttpResponse, NetError> HttpClient::Send(
-    const HttpRequest& request,
+    HttpRequest request,
     TimePoint deadline,
-    bool fresh_connection,
-    HttpCancel* cancel) {
+    const HttpSendOptions& send_options) {
   const std::shared_ptr<State> state = this->state;
+  HttpCancel* const cancel = send_options.cancel;
   const NetError given_up{.kind = NetErrorKind::kCancelled,
                           .detail = "given up before it was sent"};
   if (cancel != nullptr && cancel->cancelled()) {
     return tl::unexpected(given_up);
   }
-  auto acquired = state->Acquire(deadline, fresh_connection, cancel);
+  auto acquired =
+      state->Acquire(deadline, send_options.fresh_connection, cancel);
   if (!acquired) {
     if (cancel != nullptr && cancel->cancelled()) {
       return tl::unexpected(given_up);
@@ -321,11 +321,19 @@
     }
     cancel->close = [connection] { connection->stream.close(); };
   }
+  if (send_options.before_write && !send_options.before_write(request)) {
+    if (cancel != nullptr) {
+      cancel->close = nullptr;
+    }
+    state->Release(connection);
+    return tl::unexpected(given_up);
+  }
   auto response = state->Exchange(*connection, request, deadline);
   if (cancel != nullptr) {
     cancel->close = nullptr;
   }
   if (response && !response->close && connection->buffer.size() == 0) {
+    connection->has_served = true;
     state->Release(connection);
     return response;
   }
--- a/knapweedroad/net/http_client.h
+++ b/knapweedroad/net/http_client.h
@@ -47,18 +47,29 @@
   std::function<void()> close;
 };
 
+// How one exchange differs from a plain one.
+struct HttpSendOptions {
+  // Don't use an idle connection.
+  bool fresh_connection = false;
+  // Outlives the call.
+  HttpCancel* cancel = nullptr;
+  // Asked right before the first byte is written, after any wait for a
+  // connection; may complete the request. False: it isn't sent, and the error
+  // is kCancelled with nothing written.
+  std::function<bool(HttpRequest& request)> before_write;
+};
+
 class HttpClient {
  public:
   HttpClient(Runtime& runtime, HttpClientOptions options);
   ~HttpClient();
 
   // Sends the request and waits for its whole answer, blocking the calling
-  // fiber until `deadline` at the latest. `fresh_connection` forbids an idle
-  // connection. `cancel`, if given, outlives the call.
-  tl::expected<HttpResponse, NetError> Send(const HttpRequest& request,
-                                            TimePoint deadline,
-                                            bool fresh_connection = false,
-                                            HttpCancel* cancel = nullptr);
+  // fiber until `deadline` at the latest.
+  tl::expected<HttpResponse, NetError> Send(
+      HttpRequest request,
+      TimePoint deadline,
+      const HttpSendOptions& send_options = {});
 
   // Closes all idle connections; each may have gone silent.
   void DropIdle();
--- a/knapweedroad/net/http_test.cc
+++ b/knapweedroad/net/http_test.cc
@@ -108,6 +108,28 @@
   cr_assert(!response && !response.error().written);
 }
 
+// A target gets work that its host may no longer send: the process slept
+// between the decision and the write. What is asked right before the write can
+// still say no, and then nothing has left.
+Test(Http, ARequestThatMayNoLongerBeSentIsNotWritten) {
+  Runtime runtime;
+  int handled = 0;
+  HttpServerOptions options = Echo();
+  options.handler = [&](const HttpRequest&, HttpExchange&) {
+    ++handled;
+    return HttpResponse{};
+  };
+  HttpServer server(runtime, options);
+  const uint16_t port = server.Start().value();
+  HttpClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port}});
+  const auto response = client.Send(
+      {}, Late(), {.before_write = [](HttpRequest&) { return false; }});
+  cr_assert(!response && !response.error().written);
+  cr_assert(response.error().kind == NetErrorKind::kCancelled);
+  cr_assert(client.Send({}, Late()).has_value());
+  cr_assert(handled == 1);
+}
+
 // A caller that has left goes on costing the targets: nobody tells the handler
 // that the connection is closed.
 Test(Http, AHandlerHearsOfACallerThatLeft) {
--- a/knapweedroad/testing/stand_in_searcher_test.cc
+++ b/knapweedroad/testing/stand_in_searcher_test.cc
@@ -75,7 +75,8 @@
   const auto silent = client.Send(Search(), Runtime::Now() + milliseconds(50));
   cr_assert(!silent && silent.error().kind == NetErrorKind::kTimeout);
   cr_assert_eq(searcher.core().counts().received, 1);
-  cr_assert(client.Send(Search(), Late(), true).has_value());
+  cr_assert(
+      client.Send(Search(), Late(), {.fresh_connection = true}).has_value());
 }
 
 Test(StandInSearcher, AChangeOfVersionWithoutANumberIsTheNextOne) {
