--- a/knapweedroad/host/target_exchange.cc
+++ b/knapweedroad/host/target_exchange.cc
@@ -68,6 +68,9 @@
                             .retry_after_ns = ReadRetryAfter(response.headers),
                             .status = response.status},
                   .result = {.status = AttemptStatus::kError}};
+  if (response.status == kGatewayTimeout) {
+    end.reply.end = AttemptEnd::kTimeout;
+  }
   if (outcome != RunOutcome::kNotRun) {
     return end;
   }
@@ -76,8 +79,6 @@
     end.result.status = AttemptStatus::kShed;
   } else if (response.status == kConflict) {
     end.reply.end = AttemptEnd::kNoSnapshot;
-  } else if (response.status == kGatewayTimeout) {
-    end.reply.end = AttemptEnd::kTimeout;
   }
   return end;
 }
--- a/knapweedroad/query/replica_choice.cc
+++ b/knapweedroad/query/replica_choice.cc
@@ -59,6 +59,17 @@
   return about_equal && nearer ? other : one;
 }
 
+// Failure: a replica that is cold gets no work while another one is warm, and
+// so stays cold; the one that is warm queues, answers miss its service at the
+// tail target, and the service has a single replica left to lose. Measured: of
+// three replicas one got 1,513 requests and the others none. So one in so many
+// first choices goes to a cold target that has room.
+constexpr uint64_t kWarmingOneIn = 8;
+
+bool ShouldWarm(const ReplicaRequest& request) {
+  return !request.free_slot_only && request.random() % kWarmingOneIn == 0;
+}
+
 }  // namespace
 
 const ServiceConfig& FindService(const FrontConfig& front,
@@ -82,6 +93,7 @@
     std::span<const TargetCandidate> candidates,
     const ReplicaRequest& request) {
   std::vector<const TargetCandidate*> best;
+  std::vector<const TargetCandidate*> free_cold;
   Tier best_tier = Tier::kBusyCold;
   for (const TargetCandidate& candidate : candidates) {
     if (!CanServe(candidate, request.snapshot) ||
@@ -92,6 +104,9 @@
     if (request.free_slot_only && !HasFreeWarmSlot(candidate, request)) {
       continue;
     }
+    if (tier == Tier::kFreeCold) {
+      free_cold.push_back(&candidate);
+    }
     if (tier < best_tier) {
       best.clear();
       best_tier = tier;
@@ -103,6 +118,9 @@
   if (best.empty()) {
     return std::nullopt;
   }
+  if (best_tier == Tier::kWarm && !free_cold.empty() && ShouldWarm(request)) {
+    return *BetterOfTwo(free_cold, request);
+  }
   return *BetterOfTwo(best, request);
 }
 
--- a/knapweedroad/query/replica_choice.h
+++ b/knapweedroad/query/replica_choice.h
@@ -36,9 +36,9 @@
   const std::function<uint64_t()>& random;
 };
 
-// Never one that is leaving or not usable, and no cold one while there is a
-// warm one. The less loaded of two picked at random; of two that are about as
-// busy the one in the own zone.
+// Never one that is leaving or not usable. While there is a warm one, a cold
+// one gets one in eight choices, and only while it has room. The less loaded of
+// two picked at random; of two that are about as busy the one in the own zone.
 std::optional<TargetCandidate> ChooseReplica(
     std::span<const TargetCandidate> candidates,
     const ReplicaRequest& request);
