--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -148,7 +148,6 @@
   }
 
   const Run& decisions() const { return this->run; }
-  uint32_t refused_attempts() const { return this->refused; }
 
  private:
   void Perform(const QueryActions& actions) {
@@ -189,9 +188,6 @@
 
   void Attempt(const SendAttempt& send) {
     AttemptReply reply = this->router.Run(this->make_call(send), send.deadline);
-    if (reply.end == AttemptEnd::kRefused || reply.end == AttemptEnd::kShed) {
-      ++this->refused;
-    }
     LogLine("attempt_ended")
         .Add("attempt", send.attempt)
         .Add("target", send.target)
@@ -216,11 +212,27 @@
   Run run;
   TimedEvent changed;
   std::optional<Result> result;
-  uint32_t refused = 0;
 };
 
 }  // namespace
 
+namespace {
+
+void LogPartial(const CallerRequest& request, const QueryAnswer& answer) {
+  std::string missing;
+  for (const ServiceId& service : answer.missing_services) {
+    missing += (missing.empty() ? "" : ",") + service.str();
+  }
+  LogLine("answer_partial")
+      .Add("request_id", request.request_id)
+      .Add("front", request.front->name)
+      .Add("coverage", answer.coverage.ToText())
+      .Add("missing", missing)
+      .Info();
+}
+
+}  // namespace
+
 HttpResponse Coordinator::State::AnswerQuery(const CallerRequest& request,
                                              FrontRuntime& front,
                                              HttpExchange& exchange) {
@@ -247,7 +259,7 @@
                      .class_name = request.request_class,
                      .start = request.start,
                      .deadline = request.deadline,
-                     .sub_refused = live->refused_attempts(),
+                     .sub_refused = live->decisions().stats().refused,
                      .abandoned = !result.has_value()},
                     Runtime::Now());
   if (!result) {
@@ -256,6 +268,9 @@
   if (const auto* answer = std::get_if<QueryAnswer>(&*result)) {
     this->options.metrics.ObserveCoverage(request.front->name, request.tenant,
                                           answer->coverage.Value());
+    if (!answer->coverage.IsWhole()) {
+      LogPartial(request, *answer);
+    }
     return QueryResponse(request, *answer, this->options.host);
   }
   return ProblemResponse(std::get<QueryRefusal>(*result), request.request_id);
@@ -286,7 +301,7 @@
                      .class_name = request.request_class,
                      .start = request.start,
                      .deadline = request.deadline,
-                     .sub_refused = live->refused_attempts(),
+                     .sub_refused = live->decisions().stats().refused,
                      .abandoned = !result.has_value()},
                     Runtime::Now());
   if (!result) {
