--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -374,6 +374,11 @@
   self.keeper.OnChange([&self](const DeploymentConfig& configuration) {
     self.targets.OnConfiguration(self.keeper.current());
     self.coordinator.OnConfiguration(configuration);
+    if (self.is_started) {
+      // The others pull what they hear of; until the next heartbeat they
+      // would not.
+      self.gossip.SendNow();
+    }
   });
   if (auto opened = self.control.Open(); !opened) {
     return opened;
