--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -44,9 +44,13 @@
 }
 
 // A target of two slots, warmed by answers, under a lease of both.
-TargetAdmission WarmTarget(TimePoint& now) {
-  TargetAdmission admission({.slots = 2, .cold_slots = 1, .connections = 25});
+TargetAdmission WarmTarget(TimePoint& now, double planned_part = 0.5) {
+  TargetAdmission admission({.slots = 2,
+                             .cold_slots = 1,
+                             .connections = 25,
+                             .planned_part = planned_part});
   admission.SetShare({.slots = 2}, now);
+  admission.OnReport({.incarnation = 4, .state = TargetState::kReady}, now);
   while (admission.limit(now) < 2) {
     now += milliseconds(40);
     admission.Submit(Request("warm-up", now + seconds(1)), now);
@@ -104,7 +108,8 @@
 Test(TargetAdmission, ANewIncarnationIsCold) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
-  TargetReport report{.incarnation = 4, .state = TargetState::kReady};
+  TargetReport report{
+      .incarnation = 4, .sequence = 1, .state = TargetState::kReady};
   admission.OnReport(report, now);
   cr_assert_eq(admission.limit(now), 2u);
   report.incarnation = 5;
@@ -112,15 +117,41 @@
   cr_assert_eq(admission.limit(now), 1u);
 }
 
-Test(TargetAdmission, ConnectionsLostInARowAreARestart) {
+Test(TargetAdmission, ALostOrRefusedConnectionIsARestart) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
-  for (const char* attempt : {"a", "b"}) {
-    admission.Submit(Request(attempt, now + seconds(1)), now);
-    admission.OnFinished(attempt, {.status = AttemptStatus::kConnectFailed},
-                         now);
-    now += milliseconds(100);
-  }
+  admission.Submit(Request("a", now + seconds(1)), now);
+  admission.OnFinished("a", {.status = AttemptStatus::kConnectionLost}, now);
+  cr_assert_eq(admission.limit(now), 1u);
+  TargetAdmission refused = WarmTarget(now);
+  refused.Submit(Request("b", now + seconds(1)), now);
+  refused.OnFinished("b", {.status = AttemptStatus::kConnectFailed}, now);
+  cr_assert_eq(refused.limit(now), 1u);
+}
+
+// A target refuses every connection while it restarts. Sent one after the
+// other as each fails, all that waits would be used up within milliseconds.
+Test(TargetAdmission, FailuresInARowPauseTheStarts) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  const TimePoint deadline = now + seconds(1);
+  admission.Submit(Request("a", deadline), now);
+  admission.Submit(Request("b", deadline), now);
+  admission.Submit(Request("c", deadline), now);
+  const AttemptResult refused{.status = AttemptStatus::kConnectFailed};
+  admission.OnFinished("a", refused, now);
+  cr_assert_eq(Starts(admission.OnFinished("b", refused, now)), 0u);
+  cr_assert_eq(admission.queued(), 1u);
+  cr_assert_eq(Starts(admission.Tick(admission.NextWake())), 1u);
+}
+
+Test(TargetAdmission, ATargetOfAZoneThatComesBackIsCold) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now);
+  admission.SetAcceptingNew(false, now);
+  const auto out = admission.Submit(Request("a", now + seconds(1)), now);
+  cr_assert(Refusal(out)->kind == RefusalKind::kNotAccepting);
+  admission.SetAcceptingNew(true, now);
   cr_assert_eq(admission.limit(now), 1u);
 }
 
@@ -157,7 +188,7 @@
 
 Test(TargetAdmission, RefusesAtOnceWhatCannotBeDoneByItsDeadline) {
   TimePoint now = kStart;
-  TargetAdmission admission = WarmTarget(now);
+  TargetAdmission admission = WarmTarget(now, 1.0);
   const TimePoint deadline = now + milliseconds(100);
   const RefuseAttempt* refusal = nullptr;
   AdmissionActions actions;
@@ -174,6 +205,22 @@
   cr_assert(refusal->retry_after > Duration::zero());
 }
 
+// Under overload, a queue as long as the deadlines allow makes every attempt
+// late by a little or just in time, and half of the target's work is wasted.
+Test(TargetAdmission, PlansForAPartOfTheTimeLeft) {
+  TimePoint now = kStart;
+  TargetAdmission admission = WarmTarget(now, 0.5);
+  const TimePoint deadline = now + milliseconds(200);
+  uint32_t accepted = 0;
+  for (int i = 0; i < 50; ++i) {
+    const auto actions =
+        admission.Submit(Request(std::to_string(i), deadline), now);
+    accepted += Refusal(actions) == nullptr ? 1 : 0;
+  }
+  cr_assert_geq(accepted, 6u);
+  cr_assert_leq(accepted, 14u);
+}
+
 Test(TargetAdmission, DropsWhatPassedItsDeadlineBeforeItIsSent) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
@@ -235,7 +282,7 @@
   admission.Submit(Request("a", now + seconds(5)), now);
   admission.Submit(Request("b", now + seconds(5)), now);
   admission.Submit(Request("c", now + seconds(5)), now);
-  TargetReport report{.incarnation = 1, .sequence = 9};
+  TargetReport report{.incarnation = 4, .sequence = 9};
   report.state = TargetState::kLeaving;
   const auto actions = admission.OnReport(report, now);
   cr_assert_eq(Refusal(actions)->attempt, "c");
@@ -245,7 +292,7 @@
   report.state = TargetState::kReady;
   admission.OnReport(report, now);
   cr_assert(admission.leaving());
-  report.incarnation = 2;
+  report.incarnation = 5;
   admission.OnReport(report, now);
   cr_assert(!admission.leaving());
 }
@@ -256,10 +303,7 @@
 Test(TargetAdmission, ALateReportOfAFormerIncarnationChangesNothing) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
-  TargetReport report{.incarnation = 2, .state = TargetState::kReady};
-  admission.OnReport(report, now);
-  report.incarnation = 1;
-  report.sequence = 50;
+  TargetReport report{.incarnation = 3, .sequence = 50};
   report.state = TargetState::kLeaving;
   admission.OnReport(report, now);
   cr_assert(!admission.leaving());
--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -39,11 +39,13 @@
 extern const Command kCheckCommand;
 extern const Command kApplyCommand;
 extern const Command kZoneCommand;
+extern const Command kReplicaCommand;
 extern const Command kStatusCommand;
 extern const Command kQueryCommand;
 extern const Command kDevCommand;
 extern const Command kSearcherCommand;
 extern const Command kLoadCommand;
+extern const Command kHistoryCommand;
 
 // The file's text, or nothing after printing why it can't be read.
 std::optional<std::string> ReadFileOrComplain(const std::string& path);
@@ -51,6 +53,13 @@
 // Prints to standard error: "knapweedroad: TEXT".
 void Complain(std::string_view text);
 
+// Ends a server's process after its last answer, with the logs written.
+//
+// Failure: a host has stopped, its log says so, and its process spins for ever:
+// its fibers still sleep, wake after its parts were destroyed, and run on freed
+// memory. So the parts are never destroyed.
+[[noreturn]] void EndServer(int code);
+
 // An error of usage: prints it and where help is; returns kExitUsage.
 int UsageError(const Command& command, std::string_view text);
 
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -11,6 +11,7 @@
 #include "knapweedroad/host/attempt_service.h"
 #include "knapweedroad/host/caller_request.h"
 #include "knapweedroad/host/configuration_keeper.h"
+#include "knapweedroad/host/control_plane.h"
 #include "knapweedroad/host/coordinator.h"
 #include "knapweedroad/host/gossip.h"
 #include "knapweedroad/host/lease_service.h"
@@ -19,17 +20,26 @@
 #include "knapweedroad/host/platform_api.h"
 #include "knapweedroad/host/problem.h"
 #include "knapweedroad/host/report_json.h"
+#include "knapweedroad/host/status_report.h"
+#include "knapweedroad/host/target_link.h"
 #include "knapweedroad/host/target_table.h"
 #include "knapweedroad/membership/holder_directory.h"
 #include "knapweedroad/membership/host_view.h"
 #include "knapweedroad/membership/target_directory.h"
 #include "knapweedroad/metrics/host_metrics.h"
 #include "knapweedroad/net/http_server.h"
+#include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
 namespace {
 
+// Calls to a holder that wait so long make its targets second choice.
+constexpr Duration kSlowHolder = std::chrono::milliseconds(60);
+constexpr Duration kStartWait = std::chrono::seconds(3);
+// Handing leases over takes a few round trips. Where all hosts stop together
+// nobody takes them, and the leases run out by themselves.
+constexpr Duration kHandoverTime = std::chrono::seconds(3);
 constexpr Duration kReportWait = std::chrono::milliseconds(100);
 
 uint64_t WallClockNow() {
@@ -54,11 +64,18 @@
 
   bool ZoneIsOut(const ZoneId& zone) const;
   std::shared_ptr<const FrontConfig> FindFront(const FrontId& name) const;
+  // The host to go through for the target; empty where none is known.
+  HostId HolderOf(const TargetId& target) const;
+  // Whether attempts at the target can get through now, as far as is known.
+  bool HolderAnswers(const TargetId& target, TimePoint now);
+  std::vector<TargetCandidate> Candidates(const FrontId& front,
+                                          const ServiceId& service);
   bool IsReady() const { return this->is_started && !this->is_stopping; }
   HttpResponse HandleCaller(const HttpRequest& http, HttpExchange& exchange);
   HttpResponse HandleTarget(const HttpRequest& http);
   HttpResponse HandleOperator(const HttpRequest& http);
   void FillHeartbeat(Heartbeat& beat) const;
+  void FillStatus(StatusReport& report) const;
   tl::expected<void, std::string> StartServers();
 
   Runtime& runtime;
@@ -75,6 +92,7 @@
   AttemptRouter router;
   LeaseService leases;
   Gossip gossip;
+  ControlPlane control;
   Coordinator coordinator;
   LookupService lookups;
   HttpServer caller_server;
@@ -126,7 +144,18 @@
                   [this](const TargetReport& report) {
                     this->targets.OnReport(report);
                   },
-              .on_version = [](const HostId&, uint64_t) {}}),
+              .on_version =
+                  [this](const HostId& host, uint64_t version) {
+                    this->control.OnPeerVersion(host, version);
+                  }}),
+      control(runtime,
+              {.settings = this->settings,
+               .initial_configuration = this->options.initial_configuration,
+               .links = this->links,
+               .view = this->view,
+               .keeper = this->keeper,
+               .fill_status =
+                   [this](StatusReport& report) { this->FillStatus(report); }}),
       coordinator(runtime,
                   {.host = this->settings.name,
                    .own_zone = this->settings.zone,
@@ -181,6 +210,43 @@
   });
 }
 
+HostId Host::State::HolderOf(const TargetId& target) const {
+  if (this->targets.IsHeld(target)) {
+    return this->settings.name;
+  }
+  return this->holders.HolderOf(target, Runtime::Now()).value_or(HostId());
+}
+
+bool Host::State::HolderAnswers(const TargetId& target, TimePoint now) {
+  const HostId holder = this->HolderOf(target);
+  if (holder == this->settings.name) {
+    return true;
+  }
+  const PeerClient* peer = this->links.Find(holder);
+  return peer != nullptr && this->view.IsAlive(holder, now) &&
+         peer->unanswered_for(now) < kSlowHolder;
+}
+
+// Failure: a host freezes or is cut off, and until its leases have passed on,
+// every query waits in vain for the targets that it holds: answers came with a
+// tenth or two of the index missing for seconds. A target whose holder doesn't
+// answer is left aside while its service has another one.
+std::vector<TargetCandidate> Host::State::Candidates(const FrontId& front,
+                                                     const ServiceId& service) {
+  const TimePoint now = Runtime::Now();
+  std::vector<TargetCandidate> candidates =
+      this->directory.Candidates(front, service, now);
+  const auto reachable = [&](const TargetCandidate& candidate) {
+    return candidate.usable && this->HolderAnswers(candidate.target, now);
+  };
+  if (std::ranges::any_of(candidates, reachable)) {
+    for (TargetCandidate& candidate : candidates) {
+      candidate.usable = reachable(candidate);
+    }
+  }
+  return candidates;
+}
+
 std::shared_ptr<const FrontConfig> Host::State::FindFront(
     const FrontId& name) const {
   const auto& current = this->keeper.current();
@@ -197,6 +263,15 @@
   if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
     return std::move(*answer);
   }
+  if (!this->is_started) {
+    return ProblemResponse({.status = 503,
+                            .title = "Starting",
+                            .detail = "this host doesn't know yet what is in "
+                                      "force",
+                            .outcome = RunOutcome::kNotRun,
+                            .retry_after = kStartWait},
+                           EchoedRequestId(http));
+  }
   const auto request =
       ReadCallerRequest(http, this->keeper.current(), exchange.received,
                         [] { return "r-" + std::to_string(RandomNumber()); });
@@ -237,7 +312,34 @@
   if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
     return std::move(*answer);
   }
-  return ProblemResponse(BadRequest(404, "Not found", "no such path"), "");
+  return this->control.Handle(http);
+}
+
+void Host::State::FillStatus(StatusReport& report) const {
+  const TimePoint now = Runtime::Now();
+  report.hosts = this->view.Statuses(now);
+  report.hosts.push_back({.host = this->settings.name,
+                          .zone = this->settings.zone,
+                          .alive = true,
+                          .leaving = this->is_stopping,
+                          .can_hold = this->leases.CanHold(now),
+                          .incarnation = this->incarnation,
+                          .configuration_version = this->keeper.version(),
+                          .silent_for = Duration::zero()});
+  report.zones = this->keeper.current()->zones;
+  for (const ZoneConfig& zone : report.zones) {
+    for (const TargetReport& target :
+         this->directory.LiveTargets(zone.name, now)) {
+      const HostId holder = this->HolderOf(target.target);
+      report.targets.push_back({.target = target.target,
+                                .front = target.front,
+                                .service = target.service,
+                                .zone = target.zone,
+                                .state = target.state,
+                                .holder = holder,
+                                .in_flight = target.in_flight});
+    }
+  }
 }
 
 void Host::State::FillHeartbeat(Heartbeat& beat) const {
@@ -272,12 +374,8 @@
     self.targets.OnConfiguration(self.keeper.current());
     self.coordinator.OnConfiguration(configuration);
   });
-  if (!self.options.initial_configuration.empty()) {
-    if (auto offered = self.keeper.Offer(0, self.options.initial_configuration,
-                                         Runtime::Now());
-        !offered) {
-      return offered;
-    }
+  if (auto opened = self.control.Open(); !opened) {
+    return opened;
   }
   ServeAttempts(self.links, self.targets);
   self.lookups.Start();
@@ -286,7 +384,11 @@
   if (auto started = self.StartServers(); !started) {
     return started;
   }
-  self.is_started = true;
+  // Not ready before it knows what is in force; the balancer waits for that.
+  self.runtime.Spawn([&self] {
+    self.control.CatchUp();
+    self.is_started = true;
+  });
   return {};
 }
 
@@ -302,7 +404,7 @@
   self.caller_server.Stop(deadline);
   // Other hosts' attempts run through this one until the leases are handed
   // over; what runs then has its answer first.
-  self.leases.Leave(deadline);
+  self.leases.Leave(std::min(deadline, Runtime::Now() + kHandoverTime));
   while (self.links.running_calls() > 0 && Runtime::Now() < deadline) {
     Runtime::SleepFor(kReportWait);
   }
