--- a/knapweedroad/host/target_exchange.cc
+++ b/knapweedroad/host/target_exchange.cc
@@ -68,6 +68,9 @@
                             .retry_after_ns = ReadRetryAfter(response.headers),
                             .status = response.status},
                   .result = {.status = AttemptStatus::kError}};
+  if (response.status == kGatewayTimeout) {
+    end.reply.end = AttemptEnd::kTimeout;
+  }
   if (outcome != RunOutcome::kNotRun) {
     return end;
   }
@@ -76,8 +79,6 @@
     end.result.status = AttemptStatus::kShed;
   } else if (response.status == kConflict) {
     end.reply.end = AttemptEnd::kNoSnapshot;
-  } else if (response.status == kGatewayTimeout) {
-    end.reply.end = AttemptEnd::kTimeout;
   }
   return end;
 }
@@ -140,6 +141,8 @@
                                                      : RunOutcome::kNotRun}};
   if (error.kind == NetErrorKind::kTimeout) {
     end.reply.end = AttemptEnd::kTimeout;
+  } else if (error.kind == NetErrorKind::kCancelled) {
+    end.reply.end = AttemptEnd::kNotHolder;
   }
   if (!error.written) {
     end.result.status = error.kind == NetErrorKind::kConnect
@@ -153,11 +156,9 @@
   return end;
 }
 
-bool MayRepeat(const AttemptCall& call, const NetError& error) {
-  if (!error.reused_connection || error.kind != NetErrorKind::kClosed) {
-    return false;
-  }
-  return !error.written || call.work != AttemptWork::kLookup;
+bool MayRepeat(const NetError& error) {
+  return error.reused_connection && error.kind == NetErrorKind::kClosed &&
+         !error.written;
 }
 
 }  // namespace knapweedroad
