A change through a host that knows old members asks anew who decides

The replaced ones stay silent, the attempt lasts its 500 ms, and the next ballot has been passed again. After a silent attempt a run now queries first.

Clients of the history resend some answered changes, too, so that the check covers their first answers.

--- a/knapweedroad/control/change_run.cc
+++ b/knapweedroad/control/change_run.cc
@@ -70,6 +70,7 @@
   switch (this->phase) {
     case Phase::kPrepare:
       if (!this->TryPropose(/*wait_for_joining=*/false, now, actions)) {
+        this->query_first = true;
         this->StartBackoff(now);
       }
       break;
@@ -87,7 +88,10 @@
 }
 
 void ChangeRun::NextAttempt(TimePoint now, RunActions& actions) {
-  if (this->options.known.has_value()) {
+  // Failure: the known members may have been replaced since, and are silent.
+  // Ballots made once an attempt's time would be passed by other proposers'
+  // again and again; a query tells the members and the round of this moment.
+  if (this->options.known.has_value() && !this->query_first) {
     this->StartPrepare(now, actions);
   } else {
     this->StartQuery(now, actions);
@@ -106,6 +110,7 @@
 void ChangeRun::StartQuery(TimePoint now, RunActions& actions) {
   this->EnterPhase(Phase::kQuery, now + this->options.attempt_timeout);
   ++this->attempt;
+  this->query_first = false;
   this->asked.clear();
   this->answered.clear();
   this->blank.clear();
@@ -198,7 +203,10 @@
     return;
   }
   if (this->options.transform) {
-    this->StartPrepare(now, actions);
+    // A blank replica says nothing about the value known from before.
+    if (!reply.accepted.IsNone()) {
+      this->StartPrepare(now, actions);
+    }
     return;
   }
   // A read is answered without any promise when a quorum has accepted one and
--- a/knapweedroad/control/change_run.h
+++ b/knapweedroad/control/change_run.h
@@ -149,6 +149,8 @@
   std::set<MemberId> refused;
   // Blank replicas by host, as the query found them.
   std::map<HostId, MemberId> blank;
+  // The last attempt met silence: ask who decides before the next one.
+  bool query_first = false;
   bool forming = false;
   std::set<MemberId> accepted_by;
   std::optional<ControlValue> proposed;
--- /dev/null
+++ b/knapweedroad/control/change_run_test.cc
@@ -0,0 +1,74 @@
+#include "knapweedroad/control/change_run.h"
+
+#include <variant>
+
+#include <criterion/criterion.h>
+
+namespace knapweedroad {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kAttempt = 500ms;
+
+MemberId Member(const char* host, uint64_t incarnation) {
+  return {.host = HostId(host), .incarnation = incarnation};
+}
+
+BallotedValue ValueOf(uint64_t round, std::vector<MemberId> members) {
+  BallotedValue made{.ballot = {round, 1}};
+  made.value.members = {.epoch = round, .current = std::move(members)};
+  return made;
+}
+
+// The ballot of the prepare to that member; none if there is none.
+Ballot PreparedAt(const RunActions& actions, const MemberId& member) {
+  for (const Envelope& envelope : actions.send) {
+    const auto* request = std::get_if<PrepareRequest>(&envelope.message);
+    if (request != nullptr && request->to == member) {
+      return request->ballot;
+    }
+  }
+  return {};
+}
+
+// A host without a disk knows members from long ago; two of the three have
+// been replaced since. An operator's command through it got no answer in 10 s
+// under load: the old incarnations stayed silent until the attempt was over,
+// and by then other hosts' ballots had passed the one it tried next, again and
+// again. After a silent attempt it must ask anew who decides, at which round.
+Test(ChangeRun, AfterASilentAttemptItAsksAgainWhoDecides) {
+  const auto old = ValueOf(5, {Member("a", 1), Member("b", 1), Member("c", 1)});
+  const auto now =
+      ValueOf(90, {Member("a", 1), Member("b", 2), Member("c", 2)});
+  TimePoint time;
+  ChangeRun run(
+      {.transform = [](ControlValue&, const auto&) { return ChangeOutcome{}; },
+       .next_ballot =
+           [](uint64_t round) {
+             return Ballot{round + 1, 2};
+           },
+       .backoff = [](int) { return Duration(1ms); },
+       .deadline = time + 10s,
+       .attempt_timeout = kAttempt,
+       .known = old});
+  const Ballot tried = PreparedAt(run.Start(time), Member("a", 1));
+  run.OnPrepareReply({.from = Member("a", 1),
+                      .ballot = tried,
+                      .status = ReplyStatus::kLowerBallot,
+                      .promised = {90, 1}},
+                     time);
+  time += kAttempt;
+  run.OnWake(time);
+  time += 1ms;
+  run.OnWake(time);
+  const auto actions = run.OnPrepareReply({.from = Member("a", 1),
+                                           .promised = {300, 1},
+                                           .accepted = now.ballot,
+                                           .value = now.value},
+                                          time);
+  cr_assert(PreparedAt(actions, Member("b", 2)).round == 301);
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- a/knapweedroad/testing/configuration_history.cc
+++ b/knapweedroad/testing/configuration_history.cc
@@ -142,7 +142,9 @@
     for (int send = 0; send < this->options.sends; ++send) {
       const HistoryOperation answered = this->Change(asked);
       known = this->Note(answered, known);
-      if (answered.result != HistoryResult::kOpen) {
+      const bool is_answered = answered.result != HistoryResult::kOpen;
+      // Now and then an answered one, too: it gets its first answer again.
+      if (is_answered && this->Pick(0, 3) > 0) {
         break;
       }
     }
