--- a/knapweedroad/host/control_plane.cc
+++ b/knapweedroad/host/control_plane.cc
@@ -9,6 +9,7 @@
 #include "knapweedroad/host/change_gateway.h"
 #include "knapweedroad/host/configuration_keeper.h"
 #include "knapweedroad/host/configuration_service.h"
+#include "knapweedroad/host/control_links.h"
 #include "knapweedroad/host/control_replica.h"
 #include "knapweedroad/host/control_service.h"
 #include "knapweedroad/host/operator_api.h"
@@ -25,16 +26,6 @@
 // How often a replica reads through a quorum what is in force.
 constexpr Duration kConfirmInterval = std::chrono::seconds(1);
 
-std::vector<HostId> FirstReplicas(const HostSettings& settings) {
-  std::vector<HostId> replicas;
-  for (const PeerSettings& host : settings.hosts) {
-    if (host.control_replica) {
-      replicas.push_back(host.name);
-    }
-  }
-  return replicas;
-}
-
 }  // namespace
 
 struct ControlPlane::State : std::enable_shared_from_this<ControlPlane::State> {
@@ -98,26 +89,15 @@
 
 void ControlPlane::State::MakeService() {
   this->service = std::make_unique<ControlService>(
-      this->runtime,
-      ControlServiceOptions{
-          .self = this->options.settings.name,
-          .first_hosts = FirstReplicas(this->options.settings),
-          .replica = this->replica,
-          .call = [this](const HostId& host, const std::string& message,
-                         TimePoint deadline)
-              -> tl::expected<std::string, std::string> {
-            auto reply = this->CallPeer(host, PeerMessageType::kControl,
-                                        message, deadline);
-            if (!reply) {
-              return tl::unexpected(reply.error().detail);
-            }
-            return std::move(*reply);
-          },
-          .on_chosen =
-              [this](const ControlValue& value) {
-                this->configuration->OnControlValue(value.version,
-                                                    value.configuration);
-              }});
+      this->runtime, ControlServiceOptions{
+                         .self = this->options.settings.name,
+                         .first_hosts = FirstReplicas(this->options.settings),
+                         .replica = this->replica,
+                         .call = ControlCallOver(this->options.links),
+                         .on_chosen = [this](const ControlValue& value) {
+                           this->configuration->OnControlValue(
+                               value.version, value.configuration);
+                         }});
 }
 
 ChangeGatewayOptions ControlPlane::State::GatewayOptions() {
@@ -201,11 +181,7 @@
       return tl::unexpected(opened.error().path + ": " + opened.error().detail);
     }
     self.replica = std::move(*opened);
-    self.options.links.OnCall(
-        PeerMessageType::kControl,
-        [&self](PeerMessageType, const std::string& bytes) {
-          return self.replica->OnPeerMessage(bytes);
-        });
+    ServeControl(self.options.links, self.replica);
     LogLine("control_replica_open").Add("member", self.replica->id()).Info();
   }
   // Also without a disk: an operator may move replicas through any host.
