--- a/knapweedroad/net/http_client.cc
+++ b/knapweedroad/net/http_client.cc
@@ -86,6 +86,10 @@
   // A fiber that waits for a place in the pool.
   struct Waiter {
     FiberEvent event;
+    // What it was given: a connection, or the right to open one. Given away at
+    // once and not left to whoever comes first, as then two would use one place
+    // and the cap would be passed.
+    std::shared_ptr<Connection> connection;
     bool has_place = false;
   };
 
@@ -96,8 +100,10 @@
                                                 bool fresh,
                                                 HttpCancel* cancel);
   ConnectionPtr TakeIdle();
-  tl::expected<void, NetError> WaitForPlace(TimePoint deadline,
-                                            HttpCancel* cancel);
+  // A connection, or null for the right to open one.
+  tl::expected<ConnectionPtr, NetError> WaitForPlace(TimePoint deadline,
+                                                     HttpCancel* cancel);
+  std::shared_ptr<Waiter> TakeWaiter();
   tl::expected<ConnectionPtr, NetError> Connect(TimePoint deadline,
                                                 HttpCancel* cancel);
   tl::expected<HttpResponse, NetError> Exchange(Connection& connection,
@@ -136,9 +142,17 @@
   return nullptr;
 }
 
-tl::expected<void, NetError> HttpClient::State::WaitForPlace(
-    TimePoint deadline,
-    HttpCancel* cancel) {
+std::shared_ptr<HttpClient::State::Waiter> HttpClient::State::TakeWaiter() {
+  if (this->waiters.empty()) {
+    return nullptr;
+  }
+  std::shared_ptr<Waiter> waiter = std::move(this->waiters.front());
+  this->waiters.pop_front();
+  return waiter;
+}
+
+tl::expected<HttpClient::State::ConnectionPtr, NetError>
+HttpClient::State::WaitForPlace(TimePoint deadline, HttpCancel* cancel) {
   auto waiter = std::make_shared<Waiter>();
   this->waiters.push_back(waiter);
   asio::steady_timer timer(this->runtime.io(), deadline);
@@ -155,8 +169,8 @@
     cancel->close = nullptr;
   }
   std::erase(this->waiters, waiter);
-  if (waiter->has_place) {
-    return {};
+  if (waiter->connection != nullptr || waiter->has_place) {
+    return std::move(waiter->connection);
   }
   const bool was_cancelled = cancel != nullptr && cancel->cancelled();
   return tl::unexpected(NetError{
@@ -207,27 +221,30 @@
     this->Discard(oldest);
   }
   if (this->open >= this->options.max_connections) {
-    if (auto place = this->WaitForPlace(deadline, cancel); !place) {
+    auto place = this->WaitForPlace(deadline, cancel);
+    if (!place) {
       return tl::unexpected(place.error());
     }
-    if (!fresh) {
-      if (ConnectionPtr connection = this->TakeIdle()) {
-        return connection;
-      }
+    if (*place != nullptr && !fresh) {
+      return std::move(*place);
+    }
+    if (*place != nullptr) {
+      // Its place is kept for the new one.
+      (*place)->stream.close();
     }
+    return this->Connect(deadline, cancel);
   }
   ++this->open;
   return this->Connect(deadline, cancel);
 }
 
 void HttpClient::State::GivePlace() {
-  --this->open;
-  if (!this->waiters.empty()) {
-    auto waiter = this->waiters.front();
-    this->waiters.pop_front();
+  if (const auto waiter = this->TakeWaiter()) {
     waiter->has_place = true;
     waiter->event.Set();
+    return;
   }
+  --this->open;
 }
 
 void HttpClient::State::Discard(const ConnectionPtr& connection) {
@@ -237,13 +254,12 @@
 
 void HttpClient::State::Release(ConnectionPtr connection) {
   connection->stream.expires_never();
-  this->idle.push_back(std::move(connection));
-  if (!this->waiters.empty()) {
-    auto waiter = this->waiters.front();
-    this->waiters.pop_front();
-    waiter->has_place = true;
+  if (const auto waiter = this->TakeWaiter()) {
+    waiter->connection = std::move(connection);
     waiter->event.Set();
+    return;
   }
+  this->idle.push_back(std::move(connection));
 }
 
 tl::expected<HttpResponse, NetError> HttpClient::State::Exchange(
--- a/knapweedroad/net/http_test.cc
+++ b/knapweedroad/net/http_test.cc
@@ -130,6 +130,31 @@
   cr_assert(handled == 1);
 }
 
+// A target gets more connections than its cap: one waits for the pool's only
+// connection, it comes free, and the fiber that freed it takes it again before
+// the one that was woken for it; that one then opened another.
+Test(Http, AFreedConnectionGoesToTheOneThatWaits) {
+  Runtime runtime;
+  HttpServer server(runtime, Echo());
+  const uint16_t port = server.Start().value();
+  HttpClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port},
+                              .max_connections = 1});
+  int running = 3;
+  for (int i = 0; i < 3; ++i) {
+    runtime.Spawn([&] {
+      for (int sent = 0; sent < 20; ++sent) {
+        static_cast<void>(client.Send({}, Late()));
+      }
+      if (--running == 0) {
+        runtime.Stop();
+      }
+    });
+  }
+  runtime.Run();
+  cr_assert(server.peak_connections() == 1);
+  cr_assert(client.connections() == 1);
+}
+
 // A caller that has left goes on costing the targets: nobody tells the handler
 // that the connection is closed.
 Test(Http, AHandlerHearsOfACallerThatLeft) {
