--- a/bench/capacity/control_cost.cc
+++ b/bench/capacity/control_cost.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdint>
 #include <cstdio>
 #include <filesystem>
@@ -20,6 +21,7 @@
 constexpr int kFronts[] = {5, 20, 80};
 constexpr int kFrontsOfChangeSeries = 5;
 constexpr int kChangesOfFrontSeries = 50;
+constexpr int kRuns = 3;
 
 struct Cost {
   double change_cpu = 0;
@@ -76,11 +78,22 @@
   return cost;
 }
 
+// The least processor time of several runs; the rest is the same in each.
+Cost LeastCost(const std::string& folder, int changes, int fronts) {
+  Cost least = RunChanges(folder, changes, fronts);
+  for (int run = 1; run < kRuns; ++run) {
+    const Cost cost = RunChanges(folder, changes, fronts);
+    least.change_cpu = std::min(least.change_cpu, cost.change_cpu);
+    least.restart_cpu = std::min(least.restart_cpu, cost.restart_cpu);
+  }
+  return least;
+}
+
 }  // namespace
 
 void MeasureControl(Recorder& recorder, const std::string& folder) {
   for (const int changes : kChanges) {
-    const Cost cost = RunChanges(folder, changes, kFrontsOfChangeSeries);
+    const Cost cost = LeastCost(folder, changes, kFrontsOfChangeSeries);
     recorder.Add({"change", "cpu_us", "changes"}, changes, cost.change_cpu);
     recorder.Add({"change", "bytes", "changes"}, changes, cost.change_bytes);
     recorder.Add({"restart_after_many", "cpu_us", "changes"}, changes,
@@ -89,13 +102,13 @@
                  cost.restart_records);
   }
   for (const int changes : kFewChanges) {
-    const Cost cost = RunChanges(folder, changes, kFrontsOfChangeSeries);
+    const Cost cost = LeastCost(folder, changes, kFrontsOfChangeSeries);
     recorder.Add({"restart", "cpu_us", "changes"}, changes, cost.restart_cpu);
     recorder.Add({"restart", "records", "changes"}, changes,
                  cost.restart_records);
   }
   for (const int fronts : kFronts) {
-    const Cost cost = RunChanges(folder, kChangesOfFrontSeries, fronts);
+    const Cost cost = LeastCost(folder, kChangesOfFrontSeries, fronts);
     recorder.Add({"change", "cpu_us_each", "fronts"}, fronts,
                  cost.change_cpu / kChangesOfFrontSeries);
     recorder.Add({"change", "bytes_each", "fronts"}, fronts,
--- a/bench/capacity/network_cost.cc
+++ b/bench/capacity/network_cost.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +23,7 @@
 
 constexpr int kCalls[] = {4000, 8000, 16000};
 constexpr int kFibers = 40;
+constexpr int kRuns = 5;
 constexpr int kConnections[] = {50, 100, 200};
 
 // Splits the calls over fibers, waits for all in the calling fiber, and returns
@@ -45,6 +47,15 @@
   return CpuNow() - start;
 }
 
+// The least of several runs.
+double CostOf(Runtime& runtime, int calls, const std::function<void()>& call) {
+  double least = RunInFibers(runtime, calls, call);
+  for (int run = 1; run < kRuns; ++run) {
+    least = std::min(least, RunInFibers(runtime, calls, call));
+  }
+  return least;
+}
+
 PeerServerOptions PeerOptions(const std::string& reply) {
   return {.endpoint = {.ip = "127.0.0.1"},
           .handler = [reply](PeerMessageType, const std::string&)
@@ -65,7 +76,7 @@
   PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port}});
   for (const int calls : kCalls) {
     int failed = 0;
-    const double cpu = RunInFibers(runtime, calls, [&] {
+    const double cpu = CostOf(runtime, calls, [&] {
       failed +=
           client.Call(PeerMessageType::kAttempt, call, Runtime::Now() + 10s)
               ? 0
@@ -84,7 +95,7 @@
   const HttpRequest request = TargetRequest(SampleCall(1), 90ms);
   for (const int calls : kCalls) {
     int failed = 0;
-    const double cpu = RunInFibers(runtime, calls, [&] {
+    const double cpu = CostOf(runtime, calls, [&] {
       failed += client.Send(request, Runtime::Now() + 10s) ? 0 : 1;
     });
     recorder.Add({"target_exchange", "cpu_us", "exchanges"}, calls, cpu);
