Linter clean over the whole tree

Cause: the whole tree had not been linted at once; 14 findings, most of them test constants in lower case. Change: renamed, one reserve, one reference. No test's check changed. tools/lint over the changed files prints nothing.

--- a/knapweedroad/admission/lease_grantor_test.cc
+++ b/knapweedroad/admission/lease_grantor_test.cc
@@ -9,8 +9,8 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{seconds(1000)};
-const HostId host_a("a");
-const HostId host_b("b");
+const HostId kHostA("a");
+const HostId kHostB("b");
 
 LeaseRequest Ask(const HostId& holder,
                  uint64_t sequence,
@@ -37,27 +37,27 @@
 
 Test(LeaseGrantor, GrantsToOneHolderAtATime) {
   LeaseGrantor grantor = Settled();
-  cr_assert(Only(grantor.OnRequest(Ask(host_a, 1), kStart)).granted);
+  cr_assert(Only(grantor.OnRequest(Ask(kHostA, 1), kStart)).granted);
   const TimePoint later = kStart + milliseconds(1999);
-  cr_assert(!Only(grantor.OnRequest(Ask(host_b, 1), later)).granted);
+  cr_assert(!Only(grantor.OnRequest(Ask(kHostB, 1), later)).granted);
 }
 
 // A holder dies. The next one is granted the target as the lease runs out, but
 // the target is still at what the dead holder sent in its last moment.
 Test(LeaseGrantor, AfterAnExpiryTheNextWaitsForUnfinishedWork) {
   LeaseGrantor grantor = Settled();
-  grantor.OnRequest(Ask(host_a, 1), kStart);
+  grantor.OnRequest(Ask(kHostA, 1), kStart);
   const LeaseGrant grant =
-      Only(grantor.OnRequest(Ask(host_b, 1), kStart + seconds(2)));
+      Only(grantor.OnRequest(Ask(kHostB, 1), kStart + seconds(2)));
   cr_assert(grant.granted);
   cr_assert(grant.wait >= seconds(3));
 }
 
 Test(LeaseGrantor, AfterACleanReleaseTheNextNeedNotWait) {
   LeaseGrantor grantor = Settled();
-  grantor.OnRequest(Ask(host_a, 1), kStart);
-  grantor.OnRequest(Ask(host_a, 2, true), kStart);
-  const LeaseGrant grant = Only(grantor.OnRequest(Ask(host_b, 1), kStart));
+  grantor.OnRequest(Ask(kHostA, 1), kStart);
+  grantor.OnRequest(Ask(kHostA, 2, true), kStart);
+  const LeaseGrant grant = Only(grantor.OnRequest(Ask(kHostB, 1), kStart));
   cr_assert(grant.granted);
   cr_assert(grant.wait == Duration::zero());
 }
@@ -66,9 +66,9 @@
 // C must still wait for A's work: B speaks for its own only.
 Test(LeaseGrantor, AReleaseDoesNotForgetWorkOfAnEarlierHolder) {
   LeaseGrantor grantor = Settled();
-  grantor.OnRequest(Ask(host_a, 1), kStart);
-  grantor.OnRequest(Ask(host_b, 1), kStart + seconds(2));
-  grantor.OnRequest(Ask(host_b, 2, true), kStart + seconds(2));
+  grantor.OnRequest(Ask(kHostA, 1), kStart);
+  grantor.OnRequest(Ask(kHostB, 1), kStart + seconds(2));
+  grantor.OnRequest(Ask(kHostB, 2, true), kStart + seconds(2));
   const LeaseGrant grant =
       Only(grantor.OnRequest(Ask(HostId("c"), 1), kStart + seconds(2)));
   cr_assert(grant.wait >= seconds(3));
@@ -79,9 +79,9 @@
 Test(LeaseGrantor, GrantsNothingForALeaseLengthAfterItsStart) {
   LeaseGrantor grantor({.self = HostId("g"), .started = kStart});
   cr_assert(
-      !Only(grantor.OnRequest(Ask(host_b, 1), kStart + seconds(2))).granted);
+      !Only(grantor.OnRequest(Ask(kHostB, 1), kStart + seconds(2))).granted);
   const LeaseGrant grant =
-      Only(grantor.OnRequest(Ask(host_b, 2), kStart + milliseconds(2011)));
+      Only(grantor.OnRequest(Ask(kHostB, 2), kStart + milliseconds(2011)));
   cr_assert(grant.granted);
   cr_assert(grant.wait >= seconds(9), "A's work may run on");
 }
@@ -90,17 +90,17 @@
 // in now: it must not free what is in use.
 Test(LeaseGrantor, ADelayedReleaseFreesNothing) {
   LeaseGrantor grantor = Settled();
-  grantor.OnRequest(Ask(host_a, 1), kStart);
-  grantor.OnRequest(Ask(host_a, 3), kStart);
-  cr_assert(!grantor.OnRequest(Ask(host_a, 2, true), kStart).has_value());
-  cr_assert(!Only(grantor.OnRequest(Ask(host_b, 1), kStart)).granted);
+  grantor.OnRequest(Ask(kHostA, 1), kStart);
+  grantor.OnRequest(Ask(kHostA, 3), kStart);
+  cr_assert(!grantor.OnRequest(Ask(kHostA, 2, true), kStart).has_value());
+  cr_assert(!Only(grantor.OnRequest(Ask(kHostB, 1), kStart)).granted);
 }
 
 Test(LeaseGrantor, ARestartedHolderWaitsForItsOwnFormerWork) {
   LeaseGrantor grantor = Settled();
-  grantor.OnRequest(Ask(host_a, 9), kStart);
+  grantor.OnRequest(Ask(kHostA, 9), kStart);
   const LeaseGrant grant = Only(
-      grantor.OnRequest(Ask(host_a, 1, false, 2), kStart + milliseconds(500)));
+      grantor.OnRequest(Ask(kHostA, 1, false, 2), kStart + milliseconds(500)));
   cr_assert(grant.granted);
   cr_assert(grant.wait >= seconds(3));
 }
--- a/knapweedroad/admission/lease_holder_test.cc
+++ b/knapweedroad/admission/lease_holder_test.cc
@@ -11,27 +11,27 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{seconds(1000)};
-const HostId host_a("a");
-const HostId host_b("b");
-const TargetId only_target("t");
+const HostId kHostA("a");
+const HostId kHostB("b");
+const TargetId kOnlyTarget("t");
 
 // The holder at host "a" of the zone {a, b} with the witness w, where every
 // request's answer is made by hand.
 struct Fixture {
-  LeaseHolder holder{{.self = host_a,
+  LeaseHolder holder{{.self = kHostA,
                       .incarnation = 7,
                       .started = kStart - seconds(60),
-                      .zone_hosts = {host_a, host_b},
-                      .electorate = {host_a, host_b, HostId("w")}}};
+                      .zone_hosts = {kHostA, kHostB},
+                      .electorate = {kHostA, kHostB, HostId("w")}}};
   TargetShare share;
 
   Fixture() {
-    const LeaseTarget target{.target = only_target, .slots = 2};
+    const LeaseTarget target{.target = kOnlyTarget, .slots = 2};
     for (const auto& message : this->Tick(kStart - milliseconds(500))) {
       this->holder.OnReply(Granting(message), kStart - milliseconds(500));
     }
     this->holder.SetTargets({&target, 1}, kStart);
-    this->holder.SetEligibleHosts({&host_a, 1}, kStart);
+    this->holder.SetEligibleHosts({&kHostA, 1}, kStart);
   }
 
   std::vector<LeaseActions::Message> Tick(TimePoint now) {
@@ -137,32 +137,32 @@
 // believed, b's part of the slots would be taken while b may use it.
 Test(LeaseHolder, AGoodbyeOfAnUnknownIncarnationIsNotBelieved) {
   Fixture fixture;
-  fixture.holder.OnPeerRequest(From(host_b, 3, true), kStart);
+  fixture.holder.OnPeerRequest(From(kHostB, 3, true), kStart);
   for (int round = 0; round < 4; ++round) {
     for (const auto& message : fixture.Tick(kStart)) {
       LeaseReply reply = Fixture::Granting(message);
       std::erase_if(reply.grants, [&](const LeaseGrant& grant) {
-        return message.to == host_b && grant.part == LeasePart::kSlots;
+        return message.to == kHostB && grant.part == LeasePart::kSlots;
       });
       fixture.holder.OnReply(reply, kStart);
     }
   }
   cr_assert_eq(fixture.share.slots, 1u);
-  fixture.holder.OnPeerRequest(From(host_b, 4, false), kStart);
-  fixture.holder.OnPeerRequest(From(host_b, 4, true), kStart);
+  fixture.holder.OnPeerRequest(From(kHostB, 4, false), kStart);
+  fixture.holder.OnPeerRequest(From(kHostB, 4, true), kStart);
   fixture.Tick(kStart);
   cr_assert_eq(fixture.share.slots, 2u);
 }
 
 Test(LeaseHolder, ARefusalOlderThanTheLastSignOfLifeSaysNothing) {
   Fixture fixture;
-  fixture.holder.OnPeerRequest(From(host_b, 4, false), kStart);
-  fixture.holder.OnPeerRefused(host_b, kStart - milliseconds(1), kStart);
+  fixture.holder.OnPeerRequest(From(kHostB, 4, false), kStart);
+  fixture.holder.OnPeerRefused(kHostB, kStart - milliseconds(1), kStart);
   // Long after the longest work, in touch with a majority without b.
   for (int ms = 0; ms <= 13000; ms += 100) {
     const TimePoint now = kStart + milliseconds(ms);
     for (const auto& message : fixture.Tick(now)) {
-      if (message.to != host_b) {
+      if (message.to != kHostB) {
         fixture.holder.OnReply(Fixture::Granting(message), now);
       }
     }
@@ -180,7 +180,7 @@
       LeaseReply reply = Fixture::Granting(message);
       for (LeaseGrant& grant : reply.grants) {
         const bool lent =
-            message.to == host_b && grant.part == LeasePart::kSlots;
+            message.to == kHostB && grant.part == LeasePart::kSlots;
         grant.wait = lent ? seconds(1) : seconds(0);
       }
       fixture.holder.OnReply(reply, kStart);
@@ -199,7 +199,7 @@
   for (int ms = 0; ms <= 12000; ms += 100) {
     const TimePoint now = kStart + milliseconds(ms);
     for (const auto& message : fixture.Tick(now)) {
-      if (message.to == host_a) {
+      if (message.to == kHostA) {
         fixture.holder.OnReply(Fixture::Granting(message), now);
       }
     }
@@ -221,7 +221,7 @@
     const TimePoint now = kStart + milliseconds(ms);
     wanted = ms > 12000;
     for (const auto& message : fixture.Tick(now)) {
-      if (message.to != host_a) {
+      if (message.to != kHostA) {
         continue;
       }
       for (const LeaseAsk& ask : message.request.asks) {
@@ -235,7 +235,7 @@
     }
     cr_assert(ms != 12000 || fixture.share.slots == 1);
     if (fixture.share.slots == 0) {
-      fixture.holder.OnDrained(only_target);
+      fixture.holder.OnDrained(kOnlyTarget);
     }
   }
   cr_assert(released);
@@ -250,7 +250,7 @@
   const auto renewals = fixture.Tick(kStart + milliseconds(200));
   cr_assert(!renewals.empty());
   cr_assert(!renewals.front().request.asks.front().release);
-  fixture.holder.OnDrained(only_target);
+  fixture.holder.OnDrained(kOnlyTarget);
   const auto releases = fixture.Tick(kStart + milliseconds(200));
   cr_assert(releases.front().request.asks.front().release);
 }
--- a/knapweedroad/admission/zone_leases_test.cc
+++ b/knapweedroad/admission/zone_leases_test.cc
@@ -18,9 +18,9 @@
 using std::chrono::seconds;
 
 constexpr Duration kStep = milliseconds(5);
-const TargetId only_target("t");
+const TargetId kOnlyTarget("t");
 // Work that outlives a lease, and clocks that run apart as far as they may.
-const LeaseTiming short_timing{.length = milliseconds(200),
+const LeaseTiming kShortTiming{.length = milliseconds(200),
                                .max_work_time = milliseconds(350),
                                .clock_error_divisor = 10};
 constexpr double kClockError = 0.02;
@@ -62,12 +62,12 @@
                             .hosts = this->peers,
                             .incarnation = host.incarnation,
                             .started = now,
-                            .timing = short_timing,
+                            .timing = kShortTiming,
                             .retry_interval = milliseconds(10),
                             .handover_delay = milliseconds(100)});
     if (this->peers[i].zone == ZoneId("near")) {
-      const LeaseTarget target{only_target, this->slots,
-                               short_timing.max_work_time};
+      const LeaseTarget target{kOnlyTarget, this->slots,
+                               kShortTiming.max_work_time};
       host.leases->SetTargets({&target, 1}, now);
     }
   }
@@ -146,7 +146,7 @@
 
   std::size_t RankHost(std::size_t rank) {
     const auto order =
-        RendezvousOrder(only_target, HostsOfZone(ZoneId("near"), this->peers));
+        RendezvousOrder(kOnlyTarget, HostsOfZone(ZoneId("near"), this->peers));
     return static_cast<std::size_t>(order.at(rank).str().at(1) - '0');
   }
   uint32_t SlotsAt(std::size_t i) { return this->hosts[i].share.slots; }
@@ -261,7 +261,7 @@
     this->Deliver(i, host, now);
     this->See(i, host, now);
     if (host.share.slots == 0 && this->InFlight(i) == 0) {
-      host.leases->OnDrained(only_target);
+      host.leases->OnDrained(kOnlyTarget);
     }
     this->Do(i, host.leases->Tick(now));
     const bool may_send = now < host.share.valid_until &&
--- a/knapweedroad/cli/dev_command.cc
+++ b/knapweedroad/cli/dev_command.cc
@@ -25,6 +25,7 @@
 std::vector<Endpoint> TargetAddresses(
     const std::vector<HostSettings>& settings) {
   std::vector<Endpoint> addresses;
+  addresses.reserve(settings.size());
   for (const HostSettings& each : settings) {
     addresses.push_back(each.target_address);
   }
--- a/knapweedroad/cli/operator_call.cc
+++ b/knapweedroad/cli/operator_call.cc
@@ -37,7 +37,7 @@
     return given;
   }
   std::random_device device;
-  const std::string made =
+  std::string made =
       "c-" + std::to_string((uint64_t{device()} << 32) | device());
   std::cout << "request id: " << made << "\n";
   return made;
--- a/knapweedroad/host/target_link.cc
+++ b/knapweedroad/host/target_link.cc
@@ -52,7 +52,7 @@
 }  // namespace
 
 struct TargetLink::State : std::enable_shared_from_this<TargetLink::State> {
-  State(Runtime& runtime, TargetLinkOptions options)
+  State(Runtime& runtime, const TargetLinkOptions& options)
       : runtime(runtime),
         options(options),
         admission(options.admission),
@@ -163,8 +163,8 @@
   return std::move(end.reply);
 }
 
-TargetLink::TargetLink(Runtime& runtime, TargetLinkOptions options)
-    : state(std::make_shared<State>(runtime, std::move(options))) {
+TargetLink::TargetLink(Runtime& runtime, const TargetLinkOptions& options)
+    : state(std::make_shared<State>(runtime, options)) {
   runtime.Spawn([state = this->state] { state->TimerLoop(); });
 }
 
--- a/knapweedroad/host/target_link.h
+++ b/knapweedroad/host/target_link.h
@@ -30,7 +30,7 @@
 
 class TargetLink {
  public:
-  TargetLink(Runtime& runtime, TargetLinkOptions options);
+  TargetLink(Runtime& runtime, const TargetLinkOptions& options);
   // What runs goes on to its end; nothing new starts.
   ~TargetLink();
 
--- a/knapweedroad/membership/holder_directory_test.cc
+++ b/knapweedroad/membership/holder_directory_test.cc
@@ -11,11 +11,11 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{seconds(100)};
-const TargetId target_t("t");
+const TargetId kTarget("t");
 
 Heartbeat Claim(const char* host, Duration held_for, bool isolated = false) {
   Heartbeat heartbeat{.host = HostId(host)};
-  heartbeat.held = {{.target = target_t,
+  heartbeat.held = {{.target = kTarget,
                      .slots = 2,
                      .isolated = isolated,
                      .held_for = held_for}};
@@ -29,28 +29,28 @@
   HolderDirectory directory({});
   directory.OnHeartbeat(Claim("b-new", milliseconds(10)), kStart);
   directory.OnHeartbeat(Claim("a-old", seconds(60)), kStart);
-  cr_assert(directory.HolderOf(target_t, kStart) == HostId("b-new"));
+  cr_assert(directory.HolderOf(kTarget, kStart) == HostId("b-new"));
 }
 
 Test(HolderDirectory, WhatAHostNoLongerNamesIsNotItsOwn) {
   HolderDirectory directory({});
   directory.OnHeartbeat(Claim("a", seconds(1)), kStart);
   directory.OnHeartbeat({.host = HostId("a")}, kStart);
-  cr_assert(!directory.HolderOf(target_t, kStart).has_value());
+  cr_assert(!directory.HolderOf(kTarget, kStart).has_value());
 }
 
 Test(HolderDirectory, AClaimThatIsNotRepeatedEnds) {
   HolderDirectory directory({});
   directory.OnHeartbeat(Claim("a", seconds(1)), kStart);
-  cr_assert(directory.HolderOf(target_t, kStart + seconds(1)).has_value());
-  cr_assert(!directory.HolderOf(target_t, kStart + seconds(2)).has_value());
+  cr_assert(directory.HolderOf(kTarget, kStart + seconds(1)).has_value());
+  cr_assert(!directory.HolderOf(kTarget, kStart + seconds(2)).has_value());
 }
 
 Test(HolderDirectory, AMajoritysHolderGoesBeforeAnIsolatedOne) {
   HolderDirectory directory({});
   directory.OnHeartbeat(Claim("alone", milliseconds(1), true), kStart);
   directory.OnHeartbeat(Claim("holder", seconds(9)), kStart);
-  cr_assert(directory.HolderOf(target_t, kStart) == HostId("holder"));
+  cr_assert(directory.HolderOf(kTarget, kStart) == HostId("holder"));
 }
 
 }  // namespace
--- a/knapweedroad/membership/host_view_test.cc
+++ b/knapweedroad/membership/host_view_test.cc
@@ -11,18 +11,18 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{seconds(100)};
-const HostId host_b("b");
+const HostId kHostB("b");
 
 HostView ViewOfTwo() {
   std::vector<PeerSettings> hosts(2);
   hosts[0].name = HostId("a");
-  hosts[1].name = host_b;
+  hosts[1].name = kHostB;
   hosts[1].zone = ZoneId("z");
   return HostView({.self = HostId("a"), .hosts = hosts});
 }
 
 Heartbeat Beat(uint64_t incarnation, uint64_t sequence) {
-  return {.host = host_b,
+  return {.host = kHostB,
           .incarnation = incarnation,
           .sequence = sequence,
           .configuration_version = sequence,
@@ -31,10 +31,10 @@
 
 Test(HostView, AHostIsDeadUntilHeardAndAfterASecondOfSilence) {
   HostView view = ViewOfTwo();
-  cr_assert(!view.IsAlive(host_b, kStart));
+  cr_assert(!view.IsAlive(kHostB, kStart));
   cr_assert(view.OnHeartbeat(Beat(1, 1), kStart));
-  cr_assert(view.IsAlive(host_b, kStart + milliseconds(999)));
-  cr_assert(!view.IsAlive(host_b, kStart + seconds(1)));
+  cr_assert(view.IsAlive(kHostB, kStart + milliseconds(999)));
+  cr_assert(!view.IsAlive(kHostB, kStart + seconds(1)));
 }
 
 // A firewall forgets the UDP flow between two hosts, or a TCP connection goes
@@ -42,8 +42,8 @@
 Test(HostView, AnythingHeardOnAnyChannelIsALifeSign) {
   HostView view = ViewOfTwo();
   view.OnHeartbeat(Beat(1, 1), kStart);
-  view.OnHeard(host_b, kStart + milliseconds(900));
-  cr_assert(view.IsAlive(host_b, kStart + milliseconds(1500)));
+  view.OnHeard(kHostB, kStart + milliseconds(900));
+  cr_assert(view.IsAlive(kHostB, kStart + milliseconds(1500)));
 }
 
 Test(HostView, AnOlderHeartbeatChangesNothing) {
@@ -68,11 +68,11 @@
 Test(HostView, AGoodbyeHoldsUntilALaterIncarnation) {
   HostView view = ViewOfTwo();
   view.OnHeartbeat(Beat(1, 1), kStart);
-  view.OnGoodbye(host_b, 1);
+  view.OnGoodbye(kHostB, 1);
   view.OnHeartbeat(Beat(1, 2), kStart);
-  cr_assert(!view.IsAlive(host_b, kStart));
+  cr_assert(!view.IsAlive(kHostB, kStart));
   view.OnHeartbeat(Beat(2, 1), kStart);
-  cr_assert(view.IsAlive(host_b, kStart));
+  cr_assert(view.IsAlive(kHostB, kStart));
 }
 
 Test(HostView, OnlyHostsThatCanHoldAreCandidates) {
--- a/knapweedroad/membership/target_directory_test.cc
+++ b/knapweedroad/membership/target_directory_test.cc
@@ -9,15 +9,15 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{seconds(1000)};
-const FrontId front_f("f");
-const ServiceId service_s("s");
+const FrontId kFront("f");
+const ServiceId kService("s");
 
 TargetReport Report(uint64_t incarnation,
                     uint64_t sequence,
                     TargetState state = TargetState::kReady) {
   return {.target = TargetId("t"),
-          .front = front_f,
-          .service = service_s,
+          .front = kFront,
+          .service = kService,
           .zone = ZoneId("z"),
           .incarnation = incarnation,
           .sequence = sequence,
@@ -25,7 +25,7 @@
 }
 
 bool Usable(const TargetDirectory& directory, TimePoint now) {
-  return directory.Candidates(front_f, service_s, now).at(0).usable;
+  return directory.Candidates(kFront, kService, now).at(0).usable;
 }
 
 Test(TargetDirectory, AnOlderReportNeverReplacesANewer) {
