--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -338,7 +338,8 @@
                                 .zone = target.zone,
                                 .state = target.state,
                                 .holder = holder,
-                                .in_flight = target.in_flight});
+                                .in_flight = target.in_flight,
+                                .limit = this->targets.Limit(target.target)});
     }
   }
 }
--- a/knapweedroad/host/target_table.cc
+++ b/knapweedroad/host/target_table.cc
@@ -128,6 +128,13 @@
          Runtime::Now() < found->second.share.valid_until;
 }
 
+uint32_t TargetTable::Limit(const TargetId& target) const {
+  if (!this->IsHeld(target)) {
+    return 0;
+  }
+  return this->entries.at(target).link->admission().limit(Runtime::Now());
+}
+
 TargetLink* TargetTable::FindHeld(const TargetId& target) {
   return this->IsHeld(target) ? this->Find(target) : nullptr;
 }
--- a/knapweedroad/host/target_table.h
+++ b/knapweedroad/host/target_table.h
@@ -48,6 +48,8 @@
   // The link of a target whose lease this host may use now, or null.
   TargetLink* FindHeld(const TargetId& target);
   bool IsHeld(const TargetId& target) const;
+  // What may run at once at a target that is held here; zero for others.
+  uint32_t Limit(const TargetId& target) const;
   TargetLink* Find(const TargetId& target);
 
   // All targets of the own zone, for the leases.
