Metrics count admission's and leases' decisions

Cause: the counters by kind of decision existed and nothing fed them. Change: each scrape sums what the links and leases of this host decided.

--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -72,6 +73,7 @@
   std::vector<TargetCandidate> Candidates(const FrontId& front,
                                           const ServiceId& service);
   bool IsReady() const { return this->is_started && !this->is_stopping; }
+  std::optional<HttpResponse> AnswerPlatformRequest(const HttpRequest& http);
   HttpResponse HandleCaller(const HttpRequest& http, HttpExchange& exchange);
   HttpResponse HandleTarget(const HttpRequest& http);
   HttpResponse HandleOperator(const HttpRequest& http);
@@ -259,9 +261,32 @@
   return nullptr;
 }
 
+std::optional<HttpResponse> Host::State::AnswerPlatformRequest(
+    const HttpRequest& http) {
+  if (http.path == "/metrics") {
+    const DecisionCounts counts = this->targets.Decisions();
+    this->metrics.SetDecisions("attempt_started", counts.attempts_started);
+    this->metrics.SetDecisions("shed_by_target", counts.sheds);
+    this->metrics.SetDecisions("connection_lost", counts.lost_connections);
+    this->metrics.SetDecisions("fell_to_cold", counts.falls_to_cold);
+    this->metrics.SetDecisions("lease_changed", counts.lease_changes);
+    for (size_t kind = 0; kind < kRefusalKinds; ++kind) {
+      const auto word = ToString(static_cast<RefusalKind>(kind));
+      this->metrics.SetDecisions("refused_" + std::string(word),
+                                 counts.refused[kind]);
+    }
+    this->metrics.SetGauge(
+        "targets_held",
+        static_cast<double>(this->leases.Held(Runtime::Now()).size()));
+    this->metrics.SetGauge("configuration_version",
+                           static_cast<double>(this->keeper.version()));
+  }
+  return AnswerPlatform(http, this->IsReady(), this->metrics);
+}
+
 HttpResponse Host::State::HandleCaller(const HttpRequest& http,
                                        HttpExchange& exchange) {
-  if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
+  if (auto answer = this->AnswerPlatformRequest(http)) {
     return std::move(*answer);
   }
   if (!this->is_started) {
@@ -310,7 +335,7 @@
 }
 
 HttpResponse Host::State::HandleOperator(const HttpRequest& http) {
-  if (auto answer = AnswerPlatform(http, this->IsReady(), this->metrics)) {
+  if (auto answer = this->AnswerPlatformRequest(http)) {
     return std::move(*answer);
   }
   return this->control.Handle(http);
--- a/knapweedroad/host/target_table.cc
+++ b/knapweedroad/host/target_table.cc
@@ -103,6 +103,7 @@
   const auto found = this->entries.find(target);
   if (found != this->entries.end()) {
     if (found->second.share.slots != share.slots) {
+      ++this->lease_changes;
       LogLine("lease_share")
           .Add("target", target)
           .Add("slots", share.slots)
@@ -150,6 +151,22 @@
   return targets;
 }
 
+DecisionCounts TargetTable::Decisions() const {
+  DecisionCounts sums{.lease_changes = this->lease_changes};
+  for (const auto& [target, entry] : this->entries) {
+    const TargetAdmission::Counters& counted =
+        entry.link->admission().counters();
+    sums.attempts_started += counted.started;
+    sums.sheds += counted.sheds;
+    sums.lost_connections += counted.lost_connections;
+    sums.falls_to_cold += counted.falls_to_cold;
+    for (size_t kind = 0; kind < kRefusalKinds; ++kind) {
+      sums.refused[kind] += counted.refused[kind];
+    }
+  }
+  return sums;
+}
+
 std::vector<HeldTarget> TargetTable::Held(TimePoint now, bool isolated) const {
   std::vector<HeldTarget> held;
   for (const auto& [target, entry] : this->entries) {
--- a/knapweedroad/host/target_table.h
+++ b/knapweedroad/host/target_table.h
@@ -9,6 +9,8 @@
 #ifndef KNAPWEEDROAD_HOST_TARGET_TABLE_H_
 #define KNAPWEEDROAD_HOST_TARGET_TABLE_H_
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +34,17 @@
 // so it bounds how fast a whole deployment starts.
 inline constexpr Duration kMaxWorkTime = std::chrono::seconds(3);
 
+// What admission decided for the targets of the own zone, and what leases did.
+struct DecisionCounts {
+  uint64_t attempts_started = 0;
+  uint64_t sheds = 0;
+  uint64_t lost_connections = 0;
+  uint64_t falls_to_cold = 0;
+  uint64_t lease_changes = 0;
+  // By `RefusalKind`.
+  std::array<uint64_t, kRefusalKinds> refused{};
+};
+
 class TargetTable {
  public:
   TargetTable(Runtime& runtime, ZoneId own_zone);
@@ -61,6 +74,9 @@
   // What this host may use now, for heartbeats.
   std::vector<HeldTarget> Held(TimePoint now, bool isolated) const;
 
+  // Sums over all links since the start of the process.
+  DecisionCounts Decisions() const;
+
   // The longest deadline of the configuration's fronts.
   Duration MaxDeadline() const;
 
@@ -82,6 +98,7 @@
   ZoneId own_zone;
   std::shared_ptr<const DeploymentConfig> configuration;
   std::map<TargetId, Entry> entries;
+  uint64_t lease_changes = 0;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/metrics/host_metrics.cc
+++ b/knapweedroad/metrics/host_metrics.cc
@@ -96,8 +96,13 @@
   count("wrong_snapshot", stats.wrong_snapshots);
 }
 
-void HostMetrics::CountDecision(std::string_view kind, double times) {
-  this->state->decisions.Add({{"kind", std::string(kind)}}).Increment(times);
+void HostMetrics::SetDecisions(std::string_view kind, uint64_t times) {
+  prometheus::Counter& counter =
+      this->state->decisions.Add({{"kind", std::string(kind)}});
+  const double more = static_cast<double>(times) - counter.Value();
+  if (more > 0) {
+    counter.Increment(more);
+  }
 }
 
 void HostMetrics::SetGauge(std::string_view name, double value) {
--- a/knapweedroad/metrics/host_metrics.h
+++ b/knapweedroad/metrics/host_metrics.h
@@ -10,6 +10,7 @@
 #ifndef KNAPWEEDROAD_METRICS_HOST_METRICS_H_
 #define KNAPWEEDROAD_METRICS_HOST_METRICS_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -37,8 +38,9 @@
                        double coverage);
   // First tries, hedges, retries and restarts of one request.
   void CountAttempts(const FrontId& front, const QueryRunStats& stats);
-  // One decision of a kind, such as "lease_taken" or "refused_overloaded".
-  void CountDecision(std::string_view kind, double times = 1);
+  // How many decisions of a kind, such as "lease_changed" or
+  // "refused_overloaded", there have been since the start; never falls.
+  void SetDecisions(std::string_view kind, uint64_t times);
   // A value that goes up and down, such as "targets_held".
   void SetGauge(std::string_view name, double value);
 
