A request can be followed by its id on the host that holds the target, too

Cause: only the coordinator traced attempts, and without the request's id. Change: both ends log it with --v=1; nothing is built where that is off.

--- a/knapweedroad/base/log_line.cc
+++ b/knapweedroad/base/log_line.cc
@@ -51,6 +51,10 @@
   VLOG(1) << this->line;
 }
 
+bool LogLine::TraceIsOn() {
+  return VLOG_IS_ON(1);
+}
+
 void LogLine::Info() const {
   LOG(INFO) << this->line;
 }
--- a/knapweedroad/base/log_line.h
+++ b/knapweedroad/base/log_line.h
@@ -27,12 +27,15 @@
     return this->Add(key, std::string_view(text.view()));
   }
 
-  // Write the line at that level; Trace() only with --v=1.
+  // Write the line at that level; Trace() only with --v=1. Ask TraceIsOn()
+  // before making a line that is only traced, where it would cost too much.
   void Trace() const;
   void Info() const;
   void Warning() const;
   void Error() const;
 
+  static bool TraceIsOn();
+
   // The line as it would be written.
   const std::string& str() const { return this->line; }
 
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -187,13 +187,18 @@
   }
 
   void Attempt(const SendAttempt& send) {
-    AttemptReply reply = this->router.Run(this->make_call(send), send.deadline);
-    LogLine("attempt_ended")
-        .Add("attempt", send.attempt)
-        .Add("target", send.target)
-        .Add("end", static_cast<int>(reply.end))
-        .Add("outcome", ToString(reply.outcome))
-        .Trace();
+    AttemptCall call = this->make_call(send);
+    const std::string request_id = call.request_id;
+    AttemptReply reply = this->router.Run(std::move(call), send.deadline);
+    if (LogLine::TraceIsOn()) {
+      LogLine("attempt_ended")
+          .Add("request_id", request_id)
+          .Add("attempt", send.attempt)
+          .Add("target", send.target)
+          .Add("end", static_cast<int>(reply.end))
+          .Add("outcome", ToString(reply.outcome))
+          .Trace();
+    }
     auto read = this->read_reply(std::move(reply));
     const TimePoint now = Runtime::Now();
     if (read) {
--- a/knapweedroad/host/target_link.cc
+++ b/knapweedroad/host/target_link.cc
@@ -158,6 +158,15 @@
     // The connections that idle beside it may be as silent.
     this->client.DropIdle();
   }
+  if (LogLine::TraceIsOn()) {
+    LogLine("attempt_at_target")
+        .Add("request_id", call.request_id)
+        .Add("attempt", call.attempt)
+        .Add("target", call.target)
+        .Add("status", end.reply.status)
+        .Add("outcome", ToString(end.reply.outcome))
+        .Trace();
+  }
   this->Perform(
       this->admission.OnFinished(call.attempt.str(), end.result, now));
   return std::move(end.reply);
