A late answer no longer touches a front's state that was dropped

Cause: found by reading: a straggler's answer is counted in its front's latencies after the query has ended; where a new configuration had replaced the front's state meanwhile, the run wrote to freed memory. Not caused by a test. Change: each run holds the state.

--- a/knapweedroad/host/caller_request.cc
+++ b/knapweedroad/host/caller_request.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "knapweedroad/host/problem.h"
+#include "knapweedroad/host/protocol_name.h"
 
 namespace knapweedroad {
 namespace {
@@ -17,15 +18,6 @@
 constexpr std::string_view kRecordsPrefix = "records/";
 constexpr std::string_view kLookupSuffix = "/lookup";
 constexpr std::string_view kDefaultClass = "normal";
-constexpr size_t kMaxNameLength = 64;
-
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                  (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
-         });
-}
 
 bool ConsumePrefix(std::string_view& text, std::string_view prefix) {
   if (!text.starts_with(prefix)) {
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -40,6 +40,10 @@
   FrontGate gate;
 };
 
+// Held by every run of the front: an answer that comes late is still counted in
+// the front's latencies, after a new configuration has dropped them here.
+using FrontPtr = std::shared_ptr<FrontRuntime>;
+
 struct Coordinator::State : std::enable_shared_from_this<Coordinator::State> {
   State(Runtime& runtime, CoordinatorOptions options)
       : runtime(runtime),
@@ -50,12 +54,16 @@
   QueryHooks HooksFor(const CallerRequest& request);
   AttemptCall CallFor(const CallerRequest& request, const SendAttempt& send);
   HttpResponse AnswerQuery(const CallerRequest& request,
-                           FrontRuntime& front,
+                           const FrontPtr& front,
                            HttpExchange& exchange);
   HttpResponse AnswerRecord(const CallerRequest& request,
-                            FrontRuntime& front,
+                            const FrontPtr& front,
                             HttpExchange& exchange);
   HttpResponse AnswerLookup(const CallerRequest& request);
+  void CountEnd(const CallerRequest& request,
+                FrontRuntime& front,
+                const QueryRunStats& stats,
+                bool abandoned);
 
   Runtime& runtime;
   CoordinatorOptions options;
@@ -221,6 +229,20 @@
 
 }  // namespace
 
+void Coordinator::State::CountEnd(const CallerRequest& request,
+                                  FrontRuntime& front,
+                                  const QueryRunStats& stats,
+                                  bool abandoned) {
+  this->options.metrics.CountAttempts(request.front->name, stats);
+  front.gate.Finish({.tenant = request.tenant,
+                     .class_name = request.request_class,
+                     .start = request.start,
+                     .deadline = request.deadline,
+                     .sub_refused = stats.refused,
+                     .abandoned = abandoned},
+                    Runtime::Now());
+}
+
 namespace {
 
 void LogPartial(const CallerRequest& request, const QueryAnswer& answer) {
@@ -239,14 +261,13 @@
 }  // namespace
 
 HttpResponse Coordinator::State::AnswerQuery(const CallerRequest& request,
-                                             FrontRuntime& front,
+                                             const FrontPtr& front,
                                              HttpExchange& exchange) {
   using Live = LiveRun<QueryRun, SubReply>;
   auto live = std::make_shared<Live>(
       this->runtime, this->options.router,
-      [self = this->shared_from_this(), request](const SendAttempt& send) {
-        return self->CallFor(request, send);
-      },
+      [self = this->shared_from_this(), request,
+       front](const SendAttempt& send) { return self->CallFor(request, send); },
       [](const AttemptReply& reply) { return ReadSubReply(reply); },
       QueryRun({.front = *request.front,
                 .own_zone = this->options.own_zone,
@@ -254,19 +275,12 @@
                 .limit = request.limit,
                 .start = request.start,
                 .deadline = request.deadline,
-                .state = front.state,
+                .state = front->state,
                 .hooks = this->HooksFor(request)}));
   exchange.on_abandoned = [live] { live->Abandon(); };
   const auto result = live->RunToEnd();
-  const QueryRunStats& stats = live->decisions().stats();
-  this->options.metrics.CountAttempts(request.front->name, stats);
-  front.gate.Finish({.tenant = request.tenant,
-                     .class_name = request.request_class,
-                     .start = request.start,
-                     .deadline = request.deadline,
-                     .sub_refused = live->decisions().stats().refused,
-                     .abandoned = !result.has_value()},
-                    Runtime::Now());
+  this->CountEnd(request, *front, live->decisions().stats(),
+                 /*abandoned=*/!result.has_value());
   if (!result) {
     return {.status = kCallerLeft};
   }
@@ -282,33 +296,25 @@
 }
 
 HttpResponse Coordinator::State::AnswerRecord(const CallerRequest& request,
-                                              FrontRuntime& front,
+                                              const FrontPtr& front,
                                               HttpExchange& exchange) {
   using Live = LiveRun<RecordRun, RecordReply>;
   auto live = std::make_shared<Live>(
       this->runtime, this->options.router,
-      [self = this->shared_from_this(), request](const SendAttempt& send) {
-        return self->CallFor(request, send);
-      },
+      [self = this->shared_from_this(), request,
+       front](const SendAttempt& send) { return self->CallFor(request, send); },
       [](AttemptReply reply) { return ReadRecordReply(std::move(reply)); },
       RecordRun({.front = *request.front,
                  .service = request.front->services.front().name,
                  .own_zone = this->options.own_zone,
                  .start = request.start,
                  .deadline = request.deadline,
-                 .state = front.state,
+                 .state = front->state,
                  .hooks = this->HooksFor(request)}));
   exchange.on_abandoned = [live] { live->Abandon(); };
   const auto result = live->RunToEnd();
-  this->options.metrics.CountAttempts(request.front->name,
-                                      live->decisions().stats());
-  front.gate.Finish({.tenant = request.tenant,
-                     .class_name = request.request_class,
-                     .start = request.start,
-                     .deadline = request.deadline,
-                     .sub_refused = live->decisions().stats().refused,
-                     .abandoned = !result.has_value()},
-                    Runtime::Now());
+  this->CountEnd(request, *front, live->decisions().stats(),
+                 /*abandoned=*/!result.has_value());
   if (!result) {
     return {.status = kCallerLeft};
   }
@@ -368,9 +374,9 @@
   if (refusal) {
     response = ProblemResponse(*refusal, request.request_id);
   } else if (request.work == AttemptWork::kSearch) {
-    response = self->AnswerQuery(request, *front, exchange);
+    response = self->AnswerQuery(request, front, exchange);
   } else if (request.work == AttemptWork::kRecord) {
-    response = self->AnswerRecord(request, *front, exchange);
+    response = self->AnswerRecord(request, front, exchange);
   } else {
     response = self->AnswerLookup(request);
   }
--- a/knapweedroad/host/operator_api.cc
+++ b/knapweedroad/host/operator_api.cc
@@ -16,6 +16,7 @@
 #include "knapweedroad/host/change_gateway.h"
 #include "knapweedroad/host/operator_change.h"
 #include "knapweedroad/host/problem.h"
+#include "knapweedroad/host/protocol_name.h"
 #include "knapweedroad/host/replica_path.h"
 #include "knapweedroad/host/status_report.h"
 #include "knapweedroad/net/runtime.h"
@@ -34,16 +35,6 @@
 constexpr std::string_view kOperatorHeader = "Knapweed-Operator";
 constexpr std::string_view kRequestIdHeader = "Knapweed-Request-Id";
 constexpr std::string_view kBaseVersionHeader = "Knapweed-Base-Version";
-constexpr size_t kMaxNameLength = 64;
-
-// Names of operators, requests and zones.
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                  (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
-         });
-}
 
 std::string_view ToString(ChangeResult result) {
   switch (result) {
--- a/knapweedroad/net/http_server.cc
+++ b/knapweedroad/net/http_server.cc
@@ -25,7 +25,6 @@
 constexpr size_t kFirstReadBytes = 8 << 10;
 // How long writing an answer may take before the reader is given up on.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
-constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
 
 HttpResponse ProblemFor(int status, std::string_view detail) {
   HttpResponse response{.status = status, .close = true};
@@ -83,7 +82,7 @@
   State(Runtime& runtime, HttpServerOptions options)
       : runtime(runtime), options(std::move(options)), acceptor(runtime.io()) {}
 
-  void AcceptLoop();
+  void Accept(tcp::socket socket);
   void Serve(const std::shared_ptr<Connection>& connection);
   bool ServeOne(const std::shared_ptr<Connection>& connection);
   error_code ReadFirstBytes(Connection& connection);
@@ -107,38 +106,20 @@
   FiberEvent* all_answered = nullptr;
 };
 
-void HttpServer::State::AcceptLoop() {
-  while (!this->is_stopped) {
-    tcp::socket socket(this->runtime.io());
-    error_code error;
-    FiberEvent accepted;
-    this->acceptor.async_accept(socket, [&](error_code result) {
-      error = result;
-      accepted.Set();
-    });
-    accepted.Wait();
-    if (this->is_stopped) {
-      return;
-    }
-    if (error) {
-      // Out of descriptors shows here and passes; without the pause the loop
-      // would take the whole thread and nothing could be closed.
-      Runtime::SleepFor(kAcceptPause);
-      continue;
-    }
-    if (this->options.max_connections != 0 &&
-        this->open.size() >= this->options.max_connections) {
-      ++this->refused;
-      continue;
-    }
-    socket.set_option(tcp::no_delay(true), error);
-    auto connection = std::make_shared<Connection>(std::move(socket));
-    this->open.insert(connection);
-    this->peak = std::max(this->peak, this->open.size());
-    this->runtime.Spawn([self = this->shared_from_this(), connection] {
-      self->Serve(connection);
-    });
+void HttpServer::State::Accept(tcp::socket socket) {
+  if (this->options.max_connections != 0 &&
+      this->open.size() >= this->options.max_connections) {
+    ++this->refused;
+    return;
   }
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  this->open.insert(connection);
+  this->peak = std::max(this->peak, this->open.size());
+  this->runtime.Spawn([self = this->shared_from_this(), connection] {
+    self->Serve(connection);
+  });
 }
 
 void HttpServer::State::Serve(const std::shared_ptr<Connection>& connection) {
@@ -290,7 +271,11 @@
   auto port =
       internal::Listen(this->state->acceptor, this->state->options.endpoint);
   if (port) {
-    this->state->runtime.Spawn([state = this->state] { state->AcceptLoop(); });
+    this->state->runtime.Spawn([state = this->state] {
+      internal::AcceptUntil(
+          state->acceptor, state->is_stopped,
+          [&](tcp::socket socket) { state->Accept(std::move(socket)); });
+    });
   }
   return port;
 }
--- a/knapweedroad/net/listen.cc
+++ b/knapweedroad/net/listen.cc
@@ -1,6 +1,10 @@
 #include "knapweedroad/net/listen.h"
 
 #include <string>
+#include <utility>
+
+#include "knapweedroad/net/fiber_event.h"
+#include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad::internal {
 
@@ -33,4 +37,30 @@
   return acceptor.local_endpoint().port();
 }
 
+void AcceptUntil(tcp::acceptor& acceptor,
+                 const bool& is_stopped,
+                 const std::function<void(tcp::socket)>& on_socket) {
+  constexpr Duration kPause = std::chrono::milliseconds(20);
+  while (!is_stopped) {
+    tcp::socket socket(acceptor.get_executor());
+    error_code error;
+    FiberEvent accepted;
+    acceptor.async_accept(socket, [&](error_code result) {
+      error = result;
+      accepted.Set();
+    });
+    accepted.Wait();
+    if (is_stopped) {
+      return;
+    }
+    if (error) {
+      // Out of descriptors shows here and passes; without the pause the loop
+      // would take the whole thread and nothing could be closed.
+      Runtime::SleepFor(kPause);
+      continue;
+    }
+    on_socket(std::move(socket));
+  }
+}
+
 }  // namespace knapweedroad::internal
--- a/knapweedroad/net/listen.h
+++ b/knapweedroad/net/listen.h
@@ -4,6 +4,7 @@
 #define KNAPWEEDROAD_NET_LISTEN_H_
 
 #include <cstdint>
+#include <functional>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <tl/expected.hpp>
@@ -18,6 +19,13 @@
     boost::asio::ip::tcp::acceptor& acceptor,
     const Endpoint& endpoint);
 
+// Accepts until `is_stopped`, which is asked after each; blocks the calling
+// fiber. Each socket is handed to `on_socket`, which must not block.
+void AcceptUntil(
+    boost::asio::ip::tcp::acceptor& acceptor,
+    const bool& is_stopped,
+    const std::function<void(boost::asio::ip::tcp::socket)>& on_socket);
+
 }  // namespace knapweedroad::internal
 
 #endif  // KNAPWEEDROAD_NET_LISTEN_H_
--- a/knapweedroad/net/peer_server.cc
+++ b/knapweedroad/net/peer_server.cc
@@ -17,15 +17,13 @@
 using boost::system::error_code;
 using internal::PeerConnection;
 
-constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
-
 }  // namespace
 
 struct PeerServer::State : std::enable_shared_from_this<PeerServer::State> {
   State(Runtime& runtime, PeerServerOptions options)
       : runtime(runtime), options(std::move(options)), acceptor(runtime.io()) {}
 
-  void AcceptLoop();
+  void Accept(tcp::socket socket);
   void Answer(const std::shared_ptr<PeerConnection>& connection,
               const FrameHeader& call,
               std::string body);
@@ -38,33 +36,16 @@
   bool is_stopped = false;
 };
 
-void PeerServer::State::AcceptLoop() {
-  while (!this->is_stopped) {
-    tcp::socket socket(this->runtime.io());
-    error_code error;
-    FiberEvent accepted;
-    this->acceptor.async_accept(socket, [&](error_code result) {
-      error = result;
-      accepted.Set();
-    });
-    accepted.Wait();
-    if (this->is_stopped) {
-      return;
-    }
-    if (error) {
-      Runtime::SleepFor(kAcceptPause);
-      continue;
-    }
-    auto connection =
-        std::make_shared<PeerConnection>(this->runtime, std::move(socket));
-    this->open.insert(connection);
-    this->runtime.Spawn([self = this->shared_from_this(), connection] {
-      connection->ReadAll([&](const FrameHeader& call, std::string body) {
-        self->Answer(connection, call, std::move(body));
-      });
-      self->open.erase(connection);
+void PeerServer::State::Accept(tcp::socket socket) {
+  auto connection =
+      std::make_shared<PeerConnection>(this->runtime, std::move(socket));
+  this->open.insert(connection);
+  this->runtime.Spawn([self = this->shared_from_this(), connection] {
+    connection->ReadAll([&](const FrameHeader& call, std::string body) {
+      self->Answer(connection, call, std::move(body));
     });
-  }
+    self->open.erase(connection);
+  });
 }
 
 void PeerServer::State::Answer(
@@ -98,7 +79,11 @@
   auto port =
       internal::Listen(this->state->acceptor, this->state->options.endpoint);
   if (port) {
-    this->state->runtime.Spawn([state = this->state] { state->AcceptLoop(); });
+    this->state->runtime.Spawn([state = this->state] {
+      internal::AcceptUntil(
+          state->acceptor, state->is_stopped,
+          [&](tcp::socket socket) { state->Accept(std::move(socket)); });
+    });
   }
   return port;
 }
