A resent lookup that a starting host refuses is unknown, not "not run"

Cause: found by reading the change again: a host that is starting refused every request as not_run, also the resend of a lookup whose first send may have run; a caller could take a new key and run it twice. A lookup passed to its key's host lost its tenant's weight and was queued as weight 1. Ruled out: further claims of not_run in the router, the target's exchange and the lookup's run; each rests on nothing written or on the target's word.

--- a/knapweedroad/host/caller_request.cc
+++ b/knapweedroad/host/caller_request.cc
@@ -19,6 +19,10 @@
 constexpr std::string_view kLookupSuffix = "/lookup";
 constexpr std::string_view kDefaultClass = "normal";
 
+bool IsFirstSend(const HttpRequest& http) {
+  return FindHeader(http.headers, "Knapweed-First-Send") == "true";
+}
+
 bool ConsumePrefix(std::string_view& text, std::string_view prefix) {
   if (!text.starts_with(prefix)) {
     return false;
@@ -190,14 +194,19 @@
           "a lookup needs Idempotency-Key, 1 to 64 of A-Za-z0-9._-"));
     }
     request.idempotency_key = *key;
-    request.first_send =
-        FindHeader(http.headers, "Knapweed-First-Send") == "true";
+    request.first_send = IsFirstSend(http);
   }
   return {};
 }
 
 }  // namespace
 
+RunOutcome OutcomeUnread(const HttpRequest& http) {
+  const bool may_have_run =
+      http.path.ends_with(kLookupSuffix) && !IsFirstSend(http);
+  return may_have_run ? RunOutcome::kUnknown : RunOutcome::kNotRun;
+}
+
 std::string EchoedRequestId(const HttpRequest& http) {
   const std::string_view id = FindHeader(http.headers, "Knapweed-Request-Id");
   return IsName(id) ? std::string(id) : std::string();
--- a/knapweedroad/host/caller_request.h
+++ b/knapweedroad/host/caller_request.h
@@ -14,6 +14,7 @@
 #include <tl/expected.hpp>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/run_outcome.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/config/deployment_config.h"
 #include "knapweedroad/net/http_message.h"
@@ -53,6 +54,12 @@
     TimePoint received,
     const std::function<std::string()>& make_id);
 
+// What can be said of a request that is refused unread. A lookup whose key may
+// have been sent before may have run then: a caller that is told `not_run`
+// would send its letter under a new key. Only a first send is known not to have
+// run.
+RunOutcome OutcomeUnread(const HttpRequest& http);
+
 // The request id to echo in an answer to a request that wasn't understood:
 // the caller's own where it is well-formed, else empty.
 std::string EchoedRequestId(const HttpRequest& http);
--- a/knapweedroad/host/caller_request_test.cc
+++ b/knapweedroad/host/caller_request_test.cc
@@ -72,6 +72,18 @@
   cr_expect(Read(stranger).error().outcome == RunOutcome::kNotRun);
 }
 
+// A letter goes out twice: its lookup ran, the answer was lost, and a resend
+// met a host that was just starting and called it "not run", so the caller took
+// a new key.
+Test(CallerRequest, AResentLookupRefusedUnreadMayHaveRunBefore) {
+  HttpRequest lookup{.method = "POST",
+                     .path = "/v1/fronts/notices/records/r1/lookup"};
+  cr_expect(OutcomeUnread(lookup) == RunOutcome::kUnknown);
+  lookup.headers["Knapweed-First-Send"] = "true";
+  cr_expect(OutcomeUnread(lookup) == RunOutcome::kNotRun);
+  cr_expect(OutcomeUnread(Query()) == RunOutcome::kNotRun);
+}
+
 Test(CallerRequest, ALookupNeedsItsKey) {
   HttpRequest lookup{.method = "POST",
                      .path = "/v1/fronts/notices/records/r1/lookup",
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -278,6 +278,8 @@
     this->metrics.SetGauge(
         "targets_held",
         static_cast<double>(this->leases.Held(Runtime::Now()).size()));
+    this->metrics.SetGauge("datagram_bytes_sent",
+                           static_cast<double>(this->links.datagram_bytes()));
     this->metrics.SetGauge("configuration_version",
                            static_cast<double>(this->keeper.version()));
   }
@@ -294,7 +296,7 @@
                             .title = "Starting",
                             .detail = "this host doesn't know yet what is in "
                                       "force",
-                            .outcome = RunOutcome::kNotRun,
+                            .outcome = OutcomeUnread(http),
                             .retry_after = kStartWait},
                            EchoedRequestId(http));
   }
--- a/knapweedroad/net/peer_connection.h
+++ b/knapweedroad/net/peer_connection.h
@@ -34,8 +34,6 @@
 
   void Close();
   bool closed() const { return this->is_closed; }
-  // Frames that have not been handed to the kernel.
-  bool has_unwritten() const { return !this->outgoing.empty(); }
 
  private:
   void WriteNext();
--- a/knapweedroad/wire/lookup_call.h
+++ b/knapweedroad/wire/lookup_call.h
@@ -16,6 +16,8 @@
   FrontId front;
   TenantId tenant;
   std::string request_class;
+  uint32_t tenant_weight = 1;
+  uint32_t class_weight = 1;
   std::string request_id;
   std::string idempotency_key;
   std::string record_id;
@@ -25,9 +27,9 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->front, this->tenant, this->request_class, this->request_id,
-            this->idempotency_key, this->record_id, this->first_send,
-            this->remaining_ns);
+    archive(this->front, this->tenant, this->request_class, this->tenant_weight,
+            this->class_weight, this->request_id, this->idempotency_key,
+            this->record_id, this->first_send, this->remaining_ns);
   }
 };
 
