An answer that comes in pieces is read whole; slow targets show by attempts given up

Attempts on dark targets that were given up left no trace, so these looked idle and fast. Change: MessageReader keeps the unfinished line; given-up attempts count as latencies; suspected-for-silence targets get one attempt at a time; beliefs are logged.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -46,6 +46,15 @@
   return seeds;
 }
 
+void LogBelief(const TargetBelief& belief) {
+  LogLine("target_believed")
+      .Add("target", belief.target)
+      .Add("belief", belief.belief)
+      .Add("cause", belief.cause)
+      .Add("span_ms", std::chrono::floor<milliseconds>(belief.span).count())
+      .Info();
+}
+
 uint64_t RandomSeed() {
   std::random_device device;
   return device();
@@ -94,7 +103,8 @@
             .zone = this->options.settings.zone,
             .cold_burst_factor = this->options.settings.cold_burst_factor,
             .cold_slack = this->options.settings.cold_slack,
-            .seed = RandomSeed()}),
+            .seed = RandomSeed(),
+            .on_belief = LogBelief}),
       links(runtime,
             {.dialect = this->options.dialect,
              .on_idle_closed =
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -42,7 +42,7 @@
 constexpr double kHedgeReserve = 2;
 // What is still out when the answer has gone may end within this, so that its
 // connection can be used again.
-constexpr Duration kStragglerGrace = milliseconds(400);
+constexpr Duration kStragglerGrace = milliseconds(600);
 // After the caller has left, work on targets is cut within this: under the
 // half second that callers' work may outlive them.
 constexpr Duration kAbandonGrace = milliseconds(60);
@@ -135,6 +135,7 @@
   const RouteConfig* route = nullptr;
   RouteMemory* memory = nullptr;
   TimePoint deadline;
+  TimePoint target_at;
   RunHooks hooks;
   std::optional<RequestRun> run;
   std::vector<Attempt> attempts;
@@ -175,16 +176,16 @@
   const Duration unknown = to.latency_target / kUnknownHedgePart;
   const Duration usual =
       known.latency.Quantile(kHedgeQuantile).value_or(unknown);
-  RequestRunOptions options{
-      .is_scatter = to.is_scatter,
-      .idempotent = to.idempotent || to.is_scatter,
-      .max_attempts = to.max_attempts,
-      .min_share = to.is_scatter ? to.min_share : 1,
-      .target_at = received + to.latency_target - elapsed - kTargetMargin,
-      .deadline = this->deadline,
-      .hedge_after = std::max(kLeastHedge, usual),
-      .retry_when_busy = to.latency_target / 4,
-      .retry_when_down = kRetryWhenDown};
+  this->target_at = received + to.latency_target - elapsed - kTargetMargin;
+  RequestRunOptions options{.is_scatter = to.is_scatter,
+                            .idempotent = to.idempotent || to.is_scatter,
+                            .max_attempts = to.max_attempts,
+                            .min_share = to.is_scatter ? to.min_share : 1,
+                            .target_at = this->target_at,
+                            .deadline = this->deadline,
+                            .hedge_after = std::max(kLeastHedge, usual),
+                            .retry_when_busy = to.latency_target / 4,
+                            .retry_when_down = kRetryWhenDown};
   if (to.is_scatter) {
     for (const RouteService& part : to.services) {
       options.services.push_back(part.service);
@@ -197,8 +198,13 @@
 
 void EntryRequest::MakeHooks() {
   this->hooks.pick = [this](const ServiceId& service,
-                            std::span<const TargetId> tried) {
-    return this->parts.book.Pick(service, tried, Runtime::Now());
+                            std::span<const TargetId> tried, bool is_hedge) {
+    const TimePoint now = Runtime::Now();
+    // A second attempt that can't be in time is work for nobody.
+    const Duration limit = is_hedge && now < this->target_at
+                               ? Duration(this->target_at - now)
+                               : Duration::max();
+    return this->parts.book.Pick(service, tried, now, limit);
   };
   this->hooks.is_served = [this](const ServiceId& service) {
     return this->parts.book.IsServed(service, Runtime::Now());
@@ -486,7 +492,8 @@
     this->Note(attempt, "unanswered", 0);
     TargetBook* const book = &this->parts.book;
     attempt.exchange->Abandon(
-        grace, [book, target = attempt.target](const TargetReply& reply) {
+        grace, [book, target = attempt.target,
+                sent = attempt.sent](const TargetReply& reply) {
           const TimePoint now = Runtime::Now();
           const bool is_answer = reply.kind == ReplyKind::kAnswered &&
                                  !reply.answer.seal.empty() &&
@@ -494,7 +501,7 @@
           if (is_answer) {
             book->OnAnswered(target, reply.latency, reply.load, now);
           } else {
-            book->OnAbandoned(target, now);
+            book->OnAbandoned(target, now - sent, now);
           }
         });
     attempt.exchange.reset();
--- a/knapweedroad/edge/message_reader.h
+++ b/knapweedroad/edge/message_reader.h
@@ -9,6 +9,7 @@
 #ifndef KNAPWEEDROAD_EDGE_MESSAGE_READER_H_
 #define KNAPWEEDROAD_EDGE_MESSAGE_READER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -44,25 +45,29 @@
 
   // Takes as many of the bytes as belong to this message; what is left over
   // after is_done() belongs to the next one. Sets `error` for bytes that are
-  // no message.
+  // no message; nothing may be put after that.
+  //
+  // Failure: a message comes in pieces, the parser leaves the beginning of an
+  // unfinished line to be given again, and without it the next piece is read
+  // from the middle of a line. So that beginning is kept here.
   size_t Put(std::string_view bytes, Error& error) {
-    size_t used = 0;
-    error = {};
-    while (used < bytes.size() && !this->is_done()) {
-      const size_t taken = this->put(
-          boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
-      used += taken;
-      if (error == boost::beast::http::error::need_more) {
-        error = {};
-        if (taken == 0) {
-          break;
-        }
-      }
-      if (error || taken == 0) {
-        break;
+    if (this->unfinished.empty()) {
+      const size_t used = this->Parse(bytes, error);
+      if (error || this->is_done()) {
+        return used;
       }
+      this->unfinished.assign(bytes.substr(used));
+      return bytes.size();
     }
-    return used;
+    this->unfinished.append(bytes);
+    const size_t used = this->Parse(this->unfinished, error);
+    const size_t left = this->unfinished.size() - used;
+    if (error || this->is_done()) {
+      this->unfinished.clear();
+      return bytes.size() - std::min(left, bytes.size());
+    }
+    this->unfinished.erase(0, used);
+    return bytes.size();
   }
 
   size_t lines() const { return this->header_lines.size(); }
@@ -125,6 +130,27 @@
   }
   void on_finish_impl(Error&) override {}
 
+  // How many of the bytes the parser is done with.
+  size_t Parse(std::string_view bytes, Error& error) {
+    size_t used = 0;
+    error = {};
+    while (used < bytes.size() && !this->is_done() && !error) {
+      const size_t taken = this->put(
+          boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+      used += taken;
+      if (error == boost::beast::http::error::need_more) {
+        error = {};
+        break;
+      }
+      if (taken == 0) {
+        break;
+      }
+    }
+    return used;
+  }
+
+  // The beginning of a line whose end has not come yet.
+  std::string unfinished;
   std::string text;
   std::vector<HeaderLine> header_lines;
 };
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr uint32_t kEnded = UINT32_MAX;
+// A second attempt for which no target promised to be in time is looked for
+// again after this.
+constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
 // How often a service whose targets are all busy here is asked again.
 constexpr Duration kBusyRetry = std::chrono::milliseconds(4);
 
@@ -60,7 +63,7 @@
                        RunStep& step) {
   Shard& shard = this->shards[index];
   const ServiceId& service = this->options.services[index];
-  const auto target = this->hooks.pick(service, shard.tried);
+  const auto target = this->hooks.pick(service, shard.tried, is_hedge);
   if (!target) {
     return false;
   }
@@ -77,7 +80,7 @@
   ++shard.sent;
   ++shard.out;
   ++shard.arrived;
-  shard.last_start = now;
+  shard.hedge_at = now + this->options.hedge_after;
   shard.is_waiting = false;
   ++this->unproven;
   step.start.push_back(
@@ -206,10 +209,9 @@
     }
     const bool due = this->options.idempotent && shard.out > 0 &&
                      shard.sent < this->options.max_attempts &&
-                     !shard.hedge_refused &&
-                     now >= shard.last_start + this->options.hedge_after;
+                     !shard.hedge_refused && now >= shard.hedge_at;
     if (due && !this->Begin(i, /*is_hedge=*/true, now, step)) {
-      shard.hedge_refused = true;
+      shard.hedge_at = now + kHedgeRetry;
     }
   }
 }
@@ -317,8 +319,7 @@
       wake = std::min(wake, now + kBusyRetry);
     } else if (this->options.idempotent && !shard.hedge_refused &&
                shard.sent < this->options.max_attempts) {
-      wake = std::min(
-          wake, std::max(now, shard.last_start + this->options.hedge_after));
+      wake = std::min(wake, std::max(now, shard.hedge_at));
     }
   }
   step.wake_at = wake;
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -99,7 +99,8 @@
 // What a run asks of its host.
 struct RunHooks {
   std::function<std::optional<TargetId>(const ServiceId& service,
-                                        std::span<const TargetId> tried)>
+                                        std::span<const TargetId> tried,
+                                        bool is_hedge)>
       pick;
   // Whether the service has a target that may free up soon.
   std::function<bool(const ServiceId& service)> is_served;
@@ -138,7 +139,8 @@
     size_t out = 0;
     // Arrivals at a target, as far as known: the next one is extra.
     size_t arrived = 0;
-    TimePoint last_start;
+    // Not before this is another attempt sent beside one that is out.
+    TimePoint hedge_at;
     // A target's own failure, to pass on if nothing better comes.
     std::optional<TargetAnswer> failure;
     bool was_declined = false;
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -26,8 +26,11 @@
 // tried again after some seconds.
 constexpr Duration kLatencyHalfLife = std::chrono::seconds(3);
 constexpr double kUnknownLatency = 0.8;
-// What a target says of its load holds for about a request's length.
-constexpr Duration kLoadHalfLife = milliseconds(20);
+// What a target says of its load is half out of date after this. A host hears
+// from each of a shard's targets about ten times a second; with less memory it
+// would know of its own requests alone, and a zone's hosts would go on filling
+// their own zone's target while the others are free.
+constexpr Duration kLoadHalfLife = milliseconds(120);
 constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
 // Weight of a new outcome in the smoothed share of failures.
 constexpr double kFailureWeight = 0.2;
@@ -44,7 +47,11 @@
 // Unanswered for this many usual latencies, and for more than two of the pauses
 // that targets make now and then, a target counts as silent.
 constexpr double kSilentFactor = 6;
-constexpr Duration kSilentFloor = milliseconds(280);
+constexpr Duration kSilentFloor = milliseconds(450);
+// An attempt given up after this many usual latencies tells how slow its target
+// is at the least.
+constexpr double kGivenUpFactor = 2;
+constexpr double kGivenUpWeight = 0.3;
 // Health questions: soon after the failure, then spread out; each host's share
 // of them shrinks with the number of hosts.
 constexpr Duration kProbeInterval = milliseconds(400);
@@ -241,28 +248,37 @@
   if (!this->IsUsable(target, now) || target.in_flight >= this->CapOf(target)) {
     return false;
   }
-  if (target.is_suspect) {
-    return target.unhealthy_probes >= kUnhealthyBeforeTrial &&
-           now >= target.next_trial;
+  if (!target.is_suspect) {
+    return true;
+  }
+  if (target.is_only_silent) {
+    return target.in_flight == 0;
   }
-  return true;
+  return target.unhealthy_probes >= kUnhealthyBeforeTrial &&
+         now >= target.next_trial;
 }
 
 double TargetBook::FailureShare(const Target& target, TimePoint now) const {
   return target.failures * Decay(now - target.failures_at, kFailureHalfLife);
 }
 
-double TargetBook::Cost(const Service& service,
-                        const Target& target,
-                        TimePoint now) {
+double TargetBook::ExpectedLatency(const Service& service,
+                                   const Target& target,
+                                   TimePoint now) const {
   const double usual = service.latency > 0
                            ? service.latency
                            : static_cast<double>(kFirstLatency.count());
-  double latency = usual;
-  if (target.latency > 0) {
-    const double kept = Decay(now - target.latency_at, kLatencyHalfLife);
-    latency = target.latency * kept + kUnknownLatency * usual * (1 - kept);
+  if (target.latency <= 0) {
+    return usual;
   }
+  const double kept = Decay(now - target.latency_at, kLatencyHalfLife);
+  return target.latency * kept + kUnknownLatency * usual * (1 - kept);
+}
+
+double TargetBook::Cost(const Service& service,
+                        const Target& target,
+                        TimePoint now) {
+  const double latency = this->ExpectedLatency(service, target, now);
   const double told =
       static_cast<double>(target.load.running + target.load.waiting) *
       Decay(now - target.load_at, kLoadHalfLife);
@@ -289,7 +305,8 @@
 
 std::optional<TargetId> TargetBook::Pick(const ServiceId& service_id,
                                          std::span<const TargetId> tried,
-                                         TimePoint now) {
+                                         TimePoint now,
+                                         Duration limit) {
   const auto found = this->services.find(service_id);
   if (found == this->services.end()) {
     return std::nullopt;
@@ -299,6 +316,7 @@
   enum Rank { kOwnPart, kOther, kTrial, kCold, kNone };
   Rank best_rank = kNone;
   double best_cost = std::numeric_limits<double>::max();
+  const auto most = static_cast<double>(limit.count());
   Target* best = nullptr;
   for (const TargetId& id : service.targets) {
     Target& target = *this->Get(id);
@@ -315,6 +333,9 @@
     if (rank == kNone || rank > best_rank) {
       continue;
     }
+    if (this->ExpectedLatency(service, target, now) > most) {
+      continue;
+    }
     const double cost = this->Cost(service, target, now);
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
@@ -370,6 +391,43 @@
   target.failures_at = now;
 }
 
+void TargetBook::Tell(const Target& target,
+                      std::string_view belief,
+                      std::string_view cause,
+                      Duration span) const {
+  if (this->options.on_belief) {
+    this->options.on_belief({.target = target.record.id,
+                             .belief = belief,
+                             .cause = cause,
+                             .span = span});
+  }
+}
+
+void TargetBook::Trust(Target& target, std::string_view cause) {
+  if (std::exchange(target.is_suspect, false)) {
+    this->Tell(target, "trusted", cause);
+  }
+  target.is_only_silent = false;
+  target.is_doubted = false;
+  target.failed_probes = 0;
+  target.unhealthy_probes = 0;
+}
+
+void TargetBook::CountLatency(Target& target,
+                              double taken,
+                              double weight,
+                              TimePoint now) {
+  target.latency = target.latency <= 0
+                       ? taken
+                       : target.latency * (1 - weight) + taken * weight;
+  target.latency_at = now;
+  Service& service = this->services[target.record.service];
+  service.latency = service.latency <= 0
+                        ? taken
+                        : service.latency * (1 - kServiceLatencyWeight) +
+                              taken * kServiceLatencyWeight;
+}
+
 void TargetBook::OnAnswered(const TargetId& id,
                             Duration latency,
                             const std::optional<TargetLoad>& load,
@@ -379,17 +437,8 @@
     return;
   }
   this->EndAttempt(*target);
-  const auto taken = static_cast<double>(latency.count());
-  target->latency =
-      target->latency <= 0
-          ? taken
-          : target->latency * (1 - kLatencyWeight) + taken * kLatencyWeight;
-  target->latency_at = now;
-  Service& service = this->services[target->record.service];
-  service.latency = service.latency <= 0
-                        ? taken
-                        : service.latency * (1 - kServiceLatencyWeight) +
-                              taken * kServiceLatencyWeight;
+  this->CountLatency(*target, static_cast<double>(latency.count()),
+                     kLatencyWeight, now);
   if (load) {
     target->load = *load;
     target->load_at = now;
@@ -397,10 +446,7 @@
   target->failures = this->FailureShare(*target, now) * (1 - kFailureWeight);
   target->failures_at = now;
   target->last_success = now;
-  target->is_suspect = false;
-  target->is_doubted = false;
-  target->failed_probes = 0;
-  target->unhealthy_probes = 0;
+  this->Trust(*target, "answered");
 }
 
 void TargetBook::OnDeclined(const TargetId& id,
@@ -433,9 +479,14 @@
   }
 }
 
-void TargetBook::Suspect(Target& target, TimePoint now) {
+void TargetBook::Suspect(Target& target,
+                         std::string_view cause,
+                         TimePoint now) {
   this->CountFailure(target, 1, now);
-  target.is_suspect = true;
+  if (!std::exchange(target.is_suspect, true)) {
+    const TimePoint since = target.sent.empty() ? now : target.sent.front();
+    this->Tell(target, "suspected", cause, now - since);
+  }
   target.is_doubted = true;
   target.sent.clear();
 }
@@ -443,13 +494,16 @@
 void TargetBook::OnUnreachable(const TargetId& id, TimePoint now) {
   if (Target* const target = this->Get(id)) {
     this->EndAttempt(*target);
-    this->Suspect(*target, now);
+    this->Suspect(*target, "unreachable", now);
+    target->is_only_silent = false;
   }
 }
 
 void TargetBook::OnSilent(const TargetId& id, TimePoint now) {
   if (Target* const target = this->Get(id)) {
-    this->Suspect(*target, now);
+    const bool was_suspect = target->is_suspect;
+    this->Suspect(*target, "silent", now);
+    target->is_only_silent = !was_suspect || target->is_only_silent;
   }
 }
 
@@ -474,12 +528,24 @@
     this->EndAttempt(*target);
     target->record.phase = TargetPhase::kGone;
     this->CountFailure(*target, 1, now);
+    this->Tell(*target, "gone", "another_at_its_address");
   }
 }
 
-void TargetBook::OnAbandoned(const TargetId& id, TimePoint) {
-  if (Target* const target = this->Get(id)) {
-    this->EndAttempt(*target);
+// Failure: a target that never answers looks idle and fast as soon as the
+// attempts on it are given up, and gets the next ones.
+void TargetBook::OnAbandoned(const TargetId& id,
+                             Duration waited,
+                             TimePoint now) {
+  Target* const target = this->Get(id);
+  if (target == nullptr) {
+    return;
+  }
+  this->EndAttempt(*target);
+  const auto taken = static_cast<double>(waited.count());
+  const double usual = this->services[target->record.service].latency;
+  if (taken > kGivenUpFactor * usual && taken > target->latency) {
+    this->CountLatency(*target, taken, kGivenUpWeight, now);
   }
 }
 
@@ -529,16 +595,15 @@
   }
   if (result.is_other_target) {
     target->record.phase = TargetPhase::kGone;
+    this->Tell(*target, "gone", "another_at_its_address");
     return;
   }
-  if (result.is_reachable) {
-    target->cold_until = std::max(target->cold_until, now + result.cold_left);
+  if (result.is_reachable && now + result.cold_left > target->cold_until) {
+    target->cold_until = now + result.cold_left;
+    this->Tell(*target, "cold", "health_answer", result.cold_left);
   }
   if (result.is_healthy) {
-    target->is_suspect = false;
-    target->is_doubted = false;
-    target->failed_probes = 0;
-    target->unhealthy_probes = 0;
+    this->Trust(*target, "health_answer");
     return;
   }
   ++target->failed_probes;
@@ -546,7 +611,8 @@
     ++target->unhealthy_probes;
   } else {
     target->unhealthy_probes = 0;
-    this->Suspect(*target, now);
+    this->Suspect(*target, "no_health_answer", now);
+    target->is_only_silent = false;
   }
   // A target that only ever was in doubt and can be reached stays in use.
 }
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -12,12 +12,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +31,16 @@
 
 class RouteTable;
 
+// A change of what this host believes of a target, for the log.
+struct TargetBelief {
+  TargetId target;
+  // "suspected", "trusted", "gone" or "cold".
+  std::string_view belief;
+  std::string_view cause;
+  // How long it had been silent, or stays cold; zero where it doesn't apply.
+  Duration span{};
+};
+
 struct TargetBookOptions {
   HostId self;
   ZoneId zone;
@@ -37,6 +49,8 @@
   double cold_burst_factor = 1.5;
   double cold_slack = 5;
   uint64_t seed = 1;
+  // Told of each change of belief; may be absent.
+  std::function<void(const TargetBelief&)> on_belief;
 };
 
 // What a health question showed.
@@ -70,10 +84,12 @@
   size_t entry_hosts() const;
 
   // The target of the service that promises the soonest answer, none of
-  // `tried`; nothing if none can take a request now.
+  // `tried`; nothing if none can take a request now, or none promises an answer
+  // within `limit`.
   std::optional<TargetId> Pick(const ServiceId& service,
                                std::span<const TargetId> tried,
-                               TimePoint now);
+                               TimePoint now,
+                               Duration limit = Duration::max());
 
   // Whether some target of the service may take requests, now or as soon as
   // one that runs has ended.
@@ -104,8 +120,8 @@
   void OnSilent(const TargetId& id, TimePoint now);
   // Another target answers at its address.
   void OnMisdirected(const TargetId& id, TimePoint now);
-  // The attempt was given up before anything was known.
-  void OnAbandoned(const TargetId& id, TimePoint now);
+  // The attempt was given up `waited` after it was sent.
+  void OnAbandoned(const TargetId& id, Duration waited, TimePoint now);
   // An idle connection was closed from the other side, unannounced.
   void OnIdleClosed(const TargetId& id, TimePoint now);
 
@@ -137,6 +153,8 @@
     uint64_t rank = 0;
     // Not used until a health question is answered well.
     bool is_suspect = false;
+    // Suspected for its silence only: connections to it could be had.
+    bool is_only_silent = false;
     // A health question is wanted.
     bool is_doubted = false;
     TimePoint next_probe;
@@ -165,11 +183,22 @@
   size_t SubsetSize(const Service& service) const;
   bool IsInSubset(const Service& service, const Target& target) const;
   size_t CapOf(const Target& target) const;
+  // The latency to expect of the target when idle as usual, in ns.
+  double ExpectedLatency(const Service& service,
+                         const Target& target,
+                         TimePoint now) const;
   double Cost(const Service& service, const Target& target, TimePoint now);
   double FailureShare(const Target& target, TimePoint now) const;
   void EndAttempt(Target& target);
   void CountFailure(Target& target, double weight, TimePoint now);
-  void Suspect(Target& target, TimePoint now);
+  void Suspect(Target& target, std::string_view cause, TimePoint now);
+  void Trust(Target& target, std::string_view cause);
+  void Tell(const Target& target,
+            std::string_view belief,
+            std::string_view cause,
+            Duration span = Duration::zero()) const;
+  // Smoothed latencies take the value in.
+  void CountLatency(Target& target, double taken, double weight, TimePoint now);
   Duration ProbeInterval(const Target& target) const;
 
   TargetBookOptions options;
--- a/knapweedroad/routing/target_book_test.cc
+++ b/knapweedroad/routing/target_book_test.cc
@@ -189,15 +189,15 @@
   book.Learn(Record("t", "a"), kStart);
   Serve(book, TargetId("t"), milliseconds(10), kStart);
   book.OnSent(TargetId("t"), kStart + seconds(1));
-  book.SuspectSilent(kStart + milliseconds(1200));
-  cr_expect(book.IsServed(kService, kStart + milliseconds(1200)));
   book.SuspectSilent(kStart + milliseconds(1400));
-  cr_expect(!book.IsServed(kService, kStart + milliseconds(1400)));
-  cr_assert(book.DueProbes(kStart + milliseconds(1400)).size() == 1);
-  cr_expect(book.DueProbes(kStart + milliseconds(1500)).empty());
+  cr_expect(book.IsServed(kService, kStart + milliseconds(1400)));
+  book.SuspectSilent(kStart + milliseconds(1500));
+  cr_expect(!book.IsServed(kService, kStart + milliseconds(1500)));
+  cr_assert(book.DueProbes(kStart + milliseconds(1500)).size() == 1);
+  cr_expect(book.DueProbes(kStart + milliseconds(1600)).empty());
   book.OnProbe(TargetId("t"), {.is_reachable = true, .is_healthy = true},
-               kStart + milliseconds(1500));
-  cr_expect(book.IsServed(kService, kStart + milliseconds(1500)));
+               kStart + milliseconds(1600));
+  cr_expect(book.IsServed(kService, kStart + milliseconds(1600)));
 }
 
 // A target says that it is unhealthy though it serves well. Suspected once for
@@ -221,6 +221,39 @@
   cr_expect(book.IsServed(kService, now + milliseconds(10)));
 }
 
+// A dark target's attempts are given up one after the other. Each time it
+// looks free, and would get the next request of every caller.
+Test(target_book, a_target_whose_attempts_are_given_up_is_passed_over) {
+  TargetBook book = MakeBook(0, 1, 100);
+  book.Learn(Record("dark", "a"), kStart);
+  book.Learn(Record("well", "b"), kStart);
+  for (int i = 0; i < 20; ++i) {
+    Serve(book, TargetId("dark"), milliseconds(10), kStart);
+    Serve(book, TargetId("well"), milliseconds(10), kStart);
+  }
+  book.OnSent(TargetId("dark"), kStart);
+  book.OnAbandoned(TargetId("dark"), milliseconds(400),
+                   kStart + milliseconds(400));
+  int dark = 0;
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint now = kStart + milliseconds(400 + i * 20);
+    dark += book.Pick(kService, {}, now) == TargetId("dark") ? 1 : 0;
+  }
+  cr_expect(dark == 0);
+}
+
+// Two searchers of a shard are slow and the third pauses. A hedge that can't
+// come in time only adds to the load of all.
+Test(target_book, none_is_picked_that_cannot_answer_within_the_limit) {
+  TargetBook book = MakeBook(0, 1, 100);
+  book.Learn(Record("slow", "a"), kStart);
+  for (int i = 0; i < 40; ++i) {
+    Serve(book, TargetId("slow"), milliseconds(200), kStart);
+  }
+  cr_expect(!book.Pick(kService, {}, kStart, milliseconds(60)));
+  cr_expect(book.Pick(kService, {}, kStart, milliseconds(900)).has_value());
+}
+
 Test(target_book, another_target_at_the_address_ends_the_record) {
   TargetBook book = MakeBook(0, 1, 100);
   book.Learn(Record("t", "a"), kStart);
