Hosts that start together hold few connections and know targets from disk

Change: two connections a target until the list of hosts has settled; the most hosts of the last 10 s share; a reset health question proves nothing; control hosts keep targets and hosts in their data folder.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -23,7 +23,7 @@
 // A link on which nothing has come for this long is taken for dead.
 constexpr Duration kSilence = milliseconds(1500);
 constexpr Duration kPullTimeout = milliseconds(1500);
-constexpr Duration kChooseInterval = milliseconds(200);
+constexpr Duration kChooseInterval = milliseconds(150);
 // A control host that failed is tried again after this long, and another one
 // is followed meanwhile.
 constexpr Duration kAvoidAfterFailure = milliseconds(1000);
@@ -202,8 +202,10 @@
 }
 
 void ControlFollower::State::Follow(const HostId& host) {
-  constexpr Duration kFirstPause = milliseconds(100);
-  constexpr Duration kLongestPause = milliseconds(800);
+  // After an outage of all hosts, every pause of a follower is a pause of
+  // callers; a refused connection costs next to nothing.
+  constexpr Duration kFirstPause = milliseconds(50);
+  constexpr Duration kLongestPause = milliseconds(200);
   PeerClient peer(this->runtime,
                   {.endpoint = EndpointOf(host), .silence = kSilence});
   WatchCall call{.follower = this->options.self, .role = this->options.role};
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -10,6 +10,7 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/control/member_watch.h"
 #include "knapweedroad/edge/control_follower.h"
+#include "knapweedroad/edge/directory_cache.h"
 #include "knapweedroad/edge/watch_hub.h"
 #include "knapweedroad/host/control_replica.h"
 #include "knapweedroad/host/control_service.h"
@@ -31,6 +32,10 @@
 constexpr Duration kPeekTimeout = milliseconds(350);
 constexpr Duration kMoveTimeout = milliseconds(3000);
 constexpr Duration kFormTimeout = milliseconds(2000);
+// What is known of targets is written down at most this often, and after a
+// refusal of the disk not sooner than the pause.
+constexpr Duration kDirectoryInterval = milliseconds(500);
+constexpr Duration kDirectoryPause = milliseconds(2000);
 // Announcements missed before a target counts as silent.
 constexpr int kMissedHeartbeats = 3;
 // Calls that are running at a stop get this long.
@@ -68,6 +73,7 @@
   void TakeAgreed(uint64_t version, const std::string& text);
   void OnNews(const HostId& from, const WatchReply& reply);
   void KeepMembers();
+  void KeepDirectory();
   void Act(const MemberAction& action);
   void Tick();
   bool Edit(std::string name,
@@ -83,6 +89,7 @@
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<WatchHub> hub;
+  std::unique_ptr<DirectoryCache> directory;
   std::unique_ptr<ControlFollower> follower;
   std::unique_ptr<PeerServer> peers;
   std::unique_ptr<HttpServer> server;
@@ -249,6 +256,28 @@
   }
 }
 
+void ControlHost::State::KeepDirectory() {
+  uint64_t saved_targets = 0;
+  uint64_t saved_hosts = 0;
+  while (!this->is_stopped) {
+    Runtime::SleepFor(kDirectoryInterval);
+    const uint64_t targets = this->registry.revision();
+    const uint64_t hosts = this->hub->hosts_revision();
+    if (targets == saved_targets && hosts == saved_hosts) {
+      continue;
+    }
+    const bool is_saved = this->directory->Save(
+        {.targets = this->registry.ChangedSince(0, Runtime::Now()),
+         .entry_hosts = this->hub->EntryHosts()});
+    if (is_saved) {
+      saved_targets = targets;
+      saved_hosts = hosts;
+    } else {
+      Runtime::SleepFor(kDirectoryPause);
+    }
+  }
+}
+
 void ControlHost::State::Tick() {
   const TimePoint now = Runtime::Now();
   const std::vector<HostId> live = this->ControlHosts();
@@ -341,6 +370,17 @@
           .control_hosts = [&self] { return self.ControlHosts(); },
           .on_control_follower =
               [&self](const HostId& host) { self.follower->Hear(host); }});
+  self.directory =
+      std::make_unique<DirectoryCache>(self.runtime, *settings.data_folder);
+  const DirectorySnapshot known = self.directory->Load();
+  for (const TargetRecord& record : known.targets) {
+    self.registry.Merge(record, Runtime::Now());
+  }
+  self.hub->RememberEntryHosts(known.entry_hosts);
+  LogLine("directory_read")
+      .Add("targets", known.targets.size())
+      .Add("entry_hosts", known.entry_hosts.size())
+      .Info();
   self.service = std::make_unique<ControlService>(
       self.runtime,
       ControlServiceOptions{
@@ -380,6 +420,7 @@
   }
   self.follower->Start();
   self.runtime.Spawn([state = this->state] { state->KeepMembers(); });
+  self.runtime.Spawn([state = this->state] { state->KeepDirectory(); });
   self.runtime.Spawn([state = this->state] {
     while (!state->is_stopped) {
       state->Tick();
--- /dev/null
+++ b/knapweedroad/edge/directory_cache.h
@@ -0,0 +1,59 @@
+// What a control host knew of targets and entry hosts, kept over a restart.
+//
+//   DirectoryCache cache(runtime, folder);
+//   DirectorySnapshot known = cache.Load();   // blocks the thread: at start
+//   cache.Save(snapshot);                     // blocks the calling fiber
+//
+// After all hosts have lost their power the targets are as they were, and each
+// would be known again only after its next announcement. What is read may be
+// out of date: anything newer supersedes it, and a target is always named in
+// what is sent to it.
+
+#ifndef KNAPWEEDROAD_EDGE_DIRECTORY_CACHE_H_
+#define KNAPWEEDROAD_EDGE_DIRECTORY_CACHE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/registry/target_record.h"
+
+namespace knapweedroad {
+
+class Runtime;
+
+struct DirectorySnapshot {
+  std::vector<TargetRecord> targets;
+  std::vector<HostId> entry_hosts;
+
+  friend bool operator==(const DirectorySnapshot&,
+                         const DirectorySnapshot&) = default;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->targets, this->entry_hosts);
+  }
+};
+
+class DirectoryCache {
+ public:
+  DirectoryCache(Runtime& runtime, std::string folder);
+  ~DirectoryCache();
+
+  // Empty where there is none, or where the file is damaged: it is a help, and
+  // nothing depends on it.
+  DirectorySnapshot Load() const;
+
+  // False, with a line in the log, where the disk refused it.
+  bool Save(const DirectorySnapshot& snapshot);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_DIRECTORY_CACHE_H_
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -175,7 +175,7 @@
     }
   }
   if (reply.has_hosts) {
-    this->book.SetEntryHosts(reply.entry_hosts);
+    this->book.SetEntryHosts(reply.entry_hosts, Runtime::Now());
   }
 }
 
@@ -226,6 +226,7 @@
   const bool is_reachable = reply.kind == ReplyKind::kAnswered;
   const ProbeResult result{
       .is_reachable = is_reachable,
+      .is_unclear = reply.kind == ReplyKind::kBroken,
       .is_other_target = is_reachable && !reply.target.empty() &&
                          reply.target != probe.target.str(),
       .is_healthy = is_reachable && reply.answer.status == 200,
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -198,13 +198,8 @@
 
 void EntryRequest::MakeHooks() {
   this->hooks.pick = [this](const ServiceId& service,
-                            std::span<const TargetId> tried, bool is_hedge) {
-    const TimePoint now = Runtime::Now();
-    // A second attempt that can't be in time is work for nobody.
-    const Duration limit = is_hedge && now < this->target_at
-                               ? Duration(this->target_at - now)
-                               : Duration::max();
-    return this->parts.book.Pick(service, tried, now, limit);
+                            std::span<const TargetId> tried) {
+    return this->parts.book.Pick(service, tried, Runtime::Now());
   };
   this->hooks.is_served = [this](const ServiceId& service) {
     return this->parts.book.IsServed(service, Runtime::Now());
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -162,6 +162,20 @@
                                        .heard = Runtime::Now()};
 }
 
+void WatchHub::RememberEntryHosts(const std::vector<HostId>& entry_hosts) {
+  for (const HostId& host : entry_hosts) {
+    this->state->entry_followers[host] = Runtime::Now();
+  }
+}
+
+std::vector<HostId> WatchHub::EntryHosts() const {
+  return this->state->AllEntryHosts();
+}
+
+uint64_t WatchHub::hosts_revision() const {
+  return this->state->hosts_revision;
+}
+
 void WatchHub::Sweep() {
   const TimePoint now = Runtime::Now();
   State& self = *this->state;
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -42,6 +42,14 @@
   // Another control host's own entry hosts.
   void LearnEntryHosts(const HostId& control_host,
                        std::vector<HostId> entry_hosts);
+  // Entry hosts of before a restart: taken as if they had just called.
+  void RememberEntryHosts(const std::vector<HostId>& entry_hosts);
+
+  // All entry hosts heard of, here or by other control hosts.
+  std::vector<HostId> EntryHosts() const;
+  // Rises with each change of the lists of hosts.
+  uint64_t hosts_revision() const;
+
   // Forgets hosts that haven't called lately, and wakes followers if the lists
   // have changed.
   void Sweep();
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -63,7 +63,7 @@
                        RunStep& step) {
   Shard& shard = this->shards[index];
   const ServiceId& service = this->options.services[index];
-  const auto target = this->hooks.pick(service, shard.tried, is_hedge);
+  const auto target = this->hooks.pick(service, shard.tried);
   if (!target) {
     return false;
   }
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -99,8 +99,7 @@
 // What a run asks of its host.
 struct RunHooks {
   std::function<std::optional<TargetId>(const ServiceId& service,
-                                        std::span<const TargetId> tried,
-                                        bool is_hedge)>
+                                        std::span<const TargetId> tried)>
       pick;
   // Whether the service has a target that may free up soon.
   std::function<bool(const ServiceId& service)> is_served;
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -17,6 +17,12 @@
 // Part of a target's connections that hosts plan with; the rest is for health
 // questions, hosts that restart, and hosts that aren't known yet.
 constexpr double kConnectionShare = 0.8;
+// A list of hosts that changed less than this ago may be half of it: after a
+// loss of power all hosts find control within a second or two.
+constexpr size_t kYoungCap = 2;
+constexpr Duration kHostsSettle = std::chrono::milliseconds(1500);
+// Hosts that left the list may be back, and hold their connections, for this.
+constexpr Duration kHostsMemory = std::chrono::seconds(10);
 // Weight of a new value in a smoothed latency: about the last seven decide,
 // so that a target that turns slow shows within a fraction of a second.
 constexpr double kLatencyWeight = 0.15;
@@ -92,12 +98,25 @@
   this->zones_out = {zones.begin(), zones.end()};
 }
 
-void TargetBook::SetEntryHosts(std::vector<HostId> next) {
+void TargetBook::SetEntryHosts(std::vector<HostId> next, TimePoint now) {
+  if (next == this->hosts) {
+    return;
+  }
+  const bool is_recent =
+      this->hosts_changed && now - *this->hosts_changed < kHostsMemory;
+  this->hosts_before = is_recent
+                           ? std::max(this->hosts_before, this->hosts.size())
+                           : this->hosts.size();
+  this->hosts_changed = now;
   this->hosts = std::move(next);
 }
 
 size_t TargetBook::entry_hosts() const {
-  return std::max<size_t>(this->hosts.size(), 1);
+  return std::max<size_t>({this->hosts.size(), this->hosts_before, 1});
+}
+
+bool TargetBook::IsListYoung(TimePoint now) const {
+  return !this->hosts_changed || now - *this->hosts_changed < kHostsSettle;
 }
 
 TargetBook::Target* TargetBook::Get(const TargetId& id) {
@@ -183,7 +202,11 @@
          !this->zones_out.contains(target.record.zone);
 }
 
-size_t TargetBook::CapOf(const Target& target) const {
+// Failure: all hosts have just started, each believes to be alone, and takes
+// all of a target's connections. The target resets what is over its cap, also
+// health questions, and looks broken to everybody. So a host that knows few
+// others yet takes one.
+size_t TargetBook::CapOf(const Target& target, TimePoint now) const {
   const RoutedService* const service =
       this->routing == nullptr
           ? nullptr
@@ -194,12 +217,8 @@
   const double share = static_cast<double>(service->max_connections) *
                        kConnectionShare /
                        static_cast<double>(this->entry_hosts());
-  return std::max<size_t>(1, static_cast<size_t>(share));
-}
-
-size_t TargetBook::ConnectionCap(const TargetId& id) const {
-  const Target* const target = this->Get(id);
-  return target == nullptr ? 0 : this->CapOf(*target);
+  const auto cap = std::max<size_t>(1, static_cast<size_t>(share));
+  return this->IsListYoung(now) ? std::min(cap, kYoungCap) : cap;
 }
 
 size_t TargetBook::SubsetSize(const Service& service) const {
@@ -245,7 +264,8 @@
 }
 
 bool TargetBook::MayTry(const Target& target, TimePoint now) const {
-  if (!this->IsUsable(target, now) || target.in_flight >= this->CapOf(target)) {
+  if (!this->IsUsable(target, now) ||
+      target.in_flight >= this->CapOf(target, now)) {
     return false;
   }
   if (!target.is_suspect) {
@@ -305,8 +325,7 @@
 
 std::optional<TargetId> TargetBook::Pick(const ServiceId& service_id,
                                          std::span<const TargetId> tried,
-                                         TimePoint now,
-                                         Duration limit) {
+                                         TimePoint now) {
   const auto found = this->services.find(service_id);
   if (found == this->services.end()) {
     return std::nullopt;
@@ -316,7 +335,6 @@
   enum Rank { kOwnPart, kOther, kTrial, kCold, kNone };
   Rank best_rank = kNone;
   double best_cost = std::numeric_limits<double>::max();
-  const auto most = static_cast<double>(limit.count());
   Target* best = nullptr;
   for (const TargetId& id : service.targets) {
     Target& target = *this->Get(id);
@@ -333,9 +351,6 @@
     if (rank == kNone || rank > best_rank) {
       continue;
     }
-    if (this->ExpectedLatency(service, target, now) > most) {
-      continue;
-    }
     const double cost = this->Cost(service, target, now);
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
@@ -609,7 +624,7 @@
   ++target->failed_probes;
   if (result.is_reachable) {
     ++target->unhealthy_probes;
-  } else {
+  } else if (!result.is_unclear) {
     target->unhealthy_probes = 0;
     this->Suspect(*target, "no_health_answer", now);
     target->is_only_silent = false;
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -57,6 +57,8 @@
 struct ProbeResult {
   // Nothing came: refused, reset or silent.
   bool is_reachable = false;
+  // A connection could be had, and ended without an answer.
+  bool is_unclear = false;
   // Another target answered at the address.
   bool is_other_target = false;
   bool is_healthy = false;
@@ -80,16 +82,15 @@
   void SetRouting(std::shared_ptr<const RouteTable> routing);
   void SetZonesOut(const std::vector<ZoneId>& zones);
   // All entry hosts, this one among them: they share what a target bears.
-  void SetEntryHosts(std::vector<HostId> hosts);
+  void SetEntryHosts(std::vector<HostId> hosts, TimePoint now);
+  // How many share it, at the most, as far as known.
   size_t entry_hosts() const;
 
   // The target of the service that promises the soonest answer, none of
-  // `tried`; nothing if none can take a request now, or none promises an answer
-  // within `limit`.
+  // `tried`; nothing if none can take a request now.
   std::optional<TargetId> Pick(const ServiceId& service,
                                std::span<const TargetId> tried,
-                               TimePoint now,
-                               Duration limit = Duration::max());
+                               TimePoint now);
 
   // Whether some target of the service may take requests, now or as soon as
   // one that runs has ended.
@@ -97,8 +98,6 @@
 
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
-  // Connections that this host may hold to it.
-  size_t ConnectionCap(const TargetId& id) const;
 
   // Evidence. Each attempt is OnSent() once, then one of the others once.
   void OnSent(const TargetId& id, TimePoint now);
@@ -182,7 +181,9 @@
   // How many of the service's targets this host keeps connections to.
   size_t SubsetSize(const Service& service) const;
   bool IsInSubset(const Service& service, const Target& target) const;
-  size_t CapOf(const Target& target) const;
+  // Whether the list of hosts may still lack most of them.
+  bool IsListYoung(TimePoint now) const;
+  size_t CapOf(const Target& target, TimePoint now) const;
   // The latency to expect of the target when idle as usual, in ns.
   double ExpectedLatency(const Service& service,
                          const Target& target,
@@ -207,6 +208,10 @@
   std::shared_ptr<const RouteTable> routing;
   std::set<ZoneId> zones_out;
   std::vector<HostId> hosts;
+  // When the list of hosts last changed; none: never heard of any.
+  std::optional<TimePoint> hosts_changed;
+  // The most hosts of a list that was replaced a short while ago.
+  size_t hosts_before = 0;
   std::minstd_rand random;
 };
 
