Control hosts correct what others took for silent; hedges leave budget for failures

Hedges beside slow targets used up what failed attempts needed. Change: told something else than it knows, the hearer passes its own record on again; hedges stop at three fifths of the allowance.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -38,8 +38,9 @@
 // An answer leaves this long before the latency target, as callers count it
 // from their side: two ways of up to 3 ms and the host's own work.
 constexpr Duration kTargetMargin = milliseconds(8);
-// Attempts that hedges leave of the budget to replace failed ones.
-constexpr double kHedgeReserve = 2;
+// Share of the budget that hedges leave to replace failed attempts: a part
+// that is late may still come, one that failed doesn't.
+constexpr double kHedgeReserve = 0.4;
 // What is still out when the answer has gone may end within this, so that its
 // connection can be used again.
 constexpr Duration kStragglerGrace = milliseconds(600);
--- a/knapweedroad/registry/target_registry.cc
+++ b/knapweedroad/registry/target_registry.cc
@@ -114,9 +114,26 @@
 }
 
 void TargetRegistry::Merge(TargetRecord record, TimePoint now) {
-  if (this->entries.size() < this->options.max_targets ||
-      this->entries.contains(record.id)) {
-    this->Take(std::move(record), now);
+  const auto known = this->entries.find(record.id);
+  if (known == this->entries.end()) {
+    if (this->entries.size() < this->options.max_targets) {
+      this->Take(std::move(record), now);
+    }
+    return;
+  }
+  const TargetPhase told = record.phase;
+  const HostId told_by = record.heard_by;
+  if (this->Take(std::move(record), now)) {
+    return;
+  }
+  // Failure: a control host that was cut off from this one took this one's
+  // targets for silent and said so to others. Heartbeats that change nothing
+  // here aren't passed on, so nobody would ever hear that they go on.
+  Entry& entry = known->second;
+  const bool is_own = entry.record.heard_by == this->options.self;
+  if (is_own &&
+      (told != entry.record.phase || told_by != entry.record.heard_by)) {
+    entry.changed = ++this->newest;
   }
 }
 
--- a/knapweedroad/registry/target_registry_test.cc
+++ b/knapweedroad/registry/target_registry_test.cc
@@ -122,6 +122,25 @@
   cr_expect(PhaseOf(registry, "t") == TargetPhase::kSilent);
 }
 
+// One control host is cut off from the others for some seconds. They take its
+// targets for silent; after the cut it hears them as ever, so it has nothing
+// to tell, and for minutes nobody uses targets that serve well.
+Test(target_registry, the_hearer_corrects_what_others_took_for_silent) {
+  TargetRegistry hearer({.self = HostId("a"), .silent_after = seconds(4)});
+  TargetRegistry other({.self = HostId("b"), .silent_after = seconds(4)});
+  hearer.Announce(Record("t", 1000, 1), kStart);
+  other.Merge(hearer.ChangedSince(0, kStart)[0], kStart);
+  const uint64_t followed = hearer.revision();
+  other.Sweep([](const HostId&) { return false; }, kStart + seconds(9));
+  cr_assert(PhaseOf(other, "t") == TargetPhase::kSilent);
+  hearer.Announce(Record("t", 1000, 9), kStart + seconds(10));
+  hearer.Merge(other.ChangedSince(0, kStart)[0], kStart + seconds(10));
+  const auto news = hearer.ChangedSince(followed, kStart + seconds(10));
+  cr_assert(news.size() == 1);
+  other.Merge(news[0], kStart + seconds(10));
+  cr_expect(PhaseOf(other, "t") == TargetPhase::kServing);
+}
+
 Test(target_registry, a_flood_of_ids_ends_at_the_bound) {
   TargetRegistry registry({.self = HostId("c"), .max_targets = 2});
   registry.Announce(Record("a", 1, 1), kStart);
--- a/knapweedroad/routing/extra_budget.cc
+++ b/knapweedroad/routing/extra_budget.cc
@@ -26,11 +26,10 @@
   this->newest = std::max(this->newest, current);
 }
 
-double ExtraBudget::Left(size_t hosts) const {
+double ExtraBudget::Allowance(size_t hosts) const {
   const double shared = this->limits.slack * kSlackMargin /
                         static_cast<double>(std::max<size_t>(hosts, 1));
-  return this->requests * this->limits.ratio * kRatioMargin + shared -
-         this->extra;
+  return this->requests * this->limits.ratio * kRatioMargin + shared;
 }
 
 void ExtraBudget::OnRequest(TimePoint now) {
@@ -39,9 +38,9 @@
   ++this->requests;
 }
 
-bool ExtraBudget::CanSpend(size_t hosts, double reserve, TimePoint now) {
+bool ExtraBudget::CanSpend(size_t hosts, double reserved_share, TimePoint now) {
   this->Advance(now);
-  return this->Left(hosts) >= 1 + reserve;
+  return this->extra + 1 <= this->Allowance(hosts) * (1 - reserved_share);
 }
 
 bool ExtraBudget::Spend(size_t hosts, TimePoint now) {
--- a/knapweedroad/routing/extra_budget.h
+++ b/knapweedroad/routing/extra_budget.h
@@ -38,8 +38,9 @@
   // slack.
   bool Spend(size_t hosts, TimePoint now);
 
-  // Whether Spend() would allow it with `reserve` attempts left over.
-  bool CanSpend(size_t hosts, double reserve, TimePoint now);
+  // Whether Spend() would allow it with this share of the whole allowance left
+  // over.
+  bool CanSpend(size_t hosts, double reserved_share, TimePoint now);
 
  private:
   // A window's slices, and one for the part of the oldest that is still in.
@@ -51,7 +52,7 @@
   };
 
   void Advance(TimePoint now);
-  double Left(size_t hosts) const;
+  double Allowance(size_t hosts) const;
 
   ExtraBudgetLimits limits;
   std::array<Slice, kSlices> slices{};
