Hedges leave as much of the budget as retries use, instead of a fixed part

Change: ExtraBudget counts retries and hedges; hedges leave a tenth at least and half at most, as much as retries have used in the window.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -38,9 +38,6 @@
 // An answer leaves this long before the latency target, as callers count it
 // from their side: two ways of up to 3 ms and the host's own work.
 constexpr Duration kTargetMargin = milliseconds(8);
-// Share of the budget that hedges leave to replace failed attempts: a part
-// that is late may still come, one that failed doesn't.
-constexpr double kHedgeReserve = 0.4;
 // What is still out when the answer has gone may end within this, so that its
 // connection can be used again.
 constexpr Duration kStragglerGrace = milliseconds(600);
@@ -209,9 +206,8 @@
     const TimePoint now = Runtime::Now();
     const size_t hosts = this->parts.book.entry_hosts();
     ExtraBudget& budget = this->parts.budgets.at(service);
-    const bool sent =
-        (!is_hedge || budget.CanSpend(hosts, kHedgeReserve, now)) &&
-        budget.Spend(hosts, now);
+    const bool sent = is_hedge ? budget.SpendHedge(hosts, now)
+                               : budget.SpendRetry(hosts, now);
     this->parts.metrics.CountExtra(sent);
     return sent;
   };
--- a/knapweedroad/routing/extra_budget.cc
+++ b/knapweedroad/routing/extra_budget.cc
@@ -9,6 +9,10 @@
 // an attempt arrives later than it is counted here.
 constexpr double kRatioMargin = 0.85;
 constexpr double kSlackMargin = 0.75;
+// What hedges leave to retries, as shares of the allowance: for the first
+// failures of a trouble, and however many there are.
+constexpr double kLeastReserve = 0.1;
+constexpr double kMostReserve = 0.5;
 
 }  // namespace
 
@@ -20,7 +24,8 @@
   for (int64_t i = 0; i < steps; ++i) {
     Slice& oldest = this->slices[(this->newest + 1 + i) % kSlices];
     this->requests -= oldest.requests;
-    this->extra -= oldest.extra;
+    this->retries -= oldest.retries;
+    this->hedges -= oldest.hedges;
     oldest = {};
   }
   this->newest = std::max(this->newest, current);
@@ -38,17 +43,26 @@
   ++this->requests;
 }
 
-bool ExtraBudget::CanSpend(size_t hosts, double reserved_share, TimePoint now) {
+bool ExtraBudget::SpendRetry(size_t hosts, TimePoint now) {
   this->Advance(now);
-  return this->extra + 1 <= this->Allowance(hosts) * (1 - reserved_share);
+  if (this->extra() + 1 > this->Allowance(hosts)) {
+    return false;
+  }
+  ++this->slices[this->newest % kSlices].retries;
+  ++this->retries;
+  return true;
 }
 
-bool ExtraBudget::Spend(size_t hosts, TimePoint now) {
-  if (!this->CanSpend(hosts, 0, now)) {
+bool ExtraBudget::SpendHedge(size_t hosts, TimePoint now) {
+  this->Advance(now);
+  const double allowance = this->Allowance(hosts);
+  const double reserved = std::clamp<double>(
+      this->retries, allowance * kLeastReserve, allowance * kMostReserve);
+  if (this->extra() + 1 > allowance - reserved) {
     return false;
   }
-  ++this->slices[this->newest % kSlices].extra;
-  ++this->extra;
+  ++this->slices[this->newest % kSlices].hedges;
+  ++this->hedges;
   return true;
 }
 
--- a/knapweedroad/routing/extra_budget.h
+++ b/knapweedroad/routing/extra_budget.h
@@ -3,7 +3,7 @@
 //
 //   ExtraBudget budget({.ratio = 0.2, .slack = 58, .window = 10s});
 //   budget.OnRequest(now);
-//   if (budget.Spend(now)) SendAgain();
+//   if (budget.SpendRetry(hosts, now)) SendAgain();
 
 #ifndef KNAPWEEDROAD_ROUTING_EXTRA_BUDGET_H_
 #define KNAPWEEDROAD_ROUTING_EXTRA_BUDGET_H_
@@ -34,13 +34,16 @@
 
   void OnRequest(TimePoint now);
 
-  // True: one more attempt may be sent, and is counted. `hosts` share the
-  // slack.
-  bool Spend(size_t hosts, TimePoint now);
+  // True: one more attempt may be sent in place of a failed one, and is
+  // counted. `hosts` share the slack.
+  bool SpendRetry(size_t hosts, TimePoint now);
 
-  // Whether Spend() would allow it with this share of the whole allowance left
-  // over.
-  bool CanSpend(size_t hosts, double reserved_share, TimePoint now);
+  // True: one more attempt may be sent beside one that is late. Leaves as much
+  // as retries have used up lately, half of all at the most.
+  //
+  // Failure: some targets are slow, others fail; attempts beside slow ones,
+  // whose answer may still come, use up what the failed ones are lost without.
+  bool SpendHedge(size_t hosts, TimePoint now);
 
  private:
   // A window's slices, and one for the part of the oldest that is still in.
@@ -48,17 +51,20 @@
 
   struct Slice {
     uint32_t requests = 0;
-    uint32_t extra = 0;
+    uint32_t retries = 0;
+    uint32_t hedges = 0;
   };
 
   void Advance(TimePoint now);
   double Allowance(size_t hosts) const;
+  uint32_t extra() const { return this->retries + this->hedges; }
 
   ExtraBudgetLimits limits;
   std::array<Slice, kSlices> slices{};
   int64_t newest = 0;
   uint32_t requests = 0;
-  uint32_t extra = 0;
+  uint32_t retries = 0;
+  uint32_t hedges = 0;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/extra_budget_test.cc
+++ b/knapweedroad/routing/extra_budget_test.cc
@@ -25,7 +25,7 @@
     const size_t host = (at / milliseconds(5)) % kHosts;
     hosts[host].OnRequest(now);
     requests.push_back(now);
-    if (hosts[host].Spend(kHosts, now)) {
+    if (hosts[host].SpendRetry(kHosts, now)) {
       extra.push_back(now);
     }
     while (now - extra.front() >= limits.window) {
@@ -43,15 +43,28 @@
 
 // Some targets are slow, others fail. Attempts beside slow ones must leave
 // enough to replace the failed ones: those are lost without.
-Test(extra_budget, leaves_a_share_when_asked_to) {
-  ExtraBudget budget({.ratio = 0, .slack = 8, .window = seconds(10)});
+Test(extra_budget, hedges_leave_as_much_as_retries_use) {
   const TimePoint now{seconds(100)};
-  for (int i = 0; i < 3; ++i) {
-    cr_expect(budget.CanSpend(1, 0.5, now));
-    cr_expect(budget.Spend(1, now));
+  const ExtraBudgetLimits limits{
+      .ratio = 0, .slack = 40, .window = seconds(10)};  // 30 for one host
+  const auto hedges_after = [&](int retries) {
+    ExtraBudget budget(limits);
+    for (int i = 0; i < retries; ++i) {
+      cr_assert(budget.SpendRetry(1, now));
+    }
+    int hedges = 0;
+    while (budget.SpendHedge(1, now)) {
+      ++hedges;
+    }
+    return hedges;
+  };
+  cr_expect(hedges_after(0) == 27);
+  cr_expect(hedges_after(6) == 18);
+  cr_expect(hedges_after(15) == 0);
+  ExtraBudget budget(limits);
+  while (budget.SpendHedge(1, now)) {
   }
-  cr_expect(!budget.CanSpend(1, 0.5, now));
-  cr_expect(budget.CanSpend(1, 0, now));
+  cr_expect(budget.SpendRetry(1, now));
 }
 
 }  // namespace
