--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -122,6 +122,8 @@
   void End(RunEnd end);
   void AnswerParts(const RunEnd& end);
   void Log(const RunEnd& end, int status);
+  // Services without a usable target, and what is believed of theirs.
+  std::string DescribeUnserved() const;
   void Abandon();
   void ReleaseAttempts(Duration grace);
 
@@ -135,6 +137,7 @@
   TimePoint deadline;
   TimePoint target_at;
   RunHooks hooks;
+  std::vector<ServiceId> services;
   std::optional<RequestRun> run;
   std::vector<Attempt> attempts;
   std::optional<TimePoint> armed;
@@ -226,6 +229,7 @@
   this->memory = &this->parts.routes[this->route->name];
   const TimePoint now = Runtime::Now();
   RequestRunOptions options = this->RunOptions(*this->route);
+  this->services = options.services;
   for (const ServiceId& service : options.services) {
     this->parts.budgets.try_emplace(service, this->parts.budget_limits)
         .first->second.OnRequest(now);
@@ -415,6 +419,29 @@
   this->exchange->Answer(std::move(answer));
 }
 
+std::string EntryRequest::DescribeUnserved() const {
+  constexpr size_t kMostNamed = 4;
+  const TimePoint now = Runtime::Now();
+  std::string text;
+  size_t named = 0;
+  for (const ServiceId& service : this->services) {
+    if (this->parts.book.IsServed(service, now)) {
+      continue;
+    }
+    if (++named > kMostNamed) {
+      return text + "...";
+    }
+    const ServiceCount count = this->parts.book.Count(service, now);
+    text += service.str() + "(leaving:" + std::to_string(count.leaving) +
+            ",out:" + std::to_string(count.out) +
+            ",silent:" + std::to_string(count.silent) +
+            ",suspect:" + std::to_string(count.suspect) +
+            ",cold:" + std::to_string(count.cold) +
+            ",usable:" + std::to_string(count.usable) + ") ";
+  }
+  return text;
+}
+
 void EntryRequest::Log(const RunEnd& end, int status) {
   const Duration took = Runtime::Now() - this->request.received;
   this->parts.metrics.CountRequest(this->route->name, ToString(end.kind), took);
@@ -438,6 +465,8 @@
       .Add("extra", this->run->extra_attempts())
       .Add("version", this->table->version())
       .Add("story", this->story)
+      .Add("unserved", is_served && end.missing == 0 ? std::string()
+                                                     : this->DescribeUnserved())
       .Info();
 }
 
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -383,6 +383,32 @@
   });
 }
 
+ServiceCount TargetBook::Count(const ServiceId& service, TimePoint now) const {
+  ServiceCount count;
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return count;
+  }
+  for (const TargetId& id : found->second.targets) {
+    const Target& target = *this->Get(id);
+    const TargetPhase phase = target.record.phase;
+    if (phase == TargetPhase::kLeaving || phase == TargetPhase::kGone) {
+      ++count.leaving;
+    } else if (this->zones_out.contains(target.record.zone)) {
+      ++count.out;
+    } else if (!this->IsUsable(target, now)) {
+      ++count.silent;
+    } else if (target.is_suspect) {
+      ++count.suspect;
+    } else if (this->IsCold(target, now)) {
+      ++count.cold;
+    } else {
+      ++count.usable;
+    }
+  }
+  return count;
+}
+
 void TargetBook::OnSent(const TargetId& id, TimePoint now) {
   if (Target* const target = this->Get(id)) {
     ++target->in_flight;
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -25,6 +25,7 @@
 
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/target_record.h"
+#include "knapweedroad/routing/service_count.h"
 #include "knapweedroad/routing/target_load.h"
 
 namespace knapweedroad {
@@ -96,6 +97,8 @@
   // one that runs has ended.
   bool IsServed(const ServiceId& service, TimePoint now) const;
 
+  ServiceCount Count(const ServiceId& service, TimePoint now) const;
+
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
 
