Own zone's targets are preferred more, failures remembered longer

Cause: bytes between zones are the largest price on the grown sites; with 83 hosts each asks a target every other second, so latencies are noise and a failure was forgotten before the next request; both targets of a host's part failing left the third unused. Change: another zone costs 1.6 instead of 1.2, targets outside of the host's part twice instead of never, failures count 0.3 and halve in 4 s.

--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -37,14 +37,20 @@
 // would know of its own requests alone, and a zone's hosts would go on filling
 // their own zone's target while the others are free.
 constexpr Duration kLoadHalfLife = milliseconds(120);
-constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
+// Failures are half forgotten after this: a host of many asks a target only
+// every other second, and must remember from one request to the next.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(4);
 // Weight of a new outcome in the smoothed share of failures.
-constexpr double kFailureWeight = 0.2;
+constexpr double kFailureWeight = 0.3;
 // A target that fails every time costs like one nine times as slow.
 constexpr double kFailureCost = 8;
 // What an answer from another zone costs beside its time: bytes between zones
-// are paid for, so a near target that is a fifth slower is as good.
-constexpr double kOtherZoneCost = 1.2;
+// are paid for, and latencies of a dozen values differ by a third by chance, so
+// a near target that looks half as slow again is as good.
+constexpr double kOtherZoneCost = 1.6;
+// What a target costs to which this host keeps no connections: a new one holds
+// a slot for some milliseconds, and may be over the target's cap.
+constexpr double kOtherPartCost = 2;
 // An attempt unanswered for this many usual latencies counts as stalled, and
 // not before kStallFloor: pauses of a tenth of a second come every few seconds.
 constexpr double kStallFactor = 3;
@@ -331,8 +337,8 @@
     return std::nullopt;
   }
   const Service& service = found->second;
-  // Warm ones of this host's part first, then the others; a cold one last.
-  enum Rank { kOwnPart, kOther, kTrial, kCold, kNone };
+  // Warm ones first, then trials of suspects; a cold one last.
+  enum Rank { kWarm, kTrial, kCold, kNone };
   Rank best_rank = kNone;
   double best_cost = std::numeric_limits<double>::max();
   Target* best = nullptr;
@@ -342,7 +348,7 @@
         std::ranges::find(tried, id) != tried.end()) {
       continue;
     }
-    Rank rank = this->IsInSubset(service, target) ? kOwnPart : kOther;
+    Rank rank = kWarm;
     if (this->IsCold(target, now)) {
       rank = this->MaySendCold(target, now) ? kCold : kNone;
     } else if (target.is_suspect) {
@@ -351,7 +357,10 @@
     if (rank == kNone || rank > best_rank) {
       continue;
     }
-    const double cost = this->Cost(service, target, now);
+    double cost = this->Cost(service, target, now);
+    if (!this->IsInSubset(service, target)) {
+      cost *= kOtherPartCost;
+    }
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
       best_cost = cost;
