--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -23,6 +24,9 @@
 // A link on which nothing has come for this long is taken for dead.
 constexpr Duration kSilence = milliseconds(1500);
 constexpr Duration kPullTimeout = milliseconds(1500);
+// A control host of another zone is asked for a text only after this: by then
+// one of the own zone has told of it, too.
+constexpr Duration kNearPull = milliseconds(150);
 constexpr Duration kChooseInterval = milliseconds(150);
 // A control host that failed is tried again after this long, and another one
 // is followed meanwhile.
@@ -36,6 +40,8 @@
   TimePoint heard;
   TimePoint failed;
   bool was_live = false;
+  // Empty: not heard yet.
+  ZoneId zone;
 };
 
 uint64_t RankOf(const HostId& self, const HostId& host) {
@@ -71,6 +77,7 @@
   void Choose();
   void Follow(const HostId& host);
   bool Ask(PeerClient& peer, const HostId& host, WatchCall& call);
+  void PullFromNearest(PeerClient& peer, const HostId& host);
   void Pull(PeerClient& peer, const HostId& host);
   void Failed(const HostId& host, const std::string& detail);
 
@@ -80,6 +87,8 @@
   std::set<HostId> followed;
   std::set<HostId> wanted;
   bool is_pulling = false;
+  // The newest version that a control host told of.
+  uint64_t told_version = 0;
   bool is_stopped = false;
 };
 
@@ -101,7 +110,10 @@
     const auto found = this->known.find(host);
     const bool failed_lately = found != this->known.end() &&
                                now - found->second.failed < kAvoidAfterFailure;
-    return std::pair(failed_lately, RankOf(this->options.self, host));
+    const bool is_other_zone =
+        found == this->known.end() || found->second.zone != this->options.zone;
+    return std::tuple(failed_lately, is_other_zone,
+                      RankOf(this->options.self, host));
   };
   std::ranges::sort(hosts, {}, key);
   if (this->options.most_links > 0 && hosts.size() > this->options.most_links) {
@@ -150,7 +162,7 @@
     this->Failed(host, bytes.error().detail);
     return false;
   }
-  const auto reply = DecodeBytes<WatchReply>(*bytes);
+  const auto reply = DecodePacked<WatchReply>(*bytes);
   if (!reply) {
     this->Failed(host, reply.error());
     return false;
@@ -164,25 +176,47 @@
         .Add("agreed_version", reply->agreed_version)
         .Info();
   }
-  for (const HostId& other : reply->control_hosts) {
-    if (other != this->options.self) {
-      this->known[other].heard = facts.heard;
+  facts.zone = reply->zone;
+  for (const ControlHostRecord& other : reply->control_hosts) {
+    if (other.host != this->options.self) {
+      Known& heard_of = this->known[other.host];
+      heard_of.heard = Runtime::Now();
+      heard_of.zone = other.zone;
     }
   }
   call.epoch = reply->epoch;
   call.revision = reply->revision;
   call.hosts_revision = reply->hosts_revision;
   this->options.on_reply(host, *reply);
+  this->told_version = std::max(this->told_version, reply->agreed_version);
   if (reply->agreed_version > this->options.held_version()) {
-    this->Pull(peer, host);
+    this->PullFromNearest(peer, host);
   }
   return true;
 }
 
+// From the own zone where that is possible: texts are long, and bytes between
+// zones are paid for.
+void ControlFollower::State::PullFromNearest(PeerClient& peer,
+                                             const HostId& host) {
+  const bool is_near = this->known[host].zone == this->options.zone;
+  const bool has_near =
+      std::ranges::any_of(this->known, [&](const auto& entry) {
+        return entry.second.was_live && entry.second.zone == this->options.zone;
+      });
+  if (!is_near && has_near) {
+    Runtime::SleepFor(kNearPull);
+  }
+  if (this->known[host].was_live) {
+    this->Pull(peer, host);
+  }
+}
+
 // One at a time: several control hosts tell of a version at the same moment,
 // and its text would come once from each.
 void ControlFollower::State::Pull(PeerClient& peer, const HostId& host) {
-  if (std::exchange(this->is_pulling, true)) {
+  if (this->told_version <= this->options.held_version() ||
+      std::exchange(this->is_pulling, true)) {
     return;
   }
   const PullCall call{.held_version = this->options.held_version()};
@@ -193,7 +227,7 @@
     this->Failed(host, bytes.error().detail);
     return;
   }
-  const auto reply = DecodeBytes<PullReply>(*bytes);
+  const auto reply = DecodePacked<PullReply>(*bytes);
   if (!reply) {
     this->Failed(host, reply.error());
   } else if (reply->agreed_version > this->options.held_version()) {
@@ -244,6 +278,14 @@
   return live;
 }
 
+std::vector<ControlHostRecord> ControlFollower::LiveRecords() const {
+  std::vector<ControlHostRecord> records;
+  for (const HostId& host : this->LiveHosts()) {
+    records.push_back({.host = host, .zone = this->state->known[host].zone});
+  }
+  return records;
+}
+
 std::vector<HostId> ControlFollower::KnownHosts() const {
   return this->state->Candidates();
 }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -23,6 +23,8 @@
 
 struct ControlFollowerOptions {
   HostId self;
+  // Control hosts of this zone are followed first.
+  ZoneId zone;
   FollowerRole role = FollowerRole::kEntry;
   // Control hosts followed at a time, however many there are. Two may be cut
   // off or down and news still comes.
@@ -44,6 +46,8 @@
 
   // Control hosts that have answered lately.
   std::vector<HostId> LiveHosts() const;
+  // The same with their zones, this host not among them.
+  std::vector<ControlHostRecord> LiveRecords() const;
   // All control hosts known, seeds included.
   std::vector<HostId> KnownHosts() const;
   // A control host that this host has heard of by another way.
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -79,7 +79,8 @@
   bool Edit(std::string name,
             std::function<void(AgreedState&)> edit,
             TimePoint deadline);
-  std::vector<HostId> ControlHosts() const;
+  // Live ones, this one among them.
+  std::vector<ControlHostRecord> ControlHosts() const;
 
   Runtime& runtime;
   ControlHostOptions options;
@@ -113,9 +114,9 @@
                 .silent_after = this->options.settings.heartbeat_interval *
                                 kMissedHeartbeats}) {}
 
-std::vector<HostId> ControlHost::State::ControlHosts() const {
-  std::vector<HostId> hosts = this->follower->LiveHosts();
-  hosts.push_back(this->self);
+std::vector<ControlHostRecord> ControlHost::State::ControlHosts() const {
+  std::vector<ControlHostRecord> hosts = this->follower->LiveRecords();
+  hosts.push_back({.host = this->self, .zone = this->options.settings.zone});
   std::ranges::sort(hosts);
   return hosts;
 }
@@ -147,7 +148,7 @@
     if (!call) {
       return tl::unexpected("unreadable call: " + call.error());
     }
-    return EncodeBytes(this->hub->Answer(*call));
+    return EncodePacked(this->hub->Answer(*call));
   }
   if (type == PeerMessageType::kPull) {
     const auto call = DecodeBytes<PullCall>(body);
@@ -158,7 +159,8 @@
     if (call->held_version < this->agreed_version) {
       reply.agreed_text = this->agreed_text;
     }
-    return EncodeBytes(reply);
+    // The text is packed already.
+    return EncodePacked(reply);
   }
   return tl::unexpected(std::string("not a call of control hosts"));
 }
@@ -280,11 +282,12 @@
 
 void ControlHost::State::Tick() {
   const TimePoint now = Runtime::Now();
-  const std::vector<HostId> live = this->ControlHosts();
+  const std::vector<ControlHostRecord> live = this->ControlHosts();
   const uint64_t before = this->registry.revision();
   this->registry.Sweep(
       [&](const HostId& host) {
-        return std::ranges::find(live, host) != live.end();
+        return std::ranges::find(live, host, &ControlHostRecord::host) !=
+               live.end();
       },
       now);
   if (this->registry.revision() != before) {
@@ -349,6 +352,7 @@
       self.runtime,
       ControlFollowerOptions{
           .self = self.self,
+          .zone = settings.zone,
           .role = FollowerRole::kControl,
           .most_links = 0,
           .seeds = [&self] { return self.seeds; },
@@ -365,6 +369,7 @@
       self.runtime,
       WatchHubOptions{
           .self = self.self,
+          .zone = settings.zone,
           .registry = self.registry,
           .agreed_version = [&self] { return self.agreed_version; },
           .control_hosts = [&self] { return self.ControlHosts(); },
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -374,6 +374,7 @@
       self.runtime,
       ControlFollowerOptions{
           .self = settings.name,
+          .zone = settings.zone,
           .role = FollowerRole::kEntry,
           .seeds = [&self] { return self.seeds; },
           .held_version = [&self] { return self.agreed_version; },
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -58,7 +58,7 @@
   std::map<HostId, TimePoint> entry_followers;
   std::map<HostId, OtherEntryHosts> others;
   std::vector<HostId> told_entry_hosts;
-  std::vector<HostId> told_control_hosts;
+  std::vector<ControlHostRecord> told_control_hosts;
   std::unordered_set<std::shared_ptr<TimedEvent>> waiting;
 };
 
@@ -90,7 +90,7 @@
 
 void WatchHub::State::NoteHosts() {
   std::vector<HostId> entry = this->AllEntryHosts();
-  std::vector<HostId> control = this->options.control_hosts();
+  std::vector<ControlHostRecord> control = this->options.control_hosts();
   if (entry == this->told_entry_hosts && control == this->told_control_hosts) {
     return;
   }
@@ -105,7 +105,8 @@
 
 WatchReply WatchHub::State::MakeReply(const WatchCall& call) const {
   const bool is_same = call.epoch == this->epoch;
-  WatchReply reply{.epoch = this->epoch,
+  WatchReply reply{.zone = this->options.zone,
+                   .epoch = this->epoch,
                    .revision = this->options.registry.revision(),
                    .hosts_revision = this->hosts_revision,
                    .agreed_version = this->options.agreed_version()};
@@ -188,7 +189,8 @@
   });
   const auto control = self.options.control_hosts();
   std::erase_if(self.others, [&](const auto& entry) {
-    return std::ranges::find(control, entry.first) == control.end();
+    return std::ranges::find(control, entry.first, &ControlHostRecord::host) ==
+           control.end();
   });
   const uint64_t before = self.hosts_revision;
   self.NoteHosts();
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -23,10 +23,11 @@
 
 struct WatchHubOptions {
   HostId self;
+  ZoneId zone;
   TargetRegistry& registry;
   std::function<uint64_t()> agreed_version;
   // Control hosts that this one knows.
-  std::function<std::vector<HostId>()> control_hosts;
+  std::function<std::vector<ControlHostRecord>()> control_hosts;
   // A control host follows this one: it may not have been known.
   std::function<void(const HostId&)> on_control_follower;
 };
--- a/knapweedroad/registry/agreed_state.cc
+++ b/knapweedroad/registry/agreed_state.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 
 #include "knapweedroad/wire/codec.h"
+#include "knapweedroad/wire/packed.h"
 
 namespace knapweedroad {
 
 std::string EncodeAgreedState(const AgreedState& state) {
-  return EncodeBytes(state);
+  return Pack(EncodeBytes(state));
 }
 
 tl::expected<AgreedState, std::string> DecodeAgreedState(
@@ -15,7 +16,11 @@
   if (bytes.empty()) {
     return AgreedState();
   }
-  return DecodeBytes<AgreedState>(bytes);
+  const auto unpacked = Unpack(bytes);
+  if (!unpacked) {
+    return tl::unexpected(unpacked.error());
+  }
+  return DecodeBytes<AgreedState>(*unpacked);
 }
 
 void PutIfNewer(AgreedState& state, uint64_t number, std::string_view text) {
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -36,7 +36,23 @@
   }
 };
 
+struct ControlHostRecord {
+  HostId host;
+  ZoneId zone;
+
+  friend auto operator<=>(const ControlHostRecord&,
+                          const ControlHostRecord&) = default;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->host, this->zone);
+  }
+};
+
 struct WatchReply {
+  // Of the control host that replies.
+  ZoneId zone;
   uint64_t epoch = 0;
   uint64_t revision = 0;
   uint64_t hosts_revision = 0;
@@ -45,7 +61,7 @@
   std::vector<TargetRecord> targets;
   // Absent where the follower has this list.
   bool has_hosts = false;
-  std::vector<HostId> control_hosts;
+  std::vector<ControlHostRecord> control_hosts;
   // Entry hosts that follow this control host itself.
   std::vector<HostId> own_entry_hosts;
   // All entry hosts that this control host has heard of.
@@ -54,7 +70,7 @@
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->revision, this->hosts_revision,
+    archive(this->zone, this->epoch, this->revision, this->hosts_revision,
             this->agreed_version, this->targets, this->has_hosts,
             this->control_hosts, this->own_entry_hosts, this->entry_hosts);
   }
--- a/knapweedroad/wire/codec.h
+++ b/knapweedroad/wire/codec.h
@@ -22,6 +22,7 @@
 #include <tl/expected.hpp>
 
 #include "knapweedroad/wire/bounded_input.h"
+#include "knapweedroad/wire/packed.h"
 
 namespace knapweedroad {
 
@@ -50,6 +51,21 @@
   return value;
 }
 
+// The same, compressed: for messages that cross zones often.
+template <typename Value>
+std::string EncodePacked(const Value& value) {
+  return Pack(EncodeBytes(value));
+}
+
+template <typename Value>
+tl::expected<Value, std::string> DecodePacked(std::string_view bytes) {
+  const auto unpacked = Unpack(bytes);
+  if (!unpacked) {
+    return tl::unexpected(unpacked.error());
+  }
+  return DecodeBytes<Value>(*unpacked);
+}
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_WIRE_CODEC_H_
