--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -76,7 +76,7 @@
   void KeepDirectory();
   void Act(const MemberAction& action);
   void Tick();
-  bool Edit(std::string name,
+  bool Edit(const std::string& name,
             std::function<void(AgreedState&)> edit,
             TimePoint deadline);
   // Live ones, this one among them.
@@ -299,7 +299,7 @@
   }
 }
 
-bool ControlHost::State::Edit(std::string name,
+bool ControlHost::State::Edit(const std::string& name,
                               std::function<void(AgreedState&)> edit,
                               TimePoint deadline) {
   const ChangeOutcome outcome = this->service->Change(
--- a/knapweedroad/host/control_replica.cc
+++ b/knapweedroad/host/control_replica.cc
@@ -207,10 +207,10 @@
 }
 
 const std::optional<ControlValue>& ControlReplica::accepted() const {
-  static const std::optional<ControlValue> kNothing;
+  static const std::optional<ControlValue> nothing;
   return this->state->acceptor.has_value()
              ? this->state->acceptor->current().value
-             : kNothing;
+             : nothing;
 }
 
 RecordStoreStats ControlReplica::stats() const {
--- a/knapweedroad/routing/route_adoption_test.cc
+++ b/knapweedroad/routing/route_adoption_test.cc
@@ -13,8 +13,9 @@
 
 const TimePoint kStart{std::chrono::seconds(1000)};
 
-std::shared_ptr<const RouteTable> Table(uint64_t version,
-                                        std::vector<const char*> shards) {
+std::shared_ptr<const RouteTable> Table(
+    uint64_t version,
+    const std::vector<const char*>& shards) {
   RouteConfig route{.name = "r",
                     .host_name = "h",
                     .path_prefix = "/",
--- a/knapweedroad/routing/routing_test.cc
+++ b/knapweedroad/routing/routing_test.cc
@@ -72,10 +72,9 @@
   const std::string low(16, 'a');
   const std::string high(16, 'z');
   const std::string one = low + high + "rest";
-  const std::string two = high;
-  cr_expect(MergeRecords(std::vector<std::string_view>{one, two}, 2) ==
+  cr_expect(MergeRecords(std::vector<std::string_view>{one, high}, 2) ==
             high + high);
-  cr_expect(MergeRecords(std::vector<std::string_view>{one, two}, 9) ==
+  cr_expect(MergeRecords(std::vector<std::string_view>{one, high}, 9) ==
             high + high + low);
   cr_expect(MergeRecords(std::vector<std::string_view>{}, 9).empty());
 }
