Extra attempts use nearly the whole bound; a host that has just started has no slack

Cause: on the grown sites the budget binds while many targets refuse, and a third of the bound was never used; hosts restarted in turn would each have spent their part of the slack anew. Change: margins 0.93 of the ratio and 0.9 of the slack (0.85, 0.75); the slack counts only a window after the host's start.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -123,7 +123,8 @@
             .rotation = this->rotation,
             .budget_limits = {.ratio = this->options.settings.retry_ratio,
                               .slack = this->options.settings.retry_slack,
-                              .window = this->options.settings.retry_window}} {}
+                              .window = this->options.settings.retry_window},
+            .started = Runtime::Now()} {}
 
 CallerLimits EntryHost::State::Limits() const {
   return this->parts.table == nullptr ? CallerLimits()
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -231,7 +231,8 @@
   RequestRunOptions options = this->RunOptions(*this->route);
   this->services = options.services;
   for (const ServiceId& service : options.services) {
-    this->parts.budgets.try_emplace(service, this->parts.budget_limits)
+    this->parts.budgets
+        .try_emplace(service, this->parts.budget_limits, this->parts.started)
         .first->second.OnRequest(now);
   }
   this->MakeHooks();
--- a/knapweedroad/edge/entry_request.h
+++ b/knapweedroad/edge/entry_request.h
@@ -47,6 +47,7 @@
   EntryMetrics& metrics;
   SplitRotation& rotation;
   ExtraBudgetLimits budget_limits;
+  TimePoint started;
   std::unordered_map<ServiceId, ExtraBudget> budgets;
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
--- a/knapweedroad/routing/extra_budget.cc
+++ b/knapweedroad/routing/extra_budget.cc
@@ -7,8 +7,8 @@
 
 // This host's part is taken a little short: hosts hear of each other late, and
 // an attempt arrives later than it is counted here.
-constexpr double kRatioMargin = 0.85;
-constexpr double kSlackMargin = 0.75;
+constexpr double kRatioMargin = 0.93;
+constexpr double kSlackMargin = 0.9;
 // What hedges leave to retries, as shares of the allowance: for the first
 // failures of a trouble, and however many there are.
 constexpr double kLeastReserve = 0.1;
@@ -16,8 +16,16 @@
 
 }  // namespace
 
+ExtraBudget::ExtraBudget(ExtraBudgetLimits limits, TimePoint started)
+    : limits(limits),
+      slack_from(started.time_since_epoch() / this->SliceLength() + kSlices) {}
+
+Duration ExtraBudget::SliceLength() const {
+  return this->limits.window / (kSlices - 1);
+}
+
 void ExtraBudget::Advance(TimePoint now) {
-  const Duration slice = this->limits.window / (kSlices - 1);
+  const Duration slice = this->SliceLength();
   const int64_t current = now.time_since_epoch() / slice;
   const int64_t steps =
       std::min<int64_t>(current - this->newest, int64_t{kSlices});
@@ -31,7 +39,13 @@
   this->newest = std::max(this->newest, current);
 }
 
+// Failure: hosts are restarted in turn, each forgets what it has spent of the
+// slack, and together they spend it twice in one window. So a host has its part
+// of the slack only a window after its start.
 double ExtraBudget::Allowance(size_t hosts) const {
+  if (this->newest < this->slack_from) {
+    return this->requests * this->limits.ratio * kRatioMargin;
+  }
   const double shared = this->limits.slack * kSlackMargin /
                         static_cast<double>(std::max<size_t>(hosts, 1));
   return this->requests * this->limits.ratio * kRatioMargin + shared;
--- a/knapweedroad/routing/extra_budget.h
+++ b/knapweedroad/routing/extra_budget.h
@@ -1,7 +1,7 @@
 // How many attempts beyond the first of each request this host may send to a
 // service: its part of a bound that all hosts share.
 //
-//   ExtraBudget budget({.ratio = 0.2, .slack = 58, .window = 10s});
+//   ExtraBudget budget({.ratio = 0.2, .slack = 58, .window = 10s}, started);
 //   budget.OnRequest(now);
 //   if (budget.SpendRetry(hosts, now)) SendAgain();
 
@@ -30,7 +30,8 @@
 // the bound's length sees more.
 class ExtraBudget {
  public:
-  explicit ExtraBudget(ExtraBudgetLimits limits) : limits(limits) {}
+  // `started`: when this host began to send.
+  ExtraBudget(ExtraBudgetLimits limits, TimePoint started);
 
   void OnRequest(TimePoint now);
 
@@ -55,11 +56,14 @@
     uint32_t hedges = 0;
   };
 
+  Duration SliceLength() const;
   void Advance(TimePoint now);
   double Allowance(size_t hosts) const;
   uint32_t extra() const { return this->retries + this->hedges; }
 
   ExtraBudgetLimits limits;
+  // The first slice in which the slack counts.
+  int64_t slack_from = 0;
   std::array<Slice, kSlices> slices{};
   int64_t newest = 0;
   uint32_t requests = 0;
