Metrics of both roles on the address that the deploy file names

Cause: entry hosts had a page that no setting switched on, control hosts counted and showed nothing; a health answer of a warm target was logged as 'cold' for 0 ms.

--- a/knapweedroad/config/role_settings.h
+++ b/knapweedroad/config/role_settings.h
@@ -24,7 +24,7 @@
   std::optional<Endpoint> control_address;
   // Between hosts of the system; the same port on every host.
   Endpoint peer_address;
-  // The first port for metrics.
+  // Where metrics are served, at the IP number of `peer_address`; 0: nowhere.
   uint16_t metrics_port = 0;
   // Control addresses of some control hosts, any of which may be down.
   std::vector<Endpoint> control_seeds;
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -76,6 +77,7 @@
   void KeepDirectory();
   void Act(const MemberAction& action);
   void Tick();
+  std::string PrintMetrics() const;
   bool Edit(const std::string& name,
             std::function<void(AgreedState&)> edit,
             TimePoint deadline);
@@ -299,6 +301,22 @@
   }
 }
 
+std::string ControlHost::State::PrintMetrics() const {
+  std::ostringstream out;
+  const auto add = [&](const char* name, const char* type, uint64_t value) {
+    out << "# TYPE knapweedroad_control_" << name << " " << type
+        << "\nknapweedroad_control_" << name << " " << value << "\n";
+  };
+  add("announcements_total", "counter", this->announcements);
+  add("changes_accepted_total", "counter", this->changes_accepted);
+  add("changes_unknown_total", "counter", this->changes_unknown);
+  add("targets", "gauge", this->registry.size());
+  add("entry_hosts", "gauge", this->hub->EntryHosts().size());
+  add("agreed_version", "gauge", this->agreed_version);
+  add("disk_failed", "gauge", this->replica->broken() ? 1 : 0);
+  return std::move(out).str();
+}
+
 bool ControlHost::State::Edit(const std::string& name,
                               std::function<void(AgreedState&)> edit,
                               TimePoint deadline) {
@@ -423,6 +441,20 @@
   if (const auto port = self.server->Start(); !port) {
     return tl::unexpected(port.error().detail);
   }
+  if (settings.metrics_port != 0) {
+    self.metrics_server = std::make_unique<HttpServer>(
+        self.runtime,
+        HttpServerOptions{
+            .endpoint = {settings.peer_address.ip, settings.metrics_port},
+            .handler = [&self](const HttpRequest&, HttpExchange&) {
+              return HttpResponse{
+                  .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                  .body = self.PrintMetrics()};
+            }});
+    if (const auto port = self.metrics_server->Start(); !port) {
+      return tl::unexpected(port.error().detail);
+    }
+  }
   self.follower->Start();
   self.runtime.Spawn([state = this->state] { state->KeepMembers(); });
   self.runtime.Spawn([state = this->state] { state->KeepDirectory(); });
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -648,7 +648,9 @@
     this->Tell(*target, "gone", "another_at_its_address");
     return;
   }
-  if (result.is_reachable && now + result.cold_left > target->cold_until) {
+  const bool is_colder = result.cold_left > Duration::zero() &&
+                         now + result.cold_left > target->cold_until;
+  if (result.is_reachable && is_colder) {
     target->cold_until = now + result.cold_left;
     this->Tell(*target, "cold", "health_answer", result.cold_left);
   }
