--- a/knapweedroad/routing/extra_budget.cc
+++ b/knapweedroad/routing/extra_budget.cc
@@ -18,7 +18,8 @@
 
 ExtraBudget::ExtraBudget(ExtraBudgetLimits limits, TimePoint started)
     : limits(limits),
-      slack_from(started.time_since_epoch() / this->SliceLength() + kSlices) {}
+      slack_from(started.time_since_epoch() / this->SliceLength() +
+                 int64_t{kSlices}) {}
 
 Duration ExtraBudget::SliceLength() const {
   return this->limits.window / (kSlices - 1);
