--- a/knapweedroad/edge/caller_message.h
+++ b/knapweedroad/edge/caller_message.h
@@ -31,6 +31,9 @@
   // Header lines, each ended; without length and connection.
   std::string header;
   std::string body;
+  // The connection ends with it: the caller may reach another host when it
+  // comes back.
+  bool closes = false;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/caller_server.cc
+++ b/knapweedroad/edge/caller_server.cc
@@ -257,7 +257,8 @@
     return;
   }
   this->on_abandoned = nullptr;
-  this->closes = this->wants_close || this->server->is_draining;
+  this->closes =
+      this->wants_close || answer.closes || this->server->is_draining;
   std::string bytes;
   bytes.reserve(answer.header.size() + answer.body.size() + 96);
   bytes += "HTTP/1.1 ";
--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -19,10 +19,15 @@
 
 using std::chrono::milliseconds;
 
-// A control host holds a call without news for about a second.
+// A control host holds a call without news for about a second, that of another
+// control host for a third of one.
 constexpr Duration kCallTimeout = milliseconds(1600);
-// A link on which nothing has come for this long is taken for dead.
+constexpr Duration kControlCallTimeout = milliseconds(800);
+// A link on which nothing has come for this long is taken for dead. Calls of
+// control hosts to each other are held shorter, so that a zone that is cut off
+// knows it before its callers have waited long.
 constexpr Duration kSilence = milliseconds(1500);
+constexpr Duration kControlSilence = milliseconds(800);
 constexpr Duration kPullTimeout = milliseconds(1500);
 // A control host of another zone is asked for a text only after this: by then
 // one of the own zone has told of it, too.
@@ -79,6 +84,10 @@
   bool Ask(PeerClient& peer, const HostId& host, WatchCall& call);
   void PullFromNearest(PeerClient& peer, const HostId& host);
   void Pull(PeerClient& peer, const HostId& host);
+  Duration CallTimeout() const {
+    return this->options.role == FollowerRole::kControl ? kControlCallTimeout
+                                                        : kCallTimeout;
+  }
   void Failed(const HostId& host, const std::string& detail);
 
   Runtime& runtime;
@@ -156,8 +165,11 @@
                                  const HostId& host,
                                  WatchCall& call) {
   call.agreed_version = this->options.held_version();
+  if (this->options.take_evidence) {
+    call.evidence = this->options.take_evidence(host);
+  }
   const auto bytes = peer.Call(PeerMessageType::kWatch, EncodeBytes(call),
-                               Runtime::Now() + kCallTimeout);
+                               Runtime::Now() + this->CallTimeout());
   if (!bytes) {
     this->Failed(host, bytes.error().detail);
     return false;
@@ -187,6 +199,8 @@
   call.epoch = reply->epoch;
   call.revision = reply->revision;
   call.hosts_revision = reply->hosts_revision;
+  call.troubles_revision = reply->troubles_revision;
+  call.knows_cut_off = reply->is_cut_off;
   this->options.on_reply(host, *reply);
   this->told_version = std::max(this->told_version, reply->agreed_version);
   if (reply->agreed_version > this->options.held_version()) {
@@ -240,8 +254,11 @@
   // callers; a refused connection costs next to nothing.
   constexpr Duration kFirstPause = milliseconds(50);
   constexpr Duration kLongestPause = milliseconds(200);
-  PeerClient peer(this->runtime,
-                  {.endpoint = EndpointOf(host), .silence = kSilence});
+  PeerClient peer(
+      this->runtime,
+      {.endpoint = EndpointOf(host),
+       .silence = this->options.role == FollowerRole::kControl ? kControlSilence
+                                                               : kSilence});
   WatchCall call{.follower = this->options.self, .role = this->options.role};
   Duration pause = kFirstPause;
   while (!this->is_stopped && this->wanted.contains(host)) {
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -19,6 +19,7 @@
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/registry/evidence_board.h"
 #include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
@@ -27,6 +28,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTick = milliseconds(100);
+// Ticks between judgements of targets. Each change wakes all followers, so this
+// also bounds their calls.
+constexpr int kEvidenceTicks = 3;
 // How often all replicas are asked what they hold. A version whose announcer
 // died right after its acknowledgement is in force after this at the latest.
 constexpr Duration kPeekInterval = milliseconds(700);
@@ -77,6 +81,9 @@
   void KeepDirectory();
   void Act(const MemberAction& action);
   void Tick();
+  void WatchZones(const std::vector<ControlHostRecord>& live);
+  // Makes the list of targets in trouble anew.
+  void JudgeTargets(TimePoint now);
   std::string PrintMetrics() const;
   bool Edit(const std::string& name,
             std::function<void(AgreedState&)> edit,
@@ -89,6 +96,7 @@
   HostId self;
   std::vector<HostId> seeds;
   TargetRegistry registry;
+  EvidenceBoard evidence;
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<WatchHub> hub;
@@ -101,9 +109,13 @@
   uint64_t agreed_version = 0;
   std::string agreed_text;
   uint64_t agreed_number = 0;
+  int ticks = 0;
   uint64_t announcements = 0;
   uint64_t changes_accepted = 0;
   uint64_t changes_unknown = 0;
+  // Whether control hosts of other zones were ever reached, and now aren't.
+  bool has_reached_others = false;
+  bool is_cut_off = false;
   bool is_stopped = false;
 };
 
@@ -282,6 +294,54 @@
   }
 }
 
+void ControlHost::State::WatchZones(
+    const std::vector<ControlHostRecord>& live) {
+  const ZoneId& own = this->options.settings.zone;
+  const bool reaches_others =
+      std::ranges::any_of(live, [&](const ControlHostRecord& host) {
+        return !host.zone.empty() && host.zone != own;
+      });
+  this->has_reached_others |= reaches_others;
+  const bool is_cut_off = this->has_reached_others && !reaches_others;
+  if (std::exchange(this->is_cut_off, is_cut_off) != is_cut_off) {
+    LogLine(is_cut_off ? "zone_cut_off" : "zone_reached")
+        .Add("zone", own)
+        .Add("control_hosts", live.size())
+        .Warning();
+    this->hub->Wake();
+  }
+}
+
+void ControlHost::State::JudgeTargets(TimePoint now) {
+  const bool is_changed = this->evidence.Refresh(
+      [this](const TargetId& target) {
+        const TargetRecord* const record = this->registry.Find(target);
+        return record == nullptr || record->phase == TargetPhase::kGone
+                   ? ServiceId()
+                   : record->service;
+      },
+      now);
+  if (!is_changed) {
+    return;
+  }
+  constexpr size_t kMostNamed = 8;
+  std::string worst;
+  for (const TargetTrouble& trouble : this->evidence.troubles()) {
+    if (worst.size() > kMostNamed * trouble.target.str().size()) {
+      break;
+    }
+    worst += trouble.target.str() +
+             "(failed_eighths:" + std::to_string(trouble.failed) +
+             ",slowdown:" + std::to_string(trouble.slowdown) + ") ";
+  }
+  LogLine("targets_in_trouble")
+      .Add("count", this->evidence.troubles().size())
+      .Add("revision", this->evidence.revision())
+      .Add("worst", worst)
+      .Info();
+  this->hub->Wake();
+}
+
 void ControlHost::State::Tick() {
   const TimePoint now = Runtime::Now();
   const std::vector<ControlHostRecord> live = this->ControlHosts();
@@ -296,6 +356,10 @@
     this->hub->Wake();
   }
   this->hub->Sweep();
+  this->WatchZones(live);
+  if (++this->ticks % kEvidenceTicks == 0) {
+    this->JudgeTargets(now);
+  }
   if (this->options.on_tick) {
     this->options.on_tick();
   }
@@ -389,8 +453,10 @@
           .self = self.self,
           .zone = settings.zone,
           .registry = self.registry,
+          .evidence = self.evidence,
           .agreed_version = [&self] { return self.agreed_version; },
           .control_hosts = [&self] { return self.ControlHosts(); },
+          .is_cut_off = [&self] { return self.is_cut_off; },
           .on_control_follower =
               [&self](const HostId& host) { self.follower->Hear(host); }});
   self.directory =
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -17,6 +17,7 @@
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/agreed_state.h"
+#include "knapweedroad/routing/evidence_tally.h"
 #include "knapweedroad/routing/route_adoption.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
@@ -67,6 +68,10 @@
   State(Runtime& runtime, EntryHostOptions given);
 
   void Tick();
+  // Whether callers had better go to other zones' hosts.
+  void WatchReach(TimePoint now);
+  // Whether the own zone's targets could serve every route.
+  bool ZoneServesAll(TimePoint now) const;
   void Probe(TimePoint now);
   void OnProbed(const DueProbe& probe, const TargetReply& reply);
   void OnNews(const HostId& from, const WatchReply& reply);
@@ -81,6 +86,7 @@
   Runtime& runtime;
   EntryHostOptions options;
   std::vector<HostId> seeds;
+  EvidenceTally evidence;
   TargetBook book;
   TargetLinks links;
   EntryMetrics metrics;
@@ -96,6 +102,8 @@
   TimePoint last_tick;
   int ticks = 0;
   bool is_leaving = false;
+  // Cut off, with little to serve callers by.
+  bool is_sending_away = false;
   bool is_stopped = false;
 };
 
@@ -108,7 +116,15 @@
             .cold_burst_factor = this->options.settings.cold_burst_factor,
             .cold_slack = this->options.settings.cold_slack,
             .seed = RandomSeed(),
-            .on_belief = LogBelief}),
+            .on_belief = LogBelief,
+            .on_evidence =
+                [this](const TargetEvidence& seen) {
+                  this->evidence.Count(seen);
+                },
+            .is_connected =
+                [this](const TargetId& target) {
+                  return this->links.has_idle(target);
+                }}),
       links(runtime,
             {.dialect = this->options.dialect,
              .on_idle_closed =
@@ -132,7 +148,8 @@
 }
 
 bool EntryHost::State::IsReady() const {
-  return !this->is_leaving && this->parts.table != nullptr;
+  return !this->is_leaving && this->parts.table != nullptr &&
+         !this->is_sending_away;
 }
 
 HttpResponse EntryHost::State::AnswerPlatform(const HttpRequest& request) {
@@ -160,6 +177,11 @@
 
 void EntryHost::State::OnNews(const HostId& from, const WatchReply& reply) {
   const TimePoint now = Runtime::Now();
+  if (reply.zone != this->options.settings.zone) {
+    this->book.OnOutsideAnswer(now);
+  } else {
+    this->book.reach().OnTold(reply.is_cut_off, now);
+  }
   for (const TargetRecord& record : reply.targets) {
     const TargetRecord* const known = this->book.Find(record.id);
     const bool is_change = known == nullptr || known->phase != record.phase ||
@@ -182,6 +204,9 @@
   if (reply.has_hosts) {
     this->book.SetEntryHosts(reply.entry_hosts, Runtime::Now());
   }
+  if (reply.has_troubles) {
+    this->book.LearnTroubles(from, reply.troubles, now);
+  }
 }
 
 void EntryHost::State::OnAgreed(uint64_t version, const std::string& text) {
@@ -291,6 +316,35 @@
   }
 }
 
+bool EntryHost::State::ZoneServesAll(TimePoint now) const {
+  if (this->parts.table == nullptr) {
+    return false;
+  }
+  return std::ranges::all_of(
+      this->parts.table->config().routes, [&](const RouteConfig& route) {
+        const auto served = std::ranges::count_if(
+            route.services, [&](const RouteService& part) {
+              return this->book.IsServedInZone(part.service, now);
+            });
+        const double all = static_cast<double>(route.services.size());
+        const double least = route.is_scatter ? route.min_share * all : all;
+        return static_cast<double>(served) >= least;
+      });
+}
+
+void EntryHost::State::WatchReach(TimePoint now) {
+  ReachWatch& reach = this->book.reach();
+  const bool sends_away = reach.is_cut_off(now) &&
+                          reach.should_send_away(this->ZoneServesAll(now), now);
+  if (std::exchange(this->is_sending_away, sends_away) != sends_away) {
+    LogLine(sends_away ? "zone_cut_off" : "zone_reached")
+        .Add("zone", this->options.settings.zone)
+        .Add("ready", this->IsReady())
+        .Add("connections", this->callers->connections())
+        .Warning();
+  }
+}
+
 void EntryHost::State::Tick() {
   const TimePoint now = Runtime::Now();
   // Failure: the process stood still for seconds; all that it waited for then
@@ -299,6 +353,7 @@
   this->last_tick = now;
   this->links.Sweep(now);
   this->Adopt();
+  this->WatchReach(now);
   if (!stood_still) {
     this->book.SuspectSilent(now);
     this->Probe(now);
@@ -379,6 +434,10 @@
           .role = FollowerRole::kEntry,
           .seeds = [&self] { return self.seeds; },
           .held_version = [&self] { return self.agreed_version; },
+          .take_evidence =
+              [&self](const HostId& to) {
+                return self.evidence.Take(to, Runtime::Now());
+              },
           .on_reply =
               [&self](const HostId& from, const WatchReply& reply) {
                 self.OnNews(from, reply);
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -205,12 +205,23 @@
   this->hooks.is_served = [this](const ServiceId& service) {
     return this->parts.book.IsServed(service, Runtime::Now());
   };
-  this->hooks.spend_extra = [this](const ServiceId& service, bool is_hedge) {
+  this->hooks.spend_extra = [this](const ServiceId& service,
+                                   ExtraPurpose purpose) {
     const TimePoint now = Runtime::Now();
     const size_t hosts = this->parts.book.entry_hosts();
     ExtraBudget& budget = this->parts.budgets.at(service);
-    const bool sent = is_hedge ? budget.SpendHedge(hosts, now)
-                               : budget.SpendRetry(hosts, now);
+    bool sent = false;
+    switch (purpose) {
+      case ExtraPurpose::kNeeded:
+        sent = budget.SpendRetry(hosts, now);
+        break;
+      case ExtraPurpose::kCoverage:
+        sent = budget.SpendCoverage(hosts, now);
+        break;
+      case ExtraPurpose::kLate:
+        sent = budget.SpendHedge(hosts, now);
+        break;
+    }
     this->parts.metrics.CountExtra(sent);
     return sent;
   };
@@ -290,6 +301,7 @@
        .max_idle = this->route->idempotent || this->route->is_scatter
                        ? Duration::max()
                        : kFreshIdle,
+       .settles = !this->route->idempotent && !this->route->is_scatter,
        .deadline = this->deadline},
       [self, number = start.attempt](TargetReply reply) {
         self->OnReply(number, std::move(reply));
@@ -394,6 +406,11 @@
       this->Note(attempt, "unreachable", 0);
       this->Do(this->run->OnEnd(number, AttemptEnd::kNeverSent, now));
       return;
+    case ReplyKind::kTurnedAway:
+      this->parts.book.OnTurnedAway(attempt.target, now);
+      this->Note(attempt, "turned_away", 0);
+      this->Do(this->run->OnEnd(number, AttemptEnd::kNeverSent, now));
+      return;
     case ReplyKind::kBroken:
       this->parts.book.OnBroken(attempt.target, now);
       this->Note(attempt, "broken", 0);
@@ -475,6 +492,10 @@
   this->is_over = true;
   this->timer.cancel();
   this->ReleaseAttempts(kStragglerGrace);
+  this->parts.book.reach().OnRequest(
+      /*has_targets=*/end.kind != RunEndKind::kNotRun ||
+          this->run->attempts() > 0,
+      Runtime::Now());
   int status = 200;
   switch (end.kind) {
     case RunEndKind::kAnswer:
@@ -500,8 +521,10 @@
   }
   this->Log(end, status);
   const bool is_refusal = end.kind == RunEndKind::kNotRun;
-  this->exchange->Answer(Refusal(
-      status, is_refusal ? std::optional(end.retry_after) : std::nullopt));
+  CallerAnswer answer = Refusal(
+      status, is_refusal ? std::optional(end.retry_after) : std::nullopt);
+  answer.closes = this->parts.book.reach().is_sending_away();
+  this->exchange->Answer(std::move(answer));
 }
 
 // Attempts that nobody waits for any more. What they tell of their targets is
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -31,6 +31,8 @@
       return "answered";
     case ReplyKind::kUnreachable:
       return "unreachable";
+    case ReplyKind::kTurnedAway:
+      return "turned_away";
     case ReplyKind::kBroken:
       return "broken";
   }
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -1,12 +1,14 @@
 #include "knapweedroad/edge/target_links.h"
 
 #include <array>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "knapweedroad/edge/dialect.h"
 #include "knapweedroad/edge/target_connection.h"
@@ -26,6 +28,12 @@
 constexpr double kIdleShare = 0.7;
 constexpr Duration kMostIdle = std::chrono::seconds(20);
 
+// A target over its cap accepts a connection and resets it at once. The reset
+// is here within two ways between zones of up to 1.5 ms.
+constexpr Duration kSettle = std::chrono::milliseconds(3);
+// A target that has turned a connection away may do so again for this long.
+constexpr Duration kTurnsAwayMemory = std::chrono::seconds(10);
+
 }  // namespace
 
 struct TargetLinks::State : std::enable_shared_from_this<TargetLinks::State> {
@@ -43,6 +51,8 @@
   std::array<char, kReadBytes> scratch;
   std::unordered_map<TargetId, std::vector<Connection>> idle;
   std::unordered_set<std::shared_ptr<Exchange>> running;
+  // Targets that have turned a new connection away, and until when it counts.
+  std::unordered_map<TargetId, TimePoint> turns_away;
   size_t opened = 0;
 };
 
@@ -78,6 +88,8 @@
           } else if (self->is_abandoned) {
             self->links->Keep(self->send.target, self->connection);
             self->Done({});
+          } else if (self->MustSettle()) {
+            self->Settle();
           } else {
             self->Write();
           }
@@ -109,10 +121,46 @@
   }
 
  private:
+  bool MustSettle() const {
+    const auto found = this->links->turns_away.find(this->send.target);
+    return this->send.settles || (found != this->links->turns_away.end() &&
+                                  Runtime::Now() < found->second);
+  }
+
+  // Failure: a target is at its cap and resets a connection after the request
+  // was written. It may have run, so it costs a retry, or the whole request
+  // where it must not run twice.
+  void Settle() {
+    this->connection->WatchIdle([self = this->shared_from_this()] {
+      self->settle_timer.reset();
+      self->links->turns_away[self->send.target] =
+          Runtime::Now() + kTurnsAwayMemory;
+      self->Done({.kind = ReplyKind::kTurnedAway});
+    });
+    this->settle_timer.emplace(this->links->runtime.io(), kSettle);
+    this->settle_timer->async_wait(
+        [self = this->shared_from_this()](const auto& error) {
+          if (error || !self->settle_timer || !self->connection->reusable()) {
+            return;
+          }
+          if (self->is_abandoned) {
+            self->links->Keep(self->send.target, self->connection);
+            self->Done({});
+            return;
+          }
+          self->Write();
+        });
+  }
+
   void Write() {
+    this->is_fresh = this->connect_by != TimePoint();
     this->connection->Exchange(
         this->send.bytes(), this->send.request_id,
         [self = this->shared_from_this()](TargetReply reply) {
+          if (self->is_fresh && reply.kind == ReplyKind::kBroken) {
+            self->links->turns_away[self->send.target] =
+                Runtime::Now() + kTurnsAwayMemory;
+          }
           if (self->connection->reusable()) {
             if (self->send.keep_connection) {
               self->links->Keep(self->send.target, self->connection);
@@ -137,7 +185,10 @@
   std::function<void(TargetReply)> on_done;
   Connection connection;
   TimePoint connect_by;
+  std::optional<boost::asio::steady_timer> settle_timer;
   bool is_connecting = false;
+  // Written to as the first exchange of its connection.
+  bool is_fresh = false;
   bool is_abandoned = false;
 };
 
@@ -216,6 +267,13 @@
   }
   std::erase_if(this->state->idle,
                 [](const auto& entry) { return entry.second.empty(); });
+  std::erase_if(this->state->turns_away,
+                [now](const auto& entry) { return now >= entry.second; });
+}
+
+bool TargetLinks::has_idle(const TargetId& target) const {
+  const auto found = this->state->idle.find(target);
+  return found != this->state->idle.end() && !found->second.empty();
 }
 
 void TargetLinks::Prune(const std::function<bool(const TargetId&)>& keep) {
--- a/knapweedroad/edge/target_links.h
+++ b/knapweedroad/edge/target_links.h
@@ -37,6 +37,9 @@
   // A connection idle for longer isn't used: the target may have closed it
   // meanwhile, and then nobody knows whether the request ran.
   Duration max_idle = Duration::max();
+  // A new connection is watched for a moment before it is written to, so that
+  // one which the target resets at once shows that nothing was sent.
+  bool settles = false;
   // Health questions use a connection of their own.
   bool keep_connection = true;
   TimePoint deadline;
@@ -70,6 +73,7 @@
   // Closes idle connections to targets for which `keep` is false.
   void Prune(const std::function<bool(const TargetId&)>& keep);
 
+  bool has_idle(const TargetId& target) const;
   size_t connections() const;
   // Connections opened so far.
   size_t opened() const;
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -10,6 +10,7 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
+#include "knapweedroad/registry/evidence_board.h"
 #include "knapweedroad/registry/target_registry.h"
 
 namespace knapweedroad {
@@ -19,6 +20,7 @@
 
 // How long a call without news is held.
 constexpr Duration kHold = milliseconds(1000);
+constexpr Duration kControlHold = milliseconds(350);
 // News of the same moment goes out together: at a start, dozens of targets
 // announce themselves within a few milliseconds of each other.
 constexpr Duration kGather = milliseconds(10);
@@ -66,6 +68,9 @@
   return call.epoch != this->epoch ||
          call.revision < this->options.registry.revision() ||
          call.hosts_revision < this->hosts_revision ||
+         (call.role == FollowerRole::kEntry &&
+          (call.troubles_revision != this->options.evidence.revision() ||
+           call.knows_cut_off != this->options.is_cut_off())) ||
          call.agreed_version < this->options.agreed_version();
 }
 
@@ -120,6 +125,14 @@
       reply.own_entry_hosts = this->OwnEntryHosts();
     }
   }
+  reply.is_cut_off = this->options.is_cut_off();
+  reply.troubles_revision = this->options.evidence.revision();
+  reply.has_troubles =
+      call.role == FollowerRole::kEntry &&
+      (!is_same || call.troubles_revision != reply.troubles_revision);
+  if (reply.has_troubles) {
+    reply.troubles = this->options.evidence.troubles();
+  }
   return reply;
 }
 
@@ -138,7 +151,9 @@
                   .count()) {
     LogLine("entry_host_found").Add("host", call.follower).Info();
   }
-  const TimePoint until = now + kHold;
+  self->options.evidence.Add(call.evidence, now);
+  const TimePoint until =
+      now + (call.role == FollowerRole::kControl ? kControlHold : kHold);
   if (!self->HasNews(call)) {
     const auto event = std::make_shared<TimedEvent>(self->runtime);
     self->waiting.insert(event);
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -18,6 +18,7 @@
 
 namespace knapweedroad {
 
+class EvidenceBoard;
 class Runtime;
 class TargetRegistry;
 
@@ -25,9 +26,12 @@
   HostId self;
   ZoneId zone;
   TargetRegistry& registry;
+  EvidenceBoard& evidence;
   std::function<uint64_t()> agreed_version;
   // Control hosts that this one knows.
   std::function<std::vector<ControlHostRecord>()> control_hosts;
+  // Whether the control hosts of all other zones are lost.
+  std::function<bool()> is_cut_off;
   // A control host follows this one: it may not have been known.
   std::function<void(const HostId&)> on_control_follower;
 };
--- /dev/null
+++ b/knapweedroad/registry/evidence_board.h
@@ -0,0 +1,74 @@
+// A control host's view of how targets do, from what the entry hosts that
+// follow it report, and the list of those in trouble.
+//
+//   EvidenceBoard board;
+//   board.Add(report, now);
+//   if (board.Refresh(service_of, now)) TellFollowers(board.troubles());
+//
+// Answers the pattern of many hosts over few targets: with 83 hosts a host asks
+// a given target about once in two seconds, so a target that turns slow or
+// refuses costs every host several requests before it notices. Together they
+// ask it forty times a second and know within one.
+
+#ifndef KNAPWEEDROAD_REGISTRY_EVIDENCE_BOARD_H_
+#define KNAPWEEDROAD_REGISTRY_EVIDENCE_BOARD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/registry/target_evidence.h"
+
+namespace knapweedroad {
+
+class EvidenceBoard {
+ public:
+  // The service of a target; empty for one that is unknown or gone.
+  using ServiceOf = std::function<ServiceId(const TargetId&)>;
+
+  // One host's report; entries beyond the bound on targets are left out.
+  void Add(std::span<const TargetEvidence> report, TimePoint now);
+
+  // Makes the list anew. True: it differs from the one before.
+  bool Refresh(const ServiceOf& service_of, TimePoint now);
+
+  // As of the last Refresh(), worst first.
+  const std::vector<TargetTrouble>& troubles() const { return this->listed; }
+  // Rises with each change of the list.
+  uint64_t revision() const { return this->changes; }
+  size_t size() const { return this->targets.size(); }
+
+ private:
+  // Sums that fade.
+  struct Entry {
+    double answered = 0;
+    double failed = 0;
+    double timed = 0;
+    double latency_us = 0;
+    TimePoint faded;
+    TimePoint heard;
+    // As last listed, and when there was last evidence enough to say so.
+    TargetTrouble trouble;
+    TimePoint judged;
+
+    bool is_listed() const {
+      return this->trouble.failed > 0 || this->trouble.slowdown > 1;
+    }
+  };
+
+  static void Fade(Entry& entry, TimePoint now);
+  static void Judge(Entry& entry, double best_latency_us, TimePoint now);
+
+  std::unordered_map<TargetId, Entry> targets;
+  std::vector<TargetTrouble> listed;
+  uint64_t changes = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_REGISTRY_EVIDENCE_BOARD_H_
--- /dev/null
+++ b/knapweedroad/registry/evidence_board_test.cc
@@ -0,0 +1,126 @@
+#include "knapweedroad/registry/evidence_board.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+
+ServiceId OneService(const TargetId&) {
+  return ServiceId("s");
+}
+
+TargetEvidence Answers(const char* target, uint32_t count, uint64_t each_us) {
+  return {.target = TargetId(target),
+          .answered = count,
+          .timed = count,
+          .latency_us = count * each_us};
+}
+
+void AddAll(EvidenceBoard& board,
+            const std::vector<TargetEvidence>& report,
+            TimePoint now) {
+  board.Add(report, now);
+}
+
+// Dozens of hosts ask a target once in two seconds each. It refuses every
+// second request; each host sees one or two of the refusals, too few to avoid
+// it. Together they show it at once.
+Test(evidence_board, a_target_that_many_hosts_see_refuse_is_listed) {
+  EvidenceBoard board;
+  for (int host = 0; host < 8; ++host) {
+    AddAll(board,
+           {{.target = TargetId("bad"), .answered = 1, .failed = 1},
+            Answers("good", 2, 10'000)},
+           kStart);
+  }
+  cr_assert(board.Refresh(OneService, kStart));
+  cr_assert_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.troubles()[0].target, TargetId("bad"));
+  cr_expect_eq(board.troubles()[0].failed, 4);
+}
+
+// A target turns seven times as slow; answers of its shard come late until
+// every host has noticed by itself.
+Test(evidence_board, a_slow_target_is_listed_with_its_slowdown) {
+  EvidenceBoard board;
+  AddAll(board,
+         {Answers("slow", 10, 70'000), Answers("a", 10, 10'000),
+          Answers("b", 10, 15'000)},
+         kStart);
+  cr_assert(board.Refresh(OneService, kStart));
+  cr_assert_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.troubles()[0].target, TargetId("slow"));
+  cr_expect_eq(board.troubles()[0].slowdown, 7);
+}
+
+Test(evidence_board, few_attempts_tell_nothing) {
+  EvidenceBoard board;
+  AddAll(board,
+         {{.target = TargetId("t"), .answered = 1, .failed = 3},
+          Answers("u", 5, 70'000),
+          Answers("v", 10, 10'000)},
+         kStart);
+  cr_expect_not(board.Refresh(OneService, kStart));
+}
+
+// A listed target is hardly asked any more. Without evidence it must neither
+// come off the list within moments, or all hosts fall for it again, nor stay
+// there for ever.
+Test(evidence_board, a_listed_target_is_kept_for_a_while_without_evidence) {
+  EvidenceBoard board;
+  AddAll(board, {{.target = TargetId("bad"), .failed = 10}}, kStart);
+  cr_assert(board.Refresh(OneService, kStart));
+  cr_expect_not(board.Refresh(OneService, kStart + seconds(10)));
+  cr_expect_eq(board.troubles().size(), 1);
+  cr_expect(board.Refresh(OneService, kStart + seconds(24)));
+  cr_expect(board.troubles().empty());
+}
+
+Test(evidence_board, a_target_that_is_well_again_comes_off_at_once) {
+  EvidenceBoard board;
+  AddAll(board, {{.target = TargetId("t"), .failed = 10}}, kStart);
+  cr_assert(board.Refresh(OneService, kStart));
+  const TimePoint later = kStart + seconds(8);
+  AddAll(board, {Answers("t", 20, 10'000)}, later);
+  cr_assert(board.Refresh(OneService, later));
+  cr_expect(board.troubles().empty());
+}
+
+// Answers lost now and then on half of the targets are no reason to avoid half
+// of the targets: the other half would get all the load.
+Test(evidence_board, a_small_share_of_failures_is_no_trouble) {
+  EvidenceBoard board;
+  AddAll(board, {{.target = TargetId("t"), .answered = 95, .failed = 5}},
+         kStart);
+  cr_expect_not(board.Refresh(OneService, kStart));
+}
+
+Test(evidence_board, targets_that_are_gone_are_dropped) {
+  EvidenceBoard board;
+  AddAll(board, {{.target = TargetId("t"), .failed = 10}}, kStart);
+  cr_assert(board.Refresh(OneService, kStart));
+  cr_expect(board.Refresh([](const TargetId&) { return ServiceId(); }, kStart));
+  cr_expect_eq(board.size(), 0);
+  cr_expect_eq(board.revision(), 2);
+}
+
+Test(evidence_board, the_list_is_bounded) {
+  EvidenceBoard board;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string name = "t" + std::to_string(i);
+    AddAll(board, {{.target = TargetId(name), .failed = 10}}, kStart);
+  }
+  cr_assert(board.Refresh(OneService, kStart));
+  cr_expect_eq(board.troubles().size(), 256);
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/registry/target_evidence.h
@@ -0,0 +1,59 @@
+// What entry hosts see of targets, shared through the control hosts that they
+// follow: outcomes go up with each watch call, targets in trouble come down
+// with the reply.
+
+#ifndef KNAPWEEDROAD_REGISTRY_TARGET_EVIDENCE_H_
+#define KNAPWEEDROAD_REGISTRY_TARGET_EVIDENCE_H_
+
+#include <cstdint>
+
+#include "knapweedroad/base/id.h"
+
+namespace knapweedroad {
+
+// Outcomes of one host's attempts on one target since its last report.
+struct TargetEvidence {
+  TargetId target;
+  // Attempts that were answered, and all that failed or were refused.
+  uint32_t answered = 0;
+  uint32_t failed = 0;
+  // Attempts whose latency is known, those given up late among them, and the
+  // sum of their latencies in microseconds.
+  uint32_t timed = 0;
+  uint64_t latency_us = 0;
+
+  friend bool operator==(const TargetEvidence&,
+                         const TargetEvidence&) = default;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->target, this->answered, this->failed, this->timed,
+            this->latency_us);
+  }
+};
+
+// A target that does worse than the others of its service, as told to entry
+// hosts. Coarse figures, so that the list changes seldom.
+struct TargetTrouble {
+  // Units of `failed` in a whole.
+  static constexpr uint8_t kFailedUnits = 8;
+
+  TargetId target;
+  // Share of attempts that fail or are refused, in eighths.
+  uint8_t failed = 0;
+  // Latency over the service's best target's, whole; 1: as usual.
+  uint8_t slowdown = 1;
+
+  friend bool operator==(const TargetTrouble&, const TargetTrouble&) = default;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->target, this->failed, this->slowdown);
+  }
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_REGISTRY_TARGET_EVIDENCE_H_
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/registry/target_evidence.h"
 #include "knapweedroad/registry/target_record.h"
 
 namespace knapweedroad {
@@ -27,12 +28,19 @@
   uint64_t hosts_revision = 0;
   // The agreed version that the follower has in force.
   uint64_t agreed_version = 0;
+  // The list of targets in trouble that an entry host has of it.
+  uint64_t troubles_revision = 0;
+  // Whether the follower was told that the zone is cut off.
+  bool knows_cut_off = false;
+  // An entry host's, since its last call.
+  std::vector<TargetEvidence> evidence;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->follower, this->role, this->epoch, this->revision,
-            this->hosts_revision, this->agreed_version);
+            this->hosts_revision, this->agreed_version, this->troubles_revision,
+            this->knows_cut_off, this->evidence);
   }
 };
 
@@ -66,13 +74,21 @@
   std::vector<HostId> own_entry_hosts;
   // All entry hosts that this control host has heard of.
   std::vector<HostId> entry_hosts;
+  // Whether this control host has lost those of all other zones.
+  bool is_cut_off = false;
+  // Absent where the follower has this list, and for control hosts.
+  bool has_troubles = false;
+  uint64_t troubles_revision = 0;
+  std::vector<TargetTrouble> troubles;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->zone, this->epoch, this->revision, this->hosts_revision,
             this->agreed_version, this->targets, this->has_hosts,
-            this->control_hosts, this->own_entry_hosts, this->entry_hosts);
+            this->control_hosts, this->own_entry_hosts, this->entry_hosts,
+            this->is_cut_off, this->has_troubles, this->troubles_revision,
+            this->troubles);
   }
 };
 
--- /dev/null
+++ b/knapweedroad/routing/evidence_tally.cc
@@ -0,0 +1,44 @@
+#include "knapweedroad/routing/evidence_tally.h"
+
+#include <cstddef>
+
+namespace knapweedroad {
+namespace {
+
+// A report's size: about 2 KB. A host that asks more targets than this within
+// a call asks each of them often, and knows enough by itself.
+constexpr size_t kMostReported = 128;
+// Nothing is kept for a control host that hasn't asked for this long; longer
+// than a call is held. Old evidence misleads.
+constexpr Duration kKeepFor = std::chrono::milliseconds(2500);
+
+}  // namespace
+
+void EvidenceTally::Count(const TargetEvidence& seen) {
+  for (auto& [host, pending] : this->pending) {
+    TargetEvidence& sum = pending.targets[seen.target];
+    sum.target = seen.target;
+    sum.answered += seen.answered;
+    sum.failed += seen.failed;
+    sum.timed += seen.timed;
+    sum.latency_us += seen.latency_us;
+  }
+}
+
+std::vector<TargetEvidence> EvidenceTally::Take(const HostId& control_host,
+                                                TimePoint now) {
+  std::erase_if(this->pending, [&](const auto& entry) {
+    return now - entry.second.taken > kKeepFor;
+  });
+  Pending& own = this->pending[control_host];
+  own.taken = now;
+  std::vector<TargetEvidence> report;
+  for (auto at = own.targets.begin();
+       at != own.targets.end() && report.size() < kMostReported;) {
+    report.push_back(std::move(at->second));
+    at = own.targets.erase(at);
+  }
+  return report;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/routing/evidence_tally_test.cc
@@ -0,0 +1,54 @@
+#include "knapweedroad/routing/evidence_tally.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+const HostId kFirst("c1");
+const HostId kSecond("c2");
+const TargetId kTarget("t");
+
+Test(evidence_tally, each_control_host_hears_everything_once) {
+  EvidenceTally tally;
+  cr_expect(tally.Take(kFirst, kStart).empty());
+  cr_expect(tally.Take(kSecond, kStart).empty());
+  tally.Count({.target = kTarget, .answered = 1});
+  tally.Count({.target = kTarget, .failed = 1});
+  const auto first = tally.Take(kFirst, kStart + seconds(1));
+  cr_assert_eq(first.size(), 1);
+  cr_expect_eq(first[0].answered, 1);
+  cr_expect_eq(first[0].failed, 1);
+  cr_expect(tally.Take(kFirst, kStart + seconds(1)).empty());
+  cr_expect_eq(tally.Take(kSecond, kStart + seconds(1)).size(), 1);
+}
+
+// A host was cut off from a control host, and from targets as well. What it
+// saw meanwhile would make sound targets look bad once the cut has healed.
+Test(evidence_tally, what_could_not_be_reported_in_time_is_dropped) {
+  EvidenceTally tally;
+  tally.Take(kFirst, kStart);
+  tally.Count({.target = kTarget, .failed = 50});
+  cr_expect(tally.Take(kFirst, kStart + seconds(5)).empty());
+}
+
+Test(evidence_tally, a_report_is_bounded_and_the_rest_comes_next) {
+  EvidenceTally tally;
+  tally.Take(kFirst, kStart);
+  for (int i = 0; i < 200; ++i) {
+    tally.Count({.target = TargetId("t" + std::to_string(i)), .answered = 1});
+  }
+  const size_t first = tally.Take(kFirst, kStart + milliseconds(100)).size();
+  const size_t second = tally.Take(kFirst, kStart + milliseconds(200)).size();
+  cr_expect_eq(first, 128);
+  cr_expect_eq(first + second, 200);
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/routing/reach_watch.cc
@@ -0,0 +1,83 @@
+#include "knapweedroad/routing/reach_watch.h"
+
+#include <cstddef>
+
+namespace knapweedroad {
+namespace {
+
+// One or two silent targets may have crashed together; that this many are
+// silent and not one other answers points to the network.
+constexpr size_t kLeastSilentTargets = 3;
+constexpr size_t kMostRemembered = 8;
+// While a zone can be reached its targets answer a hundred times a second; even
+// a host with a request a second hears from them more often than this.
+constexpr Duration kLeastSilence = std::chrono::milliseconds(400);
+// Weight of a request in the smoothed share: the last three or so decide.
+constexpr double kRequestWeight = 0.3;
+constexpr double kMostWithoutTargets = 0.5;
+// The same where the zone is known to lack targets: one refusal is enough.
+constexpr double kMostWithoutTargetsInZone = 0.25;
+// Without a request for this long a host knows nothing of what callers need.
+constexpr Duration kIdleAfter = std::chrono::seconds(1);
+
+}  // namespace
+
+bool ReachWatch::OnAnswered(TimePoint now) {
+  const bool was_cut_off = this->is_cut_off(now);
+  this->unanswered.clear();
+  this->answered = now;
+  this->told_cut_off = false;
+  this->sends_away = false;
+  if (was_cut_off) {
+    this->without_targets = 0;
+  }
+  return was_cut_off;
+}
+
+void ReachWatch::OnUnanswered(const TargetId& target) {
+  if (this->unanswered.size() < kMostRemembered) {
+    this->unanswered.insert(target);
+  }
+}
+
+void ReachWatch::OnTold(bool is_cut_off, TimePoint now) {
+  if (!is_cut_off && this->told_cut_off) {
+    this->OnAnswered(now);
+  }
+  this->told_cut_off = is_cut_off;
+}
+
+void ReachWatch::OnRequest(bool has_targets, TimePoint now) {
+  this->last_request = now;
+  this->without_targets = this->without_targets * (1 - kRequestWeight) +
+                          (has_targets ? 0 : kRequestWeight);
+}
+
+bool ReachWatch::is_cut_off(TimePoint now) const {
+  return this->told_cut_off ||
+         (this->unanswered.size() >= kLeastSilentTargets &&
+          now - this->answered >= kLeastSilence);
+}
+
+// Failure: a service is down everywhere, all hosts of all zones send their
+// callers away, and nobody serves what could still be served. So only a host
+// that hears nothing from outside its zone does.
+//
+// Failure: the balancer sends callers to another zone only once no host of this
+// one is ready; a host that no caller has reached lately would stay ready, and
+// get them all. So it decides by what its zone could serve.
+bool ReachWatch::should_send_away(bool zone_serves_all, TimePoint now) {
+  if (!this->is_cut_off(now)) {
+    this->sends_away = false;
+    return false;
+  }
+  const bool is_idle = now - this->last_request > kIdleAfter;
+  const double most =
+      zone_serves_all ? kMostWithoutTargets : kMostWithoutTargetsInZone;
+  if (this->without_targets > most || (is_idle && !zone_serves_all)) {
+    this->sends_away = true;
+  }
+  return this->sends_away;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/routing/reach_watch.h
@@ -0,0 +1,55 @@
+// Whether this host's zone seems cut off from the others, and whether callers
+// are served better by hosts of another zone meanwhile.
+//
+//   ReachWatch watch;
+//   watch.OnUnanswered(target, now);      // of another zone
+//   watch.OnRequest(/*has_targets=*/false, now);
+//   if (watch.should_send_away(zone_serves_all, now)) ReportNotReady();
+//
+// Answers the pattern of a zone without targets of its own for some service:
+// cut off, its hosts can only refuse, while callers still reach them, and
+// reach the hosts of other zones, too.
+
+#ifndef KNAPWEEDROAD_ROUTING_REACH_WATCH_H_
+#define KNAPWEEDROAD_ROUTING_REACH_WATCH_H_
+
+#include <set>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad {
+
+class ReachWatch {
+ public:
+  // A target or control host of another zone has answered anything. True: the
+  // zone seemed cut off until now.
+  bool OnAnswered(TimePoint now);
+  // A target of another zone has been silent, or no connection could be had.
+  void OnUnanswered(const TargetId& target);
+  // A control host of this zone has lost those of all others, or has one again.
+  void OnTold(bool is_cut_off, TimePoint now);
+  // A caller's request: whether its services had targets to send to.
+  void OnRequest(bool has_targets, TimePoint now);
+
+  bool is_cut_off(TimePoint now) const;
+  // Cut off, and most of its callers' requests are without targets. Where no
+  // callers come, `zone_serves_all` decides: whether the zone's own targets
+  // could serve them. Stays until an answer comes from outside.
+  bool should_send_away(bool zone_serves_all, TimePoint now);
+  bool is_sending_away() const { return this->sends_away; }
+
+ private:
+  // Targets of other zones that were silent since one last answered.
+  std::set<TargetId> unanswered;
+  TimePoint answered;
+  bool told_cut_off = false;
+  bool sends_away = false;
+  TimePoint last_request;
+  // Smoothed share of requests without targets.
+  double without_targets = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_ROUTING_REACH_WATCH_H_
--- /dev/null
+++ b/knapweedroad/routing/reach_watch_test.cc
@@ -0,0 +1,102 @@
+#include "knapweedroad/routing/reach_watch.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+
+void LoseTargets(ReachWatch& watch, int count) {
+  for (int i = 0; i < count; ++i) {
+    watch.OnUnanswered(TargetId("t" + std::to_string(i)));
+  }
+}
+
+void Refuse(ReachWatch& watch, int count) {
+  for (int i = 0; i < count; ++i) {
+    watch.OnRequest(/*has_targets=*/false, kStart);
+  }
+}
+
+// Callers of one zone are refused for six seconds. The zone has no targets of
+// the shards and is cut off; its hosts went on saying that they were ready, so
+// callers that came back came back to them.
+Test(reach_watch, a_cut_off_zone_without_targets_sends_its_callers_away) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart);
+  LoseTargets(watch, 4);
+  Refuse(watch, 4);
+  cr_expect(
+      watch.should_send_away(/*zone_serves_all=*/true, kStart + seconds(1)));
+}
+
+// The zone has its own targets of everything: it goes on by itself.
+Test(reach_watch, a_cut_off_zone_with_targets_keeps_its_callers) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart);
+  LoseTargets(watch, 4);
+  watch.OnRequest(/*has_targets=*/true, kStart + milliseconds(900));
+  cr_expect(watch.is_cut_off(kStart + seconds(1)));
+  cr_expect_not(
+      watch.should_send_away(/*zone_serves_all=*/true, kStart + seconds(1)));
+}
+
+// All targets of a shard are down everywhere. Hosts of other zones would refuse
+// as well; nobody may leave.
+Test(reach_watch, a_shard_that_is_down_everywhere_sends_nobody_away) {
+  ReachWatch watch;
+  LoseTargets(watch, 3);
+  Refuse(watch, 20);
+  watch.OnAnswered(kStart);
+  LoseTargets(watch, 2);
+  cr_expect_not(
+      watch.should_send_away(/*zone_serves_all=*/true, kStart + seconds(1)));
+}
+
+Test(reach_watch, the_first_answer_from_outside_ends_it) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart);
+  LoseTargets(watch, 4);
+  Refuse(watch, 4);
+  cr_expect(watch.OnAnswered(kStart + seconds(1)));
+  cr_expect_not(
+      watch.should_send_away(/*zone_serves_all=*/true, kStart + seconds(1)));
+  cr_expect_not(watch.OnAnswered(kStart + milliseconds(1001)));
+}
+
+// Of a cut off zone's hosts one has had no callers lately. It alone stays
+// ready, and the balancer goes on sending everybody into the zone.
+Test(reach_watch, a_host_without_callers_follows_its_zone) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart);
+  watch.OnTold(/*is_cut_off=*/true, kStart + seconds(1));
+  const TimePoint now = kStart + seconds(2);
+  cr_expect_not(watch.should_send_away(/*zone_serves_all=*/true, now));
+  cr_expect(watch.should_send_away(/*zone_serves_all=*/false, now));
+  watch.OnTold(/*is_cut_off=*/false, now);
+  cr_expect_not(watch.should_send_away(/*zone_serves_all=*/false, now));
+}
+
+// A few lookups that the zone can serve come between: a host that changes its
+// word with each of them is in and out of rotation, and callers stay.
+Test(reach_watch, it_keeps_its_word_until_something_answers_from_outside) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart);
+  LoseTargets(watch, 4);
+  Refuse(watch, 4);
+  const TimePoint now = kStart + seconds(1);
+  cr_assert(watch.should_send_away(/*zone_serves_all=*/true, now));
+  for (int i = 0; i < 5; ++i) {
+    watch.OnRequest(/*has_targets=*/true, now);
+  }
+  cr_expect(watch.should_send_away(/*zone_serves_all=*/true, now));
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -22,6 +22,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/routing/extra_purpose.h"
 
 namespace knapweedroad {
 
@@ -104,7 +105,8 @@
   // Whether the service has a target that may free up soon.
   std::function<bool(const ServiceId& service)> is_served;
   // Whether one more attempt beyond the first may be sent; counts it.
-  std::function<bool(const ServiceId& service, bool is_hedge)> spend_extra;
+  std::function<bool(const ServiceId& service, ExtraPurpose purpose)>
+      spend_extra;
 };
 
 class RequestRun {
@@ -128,7 +130,14 @@
   size_t extra_attempts() const { return this->extra; }
 
  private:
-  enum class ShardState : uint8_t { kOpen, kAnswered, kHopeless };
+  enum class ShardState : uint8_t {
+    kOpen,
+    kAnswered,
+    kSpared,  // failed, and asked again only if the answer fails without it
+    kHopeless,
+  };
+
+  enum class Begun : uint8_t { kYes, kNoTarget, kNoBudget };
 
   struct Shard {
     ShardState state = ShardState::kOpen;
@@ -148,12 +157,17 @@
   };
 
   Shard* ShardOf(uint32_t attempt);
-  bool Begin(size_t index, bool is_hedge, TimePoint now, RunStep& step);
+  Begun Begin(size_t index, ExtraPurpose purpose, TimePoint now, RunStep& step);
   void TryAgain(size_t index,
                 bool is_proven_not_run,
                 TimePoint now,
                 RunStep& step);
   void Hedge(TimePoint now, RunStep& step);
+  // Asks spared shards again while the answer would fail without them.
+  void TakeUpSpared(TimePoint now, RunStep& step);
+  size_t CountIn(ShardState state) const;
+  // Whether the answer fails if this shard, which is open, is lost.
+  bool IsNeeded() const;
   RunStep Finish(RunStep step, TimePoint now);
   bool Conclude(TimePoint now, RunStep& step);
   void EndWithParts(RunStep& step, std::string_view cause);
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -44,7 +44,10 @@
     this->hooks.is_served = [this](const ServiceId& service) {
       return !this->down.contains(service.str());
     };
-    this->hooks.spend_extra = [this](const ServiceId&, bool) {
+    this->hooks.spend_extra = [this](const ServiceId&, ExtraPurpose purpose) {
+      if (purpose == ExtraPurpose::kCoverage && this->is_scarce) {
+        return false;
+      }
       return this->budget-- > 0;
     };
   }
@@ -55,6 +58,8 @@
   RunHooks hooks;
   std::map<std::string, bool> down;
   int budget = 100;
+  // Nothing is left for what an answer can do without.
+  bool is_scarce = false;
 };
 
 TargetAnswer Good(const char* seal) {
@@ -118,6 +123,42 @@
   cr_expect(end.end->missing == 1);
 }
 
+// All targets of two shards refuse half of what they get, and retries are
+// scarce. A scatter that may lack one part spends one on its first refusal, for
+// the second there is none, and the whole answer fails. So the first is spared,
+// and taken up only when the second is lost as well.
+Test(request_run, a_part_that_can_be_lacking_leaves_its_retry_to_others) {
+  World world(3);
+  world.is_scarce = true;
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  cr_expect(run.OnEnd(0, AttemptEnd::kDeclined, kStart).start.empty());
+  const RunStep retry = run.OnEnd(1, AttemptEnd::kDeclined, kStart);
+  cr_assert(retry.start.size() == 1);
+  cr_expect(retry.start[0].target == TargetId("b2"));
+  const RunStep second = run.OnEnd(3, AttemptEnd::kDeclined, kStart);
+  cr_assert(second.start.size() == 1);
+  cr_expect(second.start[0].target == TargetId("a2"));
+  run.OnAnswer(2, Good("3"), kStart + milliseconds(5));
+  const RunStep end = run.OnAnswer(4, Good("1"), kStart + milliseconds(9));
+  cr_assert(end.end && end.end->kind == RunEndKind::kParts);
+  cr_expect(end.end->missing == 1);
+}
+
+// The rest has answered: nobody waits for a shard that is spared.
+Test(request_run, a_spared_part_holds_nothing_up) {
+  World world(3);
+  world.is_scarce = true;
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnEnd(0, AttemptEnd::kDeclined, kStart);
+  run.OnAnswer(1, Good("2"), kStart + milliseconds(5));
+  const RunStep end = run.OnAnswer(2, Good("3"), kStart + milliseconds(6));
+  cr_assert(end.end && end.end->kind == RunEndKind::kParts);
+  cr_expect(end.end->missing == 1);
+  cr_expect(run.extra_attempts() == 0);
+}
+
 // All searchers of two shards of three are down. The answer can't become a
 // success: callers hear so at once, nothing is sent, and "not run" is true.
 Test(request_run, what_cannot_succeed_is_refused_before_anything_is_sent) {
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -44,6 +44,9 @@
 constexpr double kFailureWeight = 0.3;
 // A target that fails every time costs like one nine times as slow.
 constexpr double kFailureCost = 8;
+// The same where all hosts together know it: no chance then, and each failure
+// uses up a retry that another request would be answered by.
+constexpr double kSharedFailureCost = 20;
 // What an answer from another zone costs beside its time: bytes between zones
 // are paid for, and latencies of a dozen values differ by a third by chance, so
 // a near target that looks half as slow again is as good.
@@ -80,6 +83,21 @@
 // A target whose heartbeats have stopped is used while it goes on to answer.
 constexpr Duration kSilentTrust = std::chrono::seconds(2);
 
+// A control host's list of targets in trouble counts for this long after it was
+// told: one that still answers tells it anew when it changes, and one that is
+// cut off would be believed for ever.
+constexpr Duration kTroublesMemory = std::chrono::seconds(10);
+// After a target has turned a connection away, for this long a host keeps to
+// the targets that it is connected to: all hosts have lost their power, the
+// targets still hold the connections of before, and a host that takes a second
+// place leaves another without any. Targets notice within about ten seconds.
+constexpr Duration kScarceMemory = std::chrono::seconds(4);
+constexpr double kNewConnectionCost = 4;
+// One pick in so many passes over what others say of a target: somebody has to
+// find out that it is well again. A hundred requests a second do so once in
+// three seconds; more would cost each scatter over many shards a retry.
+constexpr unsigned kDoubtOneIn = 300;
+
 double Decay(Duration age, Duration half_life) {
   return std::exp2(-static_cast<double>(age.count()) /
                    static_cast<double>(half_life.count()));
@@ -288,6 +306,68 @@
   return target.failures * Decay(now - target.failures_at, kFailureHalfLife);
 }
 
+void TargetBook::LearnTroubles(const HostId& control_host,
+                               std::vector<TargetTrouble> told,
+                               TimePoint now) {
+  this->troubles[control_host] = {.targets = std::move(told), .told = now};
+  this->ApplyTroubles(now);
+}
+
+// The worst that any control host says counts: each hears a part of the hosts.
+void TargetBook::ApplyTroubles(TimePoint now) {
+  std::erase_if(this->troubles, [now](const auto& entry) {
+    return now - entry.second.told > kTroublesMemory;
+  });
+  for (auto& [id, target] : this->targets) {
+    target.shared_failures = 0;
+    target.shared_slowdown = 1;
+  }
+  for (const auto& [host, told] : this->troubles) {
+    for (const TargetTrouble& trouble : told.targets) {
+      Target* const target = this->Get(trouble.target);
+      if (target == nullptr) {
+        continue;
+      }
+      const double failed =
+          static_cast<double>(trouble.failed) / TargetTrouble::kFailedUnits;
+      target->shared_failures = std::max(target->shared_failures, failed);
+      target->shared_slowdown =
+          std::max<double>(target->shared_slowdown, trouble.slowdown);
+    }
+  }
+}
+
+// Failure: two zones can't reach each other, and their hosts report each
+// other's targets; hosts of a third zone, which reach both, would avoid them as
+// well and crowd their own. So only what a target itself has done is shared:
+// answers, refusals, broken answers and late ones, never that it can't be
+// reached.
+bool TargetBook::IsOutside(const Target& target) const {
+  return target.record.zone != this->options.zone;
+}
+
+// Failure: a cut between zones has healed, but the targets beyond it stay under
+// suspicion until their next health question, seconds later where many hosts
+// share the asking, and callers are refused as long.
+void TargetBook::OnOutsideAnswer(TimePoint now) {
+  if (!this->reach_watch.OnAnswered(now)) {
+    return;
+  }
+  for (auto& [id, target] : this->targets) {
+    if (target.is_suspect && this->IsOutside(target)) {
+      target.next_probe = now;
+      target.failed_probes = 0;
+    }
+  }
+}
+
+void TargetBook::ShareOutcome(const Target& target, TargetEvidence seen) {
+  if (this->options.on_evidence) {
+    seen.target = target.record.id;
+    this->options.on_evidence(seen);
+  }
+}
+
 double TargetBook::ExpectedLatency(const Service& service,
                                    const Target& target,
                                    TimePoint now) const {
@@ -304,7 +384,12 @@
 double TargetBook::Cost(const Service& service,
                         const Target& target,
                         TimePoint now) {
-  const double latency = this->ExpectedLatency(service, target, now);
+  const bool believes_others = this->random() % kDoubtOneIn != 0;
+  const double shared_failures = believes_others ? target.shared_failures : 0;
+  const double shared_slowdown = believes_others ? target.shared_slowdown : 1;
+  const double latency =
+      std::max(this->ExpectedLatency(service, target, now),
+               service.latency * (shared_slowdown > 1 ? shared_slowdown : 0));
   const double told =
       static_cast<double>(target.load.running + target.load.waiting) *
       Decay(now - target.load_at, kLoadHalfLife);
@@ -312,7 +397,8 @@
   const double busy =
       std::max(told, static_cast<double>(target.in_flight)) / slots;
   double cost = latency * (1 + busy);
-  cost *= 1 + kFailureCost * this->FailureShare(target, now);
+  cost *= 1 + std::max(kFailureCost * this->FailureShare(target, now),
+                       kSharedFailureCost * shared_failures);
   if (!target.sent.empty()) {
     const auto age = static_cast<double>((now - target.sent.front()).count());
     const double floor = std::max(kStallFactor * latency,
@@ -324,6 +410,10 @@
   if (target.record.zone != this->options.zone) {
     cost *= kOtherZoneCost;
   }
+  if (now < this->connections_scarce_until && this->options.is_connected &&
+      !this->options.is_connected(target.record.id)) {
+    cost *= kNewConnectionCost;
+  }
   // Ties are broken by lot.
   return cost * (1 + 0.02 * static_cast<double>(this->random()) /
                          static_cast<double>(std::minstd_rand::max()));
@@ -381,17 +471,31 @@
 }
 
 bool TargetBook::IsServed(const ServiceId& service, TimePoint now) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return false;
+  }
+  return std::ranges::any_of(found->second.targets, [&](const TargetId& id) {
+    return this->IsWell(*this->Get(id), now);
+  });
+}
+
+bool TargetBook::IsServedInZone(const ServiceId& service, TimePoint now) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return false;
   }
   return std::ranges::any_of(found->second.targets, [&](const TargetId& id) {
     const Target& target = *this->Get(id);
-    return this->IsUsable(target, now) && !target.is_suspect &&
-           !this->IsCold(target, now);
+    return !this->IsOutside(target) && this->IsWell(target, now);
   });
 }
 
+bool TargetBook::IsWell(const Target& target, TimePoint now) const {
+  return this->IsUsable(target, now) && !target.is_suspect &&
+         !this->IsCold(target, now);
+}
+
 ServiceCount TargetBook::Count(const ServiceId& service, TimePoint now) const {
   ServiceCount count;
   const auto found = this->services.find(service);
@@ -471,6 +575,10 @@
                        ? taken
                        : target.latency * (1 - weight) + taken * weight;
   target.latency_at = now;
+  constexpr double kNsInUs = 1e3;
+  this->ShareOutcome(
+      target,
+      {.timed = 1, .latency_us = static_cast<uint64_t>(taken / kNsInUs)});
   Service& service = this->services[target.record.service];
   service.latency = service.latency <= 0
                         ? taken
@@ -496,6 +604,10 @@
   target->failures = this->FailureShare(*target, now) * (1 - kFailureWeight);
   target->failures_at = now;
   target->last_success = now;
+  if (this->IsOutside(*target)) {
+    this->OnOutsideAnswer(now);
+  }
+  this->ShareOutcome(*target, {.answered = 1});
   this->Trust(*target, "answered");
 }
 
@@ -512,12 +624,14 @@
     target->load_at = now;
   }
   this->CountFailure(*target, kFailureWeight, now);
+  this->ShareOutcome(*target, {.failed = 1});
 }
 
 void TargetBook::OnFailed(const TargetId& id, TimePoint now) {
   if (Target* const target = this->Get(id)) {
     this->EndAttempt(*target);
     this->CountFailure(*target, kFailureWeight, now);
+    this->ShareOutcome(*target, {.failed = 1});
   }
 }
 
@@ -525,10 +639,21 @@
   if (Target* const target = this->Get(id)) {
     this->EndAttempt(*target);
     this->CountFailure(*target, kFailureWeight, now);
+    this->ShareOutcome(*target, {.failed = 1});
     target->is_doubted = true;
   }
 }
 
+// The next attempts go elsewhere, but it is sound: no health question, which
+// would need a connection as well.
+void TargetBook::OnTurnedAway(const TargetId& id, TimePoint now) {
+  if (Target* const target = this->Get(id)) {
+    this->EndAttempt(*target);
+    this->CountFailure(*target, kFailureWeight, now);
+    this->connections_scarce_until = now + kScarceMemory;
+  }
+}
+
 void TargetBook::Suspect(Target& target,
                          std::string_view cause,
                          TimePoint now) {
@@ -538,6 +663,9 @@
     this->Tell(target, "suspected", cause, now - since);
   }
   target.is_doubted = true;
+  if (this->IsOutside(target)) {
+    this->reach_watch.OnUnanswered(target.record.id);
+  }
   target.sent.clear();
 }
 
@@ -650,6 +778,9 @@
   }
   const bool is_colder = result.cold_left > Duration::zero() &&
                          now + result.cold_left > target->cold_until;
+  if (result.is_reachable && this->IsOutside(*target)) {
+    this->OnOutsideAnswer(now);
+  }
   if (result.is_reachable && is_colder) {
     target->cold_until = now + result.cold_left;
     this->Tell(*target, "cold", "health_answer", result.cold_left);
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -24,7 +25,9 @@
 #include <vector>
 
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/registry/target_evidence.h"
 #include "knapweedroad/registry/target_record.h"
+#include "knapweedroad/routing/reach_watch.h"
 #include "knapweedroad/routing/service_count.h"
 #include "knapweedroad/routing/target_load.h"
 
@@ -52,6 +55,11 @@
   uint64_t seed = 1;
   // Told of each change of belief; may be absent.
   std::function<void(const TargetBelief&)> on_belief;
+  // Told of each attempt's outcome, to be shared with other hosts; may be
+  // absent.
+  std::function<void(const TargetEvidence&)> on_evidence;
+  // Whether this host holds an idle connection to the target; absent: yes.
+  std::function<bool(const TargetId&)> is_connected;
 };
 
 // What a health question showed.
@@ -84,6 +92,11 @@
   void SetZonesOut(const std::vector<ZoneId>& zones);
   // All entry hosts, this one among them: they share what a target bears.
   void SetEntryHosts(std::vector<HostId> hosts, TimePoint now);
+  // What all hosts together see of targets, as one control host tells it;
+  // replaces what it told before.
+  void LearnTroubles(const HostId& control_host,
+                     std::vector<TargetTrouble> troubles,
+                     TimePoint now);
   // How many share it, at the most, as far as known.
   size_t entry_hosts() const;
 
@@ -97,8 +110,16 @@
   // one that runs has ended.
   bool IsServed(const ServiceId& service, TimePoint now) const;
 
+  // The same by targets of this host's own zone alone.
+  bool IsServedInZone(const ServiceId& service, TimePoint now) const;
+
   ServiceCount Count(const ServiceId& service, TimePoint now) const;
 
+  // Whether this zone seems cut off, by what targets of others answer.
+  ReachWatch& reach() { return this->reach_watch; }
+  // A control host of another zone has answered, or a target.
+  void OnOutsideAnswer(TimePoint now);
+
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
 
@@ -116,6 +137,8 @@
   void OnFailed(const TargetId& id, TimePoint now);
   // The connection ended in the middle, or bytes came that are no answer.
   void OnBroken(const TargetId& id, TimePoint now);
+  // It closed a new connection before anything was sent: it has too many.
+  void OnTurnedAway(const TargetId& id, TimePoint now);
   // No connection could be had.
   void OnUnreachable(const TargetId& id, TimePoint now);
   // Nothing came in all the time it was given.
@@ -151,6 +174,9 @@
     // Smoothed share of failures.
     double failures = 0;
     TimePoint failures_at;
+    // The same and a factor on latency, as all hosts together see it.
+    double shared_failures = 0;
+    double shared_slowdown = 1;
     // Orders a service's targets differently on each entry host.
     uint64_t rank = 0;
     // Not used until a health question is answered well.
@@ -179,6 +205,7 @@
   void Drop(const TargetId& id);
   bool IsUsable(const Target& target, TimePoint now) const;
   bool IsCold(const Target& target, TimePoint now) const;
+  bool IsWell(const Target& target, TimePoint now) const;
   bool MayTry(const Target& target, TimePoint now) const;
   bool MaySendCold(const Target& target, TimePoint now) const;
   // How many of the service's targets this host keeps connections to.
@@ -194,6 +221,9 @@
   double Cost(const Service& service, const Target& target, TimePoint now);
   double FailureShare(const Target& target, TimePoint now) const;
   void EndAttempt(Target& target);
+  bool IsOutside(const Target& target) const;
+  void ShareOutcome(const Target& target, TargetEvidence seen);
+  void ApplyTroubles(TimePoint now);
   void CountFailure(Target& target, double weight, TimePoint now);
   void Suspect(Target& target, std::string_view cause, TimePoint now);
   void Trust(Target& target, std::string_view cause);
@@ -210,11 +240,19 @@
   std::unordered_map<ServiceId, Service> services;
   std::shared_ptr<const RouteTable> routing;
   std::set<ZoneId> zones_out;
+  struct ToldTroubles {
+    std::vector<TargetTrouble> targets;
+    TimePoint told;
+  };
+  std::map<HostId, ToldTroubles> troubles;
   std::vector<HostId> hosts;
   // When the list of hosts last changed; none: never heard of any.
   std::optional<TimePoint> hosts_changed;
   // The most hosts of a list that was replaced a short while ago.
   size_t hosts_before = 0;
+  ReachWatch reach_watch;
+  // Until then targets are taken to be short of connections.
+  TimePoint connections_scarce_until;
   std::minstd_rand random;
 };
 
