A reset while connecting is a target at its cap, not a crashed one

Cause: after all hosts have lost their power, targets hold the old connections for about ten seconds and reset new ones while they are being opened. That was taken for a crash: the target was suspected, and its health question needs a connection as well, so whole shards stayed unserved. Traced: all 2,134 failed connects after the fault were resets, all of crashed targets are refusals.

Change: ConnectEnd tells the two apart; a target that turns a connection away stays trusted, and where each one of a shard does, the answer goes out without the shard instead of waiting for it.

Ruled out: that targets were down (no refusal among them).

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -282,7 +282,8 @@
   const bool is_reachable = reply.kind == ReplyKind::kAnswered;
   const ProbeResult result{
       .is_reachable = is_reachable,
-      .is_unclear = reply.kind == ReplyKind::kBroken,
+      .is_unclear = reply.kind == ReplyKind::kBroken ||
+                    reply.kind == ReplyKind::kTurnedAway,
       .is_other_target = is_reachable && !reply.target.empty() &&
                          reply.target != probe.target.str(),
       .is_healthy = is_reachable && reply.answer.status == 200,
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -202,8 +202,9 @@
                             std::span<const TargetId> tried) {
     return this->parts.book.Pick(service, tried, Runtime::Now());
   };
-  this->hooks.is_served = [this](const ServiceId& service) {
-    return this->parts.book.IsServed(service, Runtime::Now());
+  this->hooks.is_served = [this](const ServiceId& service,
+                                 std::span<const TargetId> tried) {
+    return this->parts.book.IsServed(service, Runtime::Now(), tried);
   };
   this->hooks.spend_extra = [this](const ServiceId& service,
                                    ExtraPurpose purpose) {
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -55,12 +55,12 @@
 }
 
 void TargetConnection::Connect(const Endpoint& endpoint,
-                               std::function<void(bool)> done) {
+                               std::function<void(ConnectEnd)> done) {
   error_code error;
   const auto address = asio::ip::make_address(endpoint.ip, error);
   if (error) {
     asio::post(this->socket.get_executor(),
-               [done = std::move(done)] { done(false); });
+               [done = std::move(done)] { done(ConnectEnd::kFailed); });
     return;
   }
   this->socket.async_connect(
@@ -70,12 +70,17 @@
         if (result == asio::error::operation_aborted) {
           return;
         }
-        if (!result) {
-          SetTargetSocketOptions(self->socket);
-          self->last_used = Runtime::Now();
-          self->is_reusable = true;
+        if (result) {
+          // A host without a listener refuses; a reset comes from one that
+          // has taken the connection and dropped it.
+          const bool is_reset = result == asio::error::connection_reset;
+          done(is_reset ? ConnectEnd::kTurnedAway : ConnectEnd::kFailed);
+          return;
         }
-        done(!result);
+        SetTargetSocketOptions(self->socket);
+        self->last_used = Runtime::Now();
+        self->is_reusable = true;
+        done(ConnectEnd::kConnected);
       });
 }
 
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -8,6 +8,7 @@
 #ifndef KNAPWEEDROAD_EDGE_TARGET_CONNECTION_H_
 #define KNAPWEEDROAD_EDGE_TARGET_CONNECTION_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -29,6 +30,14 @@
 struct Dialect;
 struct TargetReply;
 
+// How an attempt to connect ended.
+enum class ConnectEnd : uint8_t {
+  kConnected,
+  kFailed,  // nobody listens, or nothing answers
+  // Somebody listens, and ended the connection at once: it has too many.
+  kTurnedAway,
+};
+
 using ReplyHandler = std::function<void(TargetReply reply)>;
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
@@ -41,7 +50,7 @@
   ~TargetConnection();
 
   // Once, first. `done` is called unless the connection is closed before.
-  void Connect(const Endpoint& endpoint, std::function<void(bool)> done);
+  void Connect(const Endpoint& endpoint, std::function<void(ConnectEnd)> done);
 
   // Sends the request and reads its answer. An answer that names another
   // request's id is left over from an earlier exchange and is skipped.
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -81,9 +81,11 @@
                                               this->links->options.dialect,
                                               this->links->scratch);
     this->connection->Connect(
-        this->send.address, [self = this->shared_from_this()](bool connected) {
+        this->send.address, [self = this->shared_from_this()](ConnectEnd end) {
           self->is_connecting = false;
-          if (!connected) {
+          if (end == ConnectEnd::kTurnedAway) {
+            self->TurnedAway();
+          } else if (end == ConnectEnd::kFailed) {
             self->Done({.kind = ReplyKind::kUnreachable});
           } else if (self->is_abandoned) {
             self->links->Keep(self->send.target, self->connection);
@@ -133,9 +135,7 @@
   void Settle() {
     this->connection->WatchIdle([self = this->shared_from_this()] {
       self->settle_timer.reset();
-      self->links->turns_away[self->send.target] =
-          Runtime::Now() + kTurnsAwayMemory;
-      self->Done({.kind = ReplyKind::kTurnedAway});
+      self->TurnedAway();
     });
     this->settle_timer.emplace(this->links->runtime.io(), kSettle);
     this->settle_timer->async_wait(
@@ -152,14 +152,23 @@
         });
   }
 
+  void RememberTurnedAway() {
+    this->links->turns_away[this->send.target] =
+        Runtime::Now() + kTurnsAwayMemory;
+  }
+
+  void TurnedAway() {
+    this->RememberTurnedAway();
+    this->Done({.kind = ReplyKind::kTurnedAway});
+  }
+
   void Write() {
     this->is_fresh = this->connect_by != TimePoint();
     this->connection->Exchange(
         this->send.bytes(), this->send.request_id,
         [self = this->shared_from_this()](TargetReply reply) {
           if (self->is_fresh && reply.kind == ReplyKind::kBroken) {
-            self->links->turns_away[self->send.target] =
-                Runtime::Now() + kTurnsAwayMemory;
+            self->RememberTurnedAway();
           }
           if (self->connection->reusable()) {
             if (self->send.keep_connection) {
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -102,7 +102,7 @@
   RunStep step;
   size_t served = 0;
   for (const ServiceId& service : this->options.services) {
-    served += this->hooks.is_served(service) ? 1 : 0;
+    served += this->hooks.is_served(service, {}) ? 1 : 0;
   }
   for (size_t i = 0; i < this->shards.size(); ++i) {
     // Failure: too many services are without any target, and the others' work
@@ -114,7 +114,7 @@
     }
     if (this->Begin(i, ExtraPurpose::kNeeded, now, step) != Begun::kYes) {
       this->shards[i].is_waiting =
-          this->hooks.is_served(this->options.services[i]);
+          this->hooks.is_served(this->options.services[i], {});
       if (!this->shards[i].is_waiting) {
         this->shards[i].state = ShardState::kHopeless;
       }
@@ -203,8 +203,9 @@
     shard.state = ShardState::kSpared;
     return;
   }
-  const bool can_wait = may && !shard.hedge_refused && shard.arrived == 0 &&
-                        this->hooks.is_served(this->options.services[index]);
+  const bool can_wait =
+      may && !shard.hedge_refused && shard.arrived == 0 &&
+      this->hooks.is_served(this->options.services[index], shard.tried);
   if (can_wait) {
     shard.is_waiting = true;
     return;
@@ -237,7 +238,7 @@
     }
     if (shard.is_waiting) {
       if (this->Begin(i, ExtraPurpose::kNeeded, now, step) != Begun::kYes &&
-          !this->hooks.is_served(this->options.services[i])) {
+          !this->hooks.is_served(this->options.services[i], shard.tried)) {
         shard.state = ShardState::kHopeless;
       }
       continue;
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -102,8 +102,9 @@
   std::function<std::optional<TargetId>(const ServiceId& service,
                                         std::span<const TargetId> tried)>
       pick;
-  // Whether the service has a target that may free up soon.
-  std::function<bool(const ServiceId& service)> is_served;
+  // Whether the service has a target, none of `tried`, that may free up soon.
+  std::function<bool(const ServiceId& service, std::span<const TargetId> tried)>
+      is_served;
   // Whether one more attempt beyond the first may be sent; counts it.
   std::function<bool(const ServiceId& service, ExtraPurpose purpose)>
       spend_extra;
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -41,8 +41,9 @@
       }
       return std::nullopt;
     };
-    this->hooks.is_served = [this](const ServiceId& service) {
-      return !this->down.contains(service.str());
+    this->hooks.is_served = [this](const ServiceId& service,
+                                   std::span<const TargetId> tried) {
+      return !this->down.contains(service.str()) && tried.size() < 3;
     };
     this->hooks.spend_extra = [this](const ServiceId&, ExtraPurpose purpose) {
       if (purpose == ExtraPurpose::kCoverage && this->is_scarce) {
@@ -159,6 +160,25 @@
   cr_expect(run.extra_attempts() == 0);
 }
 
+// After a loss of power all targets of a shard turn this host's connections
+// away. Nothing was sent, so another may be tried at no cost; once each has
+// been, the answer goes out without the shard instead of waiting for it.
+Test(request_run, a_shard_that_turns_every_connection_away_is_not_waited_for) {
+  World world(3);
+  world.budget = 0;
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnAnswer(0, Good("1"), kStart);
+  run.OnAnswer(1, Good("2"), kStart);
+  const RunStep second = run.OnEnd(2, AttemptEnd::kNeverSent, kStart);
+  cr_assert(second.start.size() == 1);
+  const RunStep third = run.OnEnd(3, AttemptEnd::kNeverSent, kStart);
+  cr_assert(third.start.size() == 1);
+  const RunStep end = run.OnEnd(4, AttemptEnd::kNeverSent, kStart);
+  cr_assert(end.end && end.end->kind == RunEndKind::kParts);
+  cr_expect(end.end->missing == 1);
+}
+
 // All searchers of two shards of three are down. The answer can't become a
 // success: callers hear so at once, nothing is sent, and "not run" is true.
 Test(request_run, what_cannot_succeed_is_refused_before_anything_is_sent) {
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -470,13 +470,16 @@
   return best->record.id;
 }
 
-bool TargetBook::IsServed(const ServiceId& service, TimePoint now) const {
+bool TargetBook::IsServed(const ServiceId& service,
+                          TimePoint now,
+                          std::span<const TargetId> tried) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return false;
   }
   return std::ranges::any_of(found->second.targets, [&](const TargetId& id) {
-    return this->IsWell(*this->Get(id), now);
+    return this->IsWell(*this->Get(id), now) &&
+           std::ranges::find(tried, id) == tried.end();
   });
 }
 
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -106,9 +106,11 @@
                                std::span<const TargetId> tried,
                                TimePoint now);
 
-  // Whether some target of the service may take requests, now or as soon as
-  // one that runs has ended.
-  bool IsServed(const ServiceId& service, TimePoint now) const;
+  // Whether some target of the service, none of `tried`, may take requests, now
+  // or as soon as one that runs has ended.
+  bool IsServed(const ServiceId& service,
+                TimePoint now,
+                std::span<const TargetId> tried = {}) const;
 
   // The same by targets of this host's own zone alone.
   bool IsServedInZone(const ServiceId& service, TimePoint now) const;
