Tried: retries that an answer can do without give way to others; reverted

Cause looked for: in a shed of most targets, scatters that may lack one part spend retries on having all, and others fail for want of them.

What binds there is shards with one target left that refuses: no order of spending gives them a second one.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -206,23 +206,12 @@
                                  std::span<const TargetId> tried) {
     return this->parts.book.IsServed(service, Runtime::Now(), tried);
   };
-  this->hooks.spend_extra = [this](const ServiceId& service,
-                                   ExtraPurpose purpose) {
+  this->hooks.spend_extra = [this](const ServiceId& service, bool is_hedge) {
     const TimePoint now = Runtime::Now();
     const size_t hosts = this->parts.book.entry_hosts();
     ExtraBudget& budget = this->parts.budgets.at(service);
-    bool sent = false;
-    switch (purpose) {
-      case ExtraPurpose::kNeeded:
-        sent = budget.SpendRetry(hosts, now);
-        break;
-      case ExtraPurpose::kCoverage:
-        sent = budget.SpendCoverage(hosts, now);
-        break;
-      case ExtraPurpose::kLate:
-        sent = budget.SpendHedge(hosts, now);
-        break;
-    }
+    const bool sent = is_hedge ? budget.SpendHedge(hosts, now)
+                               : budget.SpendRetry(hosts, now);
     this->parts.metrics.CountExtra(sent);
     return sent;
   };
--- a/knapweedroad/routing/extra_budget.cc
+++ b/knapweedroad/routing/extra_budget.cc
@@ -9,8 +9,8 @@
 // an attempt arrives later than it is counted here.
 constexpr double kRatioMargin = 0.93;
 constexpr double kSlackMargin = 0.9;
-// What the less urgent leave to the more urgent, as shares of the allowance:
-// for the first failures of a trouble, and however many there are.
+// What hedges leave to retries, as shares of the allowance: for the first
+// failures of a trouble, and however many there are.
 constexpr double kLeastReserve = 0.1;
 constexpr double kMostReserve = 0.5;
 
@@ -34,7 +34,6 @@
     Slice& oldest = this->slices[(this->newest + 1 + i) % kSlices];
     this->requests -= oldest.requests;
     this->retries -= oldest.retries;
-    this->coverage -= oldest.coverage;
     this->hedges -= oldest.hedges;
     oldest = {};
   }
@@ -69,26 +68,12 @@
   return true;
 }
 
-bool ExtraBudget::Leaves(double reserve, size_t hosts) const {
-  const double allowance = this->Allowance(hosts);
-  const double reserved = std::clamp<double>(reserve, allowance * kLeastReserve,
-                                             allowance * kMostReserve);
-  return this->extra() + 1 <= allowance - reserved;
-}
-
-bool ExtraBudget::SpendCoverage(size_t hosts, TimePoint now) {
-  this->Advance(now);
-  if (!this->Leaves(this->retries, hosts)) {
-    return false;
-  }
-  ++this->slices[this->newest % kSlices].coverage;
-  ++this->coverage;
-  return true;
-}
-
 bool ExtraBudget::SpendHedge(size_t hosts, TimePoint now) {
   this->Advance(now);
-  if (!this->Leaves(this->retries + this->coverage, hosts)) {
+  const double allowance = this->Allowance(hosts);
+  const double reserved = std::clamp<double>(
+      this->retries, allowance * kLeastReserve, allowance * kMostReserve);
+  if (this->extra() + 1 > allowance - reserved) {
     return false;
   }
   ++this->slices[this->newest % kSlices].hedges;
--- a/knapweedroad/routing/extra_budget.h
+++ b/knapweedroad/routing/extra_budget.h
@@ -39,15 +39,6 @@
   // counted. `hosts` share the slack.
   bool SpendRetry(size_t hosts, TimePoint now);
 
-  // The same for a failed attempt that the request can do without. Leaves as
-  // much as attempts have used up lately without which a request fails, half of
-  // all at the most.
-  //
-  // Failure: all targets of two shards refuse half of what they get. Requests
-  // that may lack one part spend what there is on having both, and those that
-  // would lack both then fail.
-  bool SpendCoverage(size_t hosts, TimePoint now);
-
   // True: one more attempt may be sent beside one that is late. Leaves as much
   // as retries have used up lately, half of all at the most.
   //
@@ -62,18 +53,13 @@
   struct Slice {
     uint32_t requests = 0;
     uint32_t retries = 0;
-    uint32_t coverage = 0;
     uint32_t hedges = 0;
   };
 
   Duration SliceLength() const;
   void Advance(TimePoint now);
   double Allowance(size_t hosts) const;
-  uint32_t extra() const {
-    return this->retries + this->coverage + this->hedges;
-  }
-  // Whether one more leaves so much, within the bounds of a reserve.
-  bool Leaves(double reserve, size_t hosts) const;
+  uint32_t extra() const { return this->retries + this->hedges; }
 
   ExtraBudgetLimits limits;
   // The first slice in which the slack counts.
@@ -82,7 +68,6 @@
   int64_t newest = 0;
   uint32_t requests = 0;
   uint32_t retries = 0;
-  uint32_t coverage = 0;
   uint32_t hedges = 0;
 };
 
--- a/knapweedroad/routing/extra_budget_test.cc
+++ b/knapweedroad/routing/extra_budget_test.cc
@@ -42,24 +42,6 @@
   cr_expect(extra.size() > 300, "%zu", extra.size());
 }
 
-// All targets of several shards refuse half of what they get. What is spent on
-// parts that an answer can do without must leave room for those it can't.
-Test(extra_budget, coverage_leaves_as_much_as_needed_retries_use) {
-  const TimePoint now{seconds(100)};
-  const ExtraBudgetLimits limits{
-      .ratio = 0, .slack = 40, .window = seconds(10)};  // 36 for one host
-  ExtraBudget budget(limits, now - seconds(60));
-  for (int i = 0; i < 10; ++i) {
-    cr_assert(budget.SpendRetry(1, now));
-  }
-  int coverage = 0;
-  while (budget.SpendCoverage(1, now)) {
-    ++coverage;
-  }
-  cr_expect(coverage == 16, "%d", coverage);
-  cr_expect(budget.SpendRetry(1, now));
-}
-
 // Some targets are slow, others fail. Attempts beside slow ones must leave
 // enough to replace the failed ones: those are lost without.
 Test(extra_budget, hedges_leave_as_much_as_retries_use) {
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -56,31 +56,21 @@
   return shard;
 }
 
-size_t RequestRun::CountIn(ShardState state) const {
-  return static_cast<size_t>(
-      std::ranges::count(this->shards, state, &Shard::state));
-}
-
-bool RequestRun::IsNeeded() const {
-  const size_t lost =
-      this->CountIn(ShardState::kHopeless) + this->CountIn(ShardState::kSpared);
-  return this->shards.size() - lost <= this->Needed();
-}
-
-RequestRun::Begun RequestRun::Begin(size_t index,
-                                    ExtraPurpose purpose,
-                                    TimePoint now,
-                                    RunStep& step) {
+// False: no target can take it now, or no further attempt is allowed.
+bool RequestRun::Begin(size_t index,
+                       bool is_hedge,
+                       TimePoint now,
+                       RunStep& step) {
   Shard& shard = this->shards[index];
   const ServiceId& service = this->options.services[index];
   const auto target = this->hooks.pick(service, shard.tried);
   if (!target) {
-    return Begun::kNoTarget;
+    return false;
   }
   if (shard.arrived > 0) {
-    if (!this->hooks.spend_extra(service, purpose)) {
+    if (!this->hooks.spend_extra(service, is_hedge)) {
       shard.hedge_refused = true;
-      return Begun::kNoBudget;
+      return false;
     }
     ++this->extra;
   }
@@ -95,7 +85,7 @@
   ++this->unproven;
   step.start.push_back(
       {.attempt = attempt, .service = index, .target = *target});
-  return Begun::kYes;
+  return true;
 }
 
 RunStep RequestRun::Start(TimePoint now) {
@@ -112,7 +102,7 @@
       this->shards[i].state = ShardState::kHopeless;
       continue;
     }
-    if (this->Begin(i, ExtraPurpose::kNeeded, now, step) != Begun::kYes) {
+    if (!this->Begin(i, /*is_hedge=*/false, now, step)) {
       this->shards[i].is_waiting =
           this->hooks.is_served(this->options.services[i], {});
       if (!this->shards[i].is_waiting) {
@@ -192,15 +182,7 @@
   const bool may = (this->options.idempotent || is_proven_not_run) &&
                    shard.sent < this->options.max_attempts &&
                    now < this->options.deadline;
-  const ExtraPurpose purpose =
-      this->IsNeeded() ? ExtraPurpose::kNeeded : ExtraPurpose::kCoverage;
-  const Begun begun =
-      may ? this->Begin(index, purpose, now, step) : Begun::kNoTarget;
-  if (begun == Begun::kYes) {
-    return;
-  }
-  if (begun == Begun::kNoBudget && purpose == ExtraPurpose::kCoverage) {
-    shard.state = ShardState::kSpared;
+  if (may && this->Begin(index, /*is_hedge=*/false, now, step)) {
     return;
   }
   const bool can_wait =
@@ -213,23 +195,6 @@
   shard.state = ShardState::kHopeless;
 }
 
-void RequestRun::TakeUpSpared(TimePoint now, RunStep& step) {
-  const size_t needed = this->Needed();
-  for (size_t i = 0; i < this->shards.size(); ++i) {
-    Shard& shard = this->shards[i];
-    if (shard.state != ShardState::kSpared) {
-      continue;
-    }
-    if (this->answers.size() + this->CountIn(ShardState::kOpen) >= needed) {
-      return;
-    }
-    const bool is_begun =
-        now < this->options.deadline &&
-        this->Begin(i, ExtraPurpose::kNeeded, now, step) == Begun::kYes;
-    shard.state = is_begun ? ShardState::kOpen : ShardState::kHopeless;
-  }
-}
-
 void RequestRun::Hedge(TimePoint now, RunStep& step) {
   for (size_t i = 0; i < this->shards.size(); ++i) {
     Shard& shard = this->shards[i];
@@ -237,7 +202,7 @@
       continue;
     }
     if (shard.is_waiting) {
-      if (this->Begin(i, ExtraPurpose::kNeeded, now, step) != Begun::kYes &&
+      if (!this->Begin(i, /*is_hedge=*/false, now, step) &&
           !this->hooks.is_served(this->options.services[i], shard.tried)) {
         shard.state = ShardState::kHopeless;
       }
@@ -246,7 +211,7 @@
     const bool due = this->options.idempotent && shard.out > 0 &&
                      shard.sent < this->options.max_attempts &&
                      !shard.hedge_refused && now >= shard.hedge_at;
-    if (due && this->Begin(i, ExtraPurpose::kLate, now, step) != Begun::kYes) {
+    if (due && !this->Begin(i, /*is_hedge=*/true, now, step)) {
       shard.hedge_at = now + kHedgeRetry;
     }
   }
@@ -313,9 +278,11 @@
 
 // Whether the request is at its end.
 bool RequestRun::Conclude(TimePoint now, RunStep& step) {
-  this->TakeUpSpared(now, step);
   const size_t answered = this->answers.size();
-  const size_t open = this->CountIn(ShardState::kOpen);
+  size_t open = 0;
+  for (const Shard& shard : this->shards) {
+    open += shard.state == ShardState::kOpen ? 1 : 0;
+  }
   const size_t needed = this->Needed();
   if (answered >= needed && open == 0) {
     this->EndWithParts(
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -22,7 +22,6 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/routing/extra_purpose.h"
 
 namespace knapweedroad {
 
@@ -106,8 +105,7 @@
   std::function<bool(const ServiceId& service, std::span<const TargetId> tried)>
       is_served;
   // Whether one more attempt beyond the first may be sent; counts it.
-  std::function<bool(const ServiceId& service, ExtraPurpose purpose)>
-      spend_extra;
+  std::function<bool(const ServiceId& service, bool is_hedge)> spend_extra;
 };
 
 class RequestRun {
@@ -131,14 +129,7 @@
   size_t extra_attempts() const { return this->extra; }
 
  private:
-  enum class ShardState : uint8_t {
-    kOpen,
-    kAnswered,
-    kSpared,  // failed, and asked again only if the answer fails without it
-    kHopeless,
-  };
-
-  enum class Begun : uint8_t { kYes, kNoTarget, kNoBudget };
+  enum class ShardState : uint8_t { kOpen, kAnswered, kHopeless };
 
   struct Shard {
     ShardState state = ShardState::kOpen;
@@ -158,17 +149,12 @@
   };
 
   Shard* ShardOf(uint32_t attempt);
-  Begun Begin(size_t index, ExtraPurpose purpose, TimePoint now, RunStep& step);
+  bool Begin(size_t index, bool is_hedge, TimePoint now, RunStep& step);
   void TryAgain(size_t index,
                 bool is_proven_not_run,
                 TimePoint now,
                 RunStep& step);
   void Hedge(TimePoint now, RunStep& step);
-  // Asks spared shards again while the answer would fail without them.
-  void TakeUpSpared(TimePoint now, RunStep& step);
-  size_t CountIn(ShardState state) const;
-  // Whether the answer fails if this shard, which is open, is lost.
-  bool IsNeeded() const;
   RunStep Finish(RunStep step, TimePoint now);
   bool Conclude(TimePoint now, RunStep& step);
   void EndWithParts(RunStep& step, std::string_view cause);
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -45,10 +45,7 @@
                                    std::span<const TargetId> tried) {
       return !this->down.contains(service.str()) && tried.size() < 3;
     };
-    this->hooks.spend_extra = [this](const ServiceId&, ExtraPurpose purpose) {
-      if (purpose == ExtraPurpose::kCoverage && this->is_scarce) {
-        return false;
-      }
+    this->hooks.spend_extra = [this](const ServiceId&, bool) {
       return this->budget-- > 0;
     };
   }
@@ -59,8 +56,6 @@
   RunHooks hooks;
   std::map<std::string, bool> down;
   int budget = 100;
-  // Nothing is left for what an answer can do without.
-  bool is_scarce = false;
 };
 
 TargetAnswer Good(const char* seal) {
@@ -124,42 +119,6 @@
   cr_expect(end.end->missing == 1);
 }
 
-// All targets of two shards refuse half of what they get, and retries are
-// scarce. A scatter that may lack one part spends one on its first refusal, for
-// the second there is none, and the whole answer fails. So the first is spared,
-// and taken up only when the second is lost as well.
-Test(request_run, a_part_that_can_be_lacking_leaves_its_retry_to_others) {
-  World world(3);
-  world.is_scarce = true;
-  RequestRun run = world.Make();
-  run.Start(kStart);
-  cr_expect(run.OnEnd(0, AttemptEnd::kDeclined, kStart).start.empty());
-  const RunStep retry = run.OnEnd(1, AttemptEnd::kDeclined, kStart);
-  cr_assert(retry.start.size() == 1);
-  cr_expect(retry.start[0].target == TargetId("b2"));
-  const RunStep second = run.OnEnd(3, AttemptEnd::kDeclined, kStart);
-  cr_assert(second.start.size() == 1);
-  cr_expect(second.start[0].target == TargetId("a2"));
-  run.OnAnswer(2, Good("3"), kStart + milliseconds(5));
-  const RunStep end = run.OnAnswer(4, Good("1"), kStart + milliseconds(9));
-  cr_assert(end.end && end.end->kind == RunEndKind::kParts);
-  cr_expect(end.end->missing == 1);
-}
-
-// The rest has answered: nobody waits for a shard that is spared.
-Test(request_run, a_spared_part_holds_nothing_up) {
-  World world(3);
-  world.is_scarce = true;
-  RequestRun run = world.Make();
-  run.Start(kStart);
-  run.OnEnd(0, AttemptEnd::kDeclined, kStart);
-  run.OnAnswer(1, Good("2"), kStart + milliseconds(5));
-  const RunStep end = run.OnAnswer(2, Good("3"), kStart + milliseconds(6));
-  cr_assert(end.end && end.end->kind == RunEndKind::kParts);
-  cr_expect(end.end->missing == 1);
-  cr_expect(run.extra_attempts() == 0);
-}
-
 // After a loss of power all targets of a shard turn this host's connections
 // away. Nothing was sent, so another may be tried at no cost; once each has
 // been, the answer goes out without the shard instead of waiting for it.
