What hosts see of targets is shared inside a zone only

A target may also do well for one zone and not for another.

Change: an entry host reports to, and hears from, control hosts of its own zone alone. A list holds as long as its control host replies, not for a fixed time after its last change (an unchanged list was dropped after 10 s).

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -165,7 +165,9 @@
                                  const HostId& host,
                                  WatchCall& call) {
   call.agreed_version = this->options.held_version();
-  if (this->options.take_evidence) {
+  call.shares_evidence = this->options.take_evidence != nullptr &&
+                         this->known[host].zone == this->options.zone;
+  if (call.shares_evidence) {
     call.evidence = this->options.take_evidence(host);
   }
   const auto bytes = peer.Call(PeerMessageType::kWatch, EncodeBytes(call),
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/edge/entry_host.h"
 
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <set>
 #include <utility>
@@ -204,9 +205,9 @@
   if (reply.has_hosts) {
     this->book.SetEntryHosts(reply.entry_hosts, Runtime::Now());
   }
-  if (reply.has_troubles) {
-    this->book.LearnTroubles(from, reply.troubles, now);
-  }
+  this->book.LearnTroubles(
+      from, reply.has_troubles ? std::optional(reply.troubles) : std::nullopt,
+      now);
 }
 
 void EntryHost::State::OnAgreed(uint64_t version, const std::string& text) {
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -68,7 +68,7 @@
   return call.epoch != this->epoch ||
          call.revision < this->options.registry.revision() ||
          call.hosts_revision < this->hosts_revision ||
-         (call.role == FollowerRole::kEntry &&
+         (call.shares_evidence &&
           (call.troubles_revision != this->options.evidence.revision() ||
            call.knows_cut_off != this->options.is_cut_off())) ||
          call.agreed_version < this->options.agreed_version();
@@ -128,7 +128,7 @@
   reply.is_cut_off = this->options.is_cut_off();
   reply.troubles_revision = this->options.evidence.revision();
   reply.has_troubles =
-      call.role == FollowerRole::kEntry &&
+      call.shares_evidence &&
       (!is_same || call.troubles_revision != reply.troubles_revision);
   if (reply.has_troubles) {
     reply.troubles = this->options.evidence.troubles();
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -28,19 +28,23 @@
   uint64_t hosts_revision = 0;
   // The agreed version that the follower has in force.
   uint64_t agreed_version = 0;
-  // The list of targets in trouble that an entry host has of it.
+  // Whether the follower is an entry host of the same zone: only those share
+  // what they see, as bytes between zones are paid for, and a target may do
+  // well for one zone and not for another.
+  bool shares_evidence = false;
+  // What such a host has of the list of targets in trouble, and whether it was
+  // told that the zone is cut off.
   uint64_t troubles_revision = 0;
-  // Whether the follower was told that the zone is cut off.
   bool knows_cut_off = false;
-  // An entry host's, since its last call.
+  // What it has seen since its last call.
   std::vector<TargetEvidence> evidence;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->follower, this->role, this->epoch, this->revision,
-            this->hosts_revision, this->agreed_version, this->troubles_revision,
-            this->knows_cut_off, this->evidence);
+            this->hosts_revision, this->agreed_version, this->shares_evidence,
+            this->troubles_revision, this->knows_cut_off, this->evidence);
   }
 };
 
@@ -76,7 +80,7 @@
   std::vector<HostId> entry_hosts;
   // Whether this control host has lost those of all other zones.
   bool is_cut_off = false;
-  // Absent where the follower has this list, and for control hosts.
+  // Absent where the follower has this list, or doesn't share evidence.
   bool has_troubles = false;
   uint64_t troubles_revision = 0;
   std::vector<TargetTrouble> troubles;
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -83,10 +83,9 @@
 // A target whose heartbeats have stopped is used while it goes on to answer.
 constexpr Duration kSilentTrust = std::chrono::seconds(2);
 
-// A control host's list of targets in trouble counts for this long after it was
-// told: one that still answers tells it anew when it changes, and one that is
-// cut off would be believed for ever.
-constexpr Duration kTroublesMemory = std::chrono::seconds(10);
+// A control host's list of targets in trouble counts for this long after its
+// last reply; it replies once a second at the least.
+constexpr Duration kTroublesMemory = std::chrono::seconds(4);
 // After a target has turned a connection away, for this long a host keeps to
 // the targets that it is connected to: all hosts have lost their power, the
 // targets still hold the connections of before, and a host that takes a second
@@ -307,10 +306,14 @@
 }
 
 void TargetBook::LearnTroubles(const HostId& control_host,
-                               std::vector<TargetTrouble> told,
+                               std::optional<std::vector<TargetTrouble>> told,
                                TimePoint now) {
-  this->troubles[control_host] = {.targets = std::move(told), .told = now};
-  this->ApplyTroubles(now);
+  ToldTroubles& held = this->troubles[control_host];
+  held.told = now;
+  if (told) {
+    held.targets = *std::move(told);
+    this->ApplyTroubles(now);
+  }
 }
 
 // The worst that any control host says counts: each hears a part of the hosts.
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -92,10 +92,10 @@
   void SetZonesOut(const std::vector<ZoneId>& zones);
   // All entry hosts, this one among them: they share what a target bears.
   void SetEntryHosts(std::vector<HostId> hosts, TimePoint now);
-  // What all hosts together see of targets, as one control host tells it;
-  // replaces what it told before.
+  // What all hosts of the zone together see of targets, as one control host
+  // tells it; replaces what it told before. Nothing: that still holds.
   void LearnTroubles(const HostId& control_host,
-                     std::vector<TargetTrouble> troubles,
+                     std::optional<std::vector<TargetTrouble>> troubles,
                      TimePoint now);
   // How many share it, at the most, as far as known.
   size_t entry_hosts() const;
--- a/knapweedroad/routing/target_book_test.cc
+++ b/knapweedroad/routing/target_book_test.cc
@@ -288,5 +288,86 @@
   cr_expect(book.Pick(kService, {}, kStart).has_value());
 }
 
+// A target refuses half of its requests. This host has asked it only twice, but
+// all hosts of the zone together know, and it must not find out for itself.
+Test(target_book, a_target_that_others_see_fail_is_avoided) {
+  TargetBook book = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    book.Learn(Record(id, "a"), kStart);
+    Serve(book, TargetId(id), milliseconds(10), kStart);
+  }
+  const HostId control("c1");
+  book.LearnTroubles(control, std::vector{TargetTrouble{TargetId("t1"), 4, 1}},
+                     kStart);
+  TimePoint now = kStart + seconds(1);
+  int bad = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *book.Pick(kService, {}, now);
+    bad += id == TargetId("t1") ? 1 : 0;
+    Serve(book, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(bad < 10, "%d", bad);
+  // Well again by the word of the same control host.
+  book.LearnTroubles(control, std::vector<TargetTrouble>(), now);
+  int again = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *book.Pick(kService, {}, now);
+    again += id == TargetId("t1") ? 1 : 0;
+    Serve(book, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(again > 50, "%d", again);
+}
+
+// The control host that listed a target has gone. What it said must not be
+// believed for ever.
+Test(target_book, a_list_whose_control_host_is_gone_is_forgotten) {
+  TargetBook book = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    book.Learn(Record(id, "a"), kStart);
+    Serve(book, TargetId(id), milliseconds(10), kStart);
+  }
+  book.LearnTroubles(HostId("c1"),
+                     std::vector{TargetTrouble{TargetId("t1"), 8, 1}}, kStart);
+  TimePoint now = kStart + seconds(6);
+  book.LearnTroubles(HostId("c2"), std::vector<TargetTrouble>(), now);
+  int got = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *book.Pick(kService, {}, now);
+    got += id == TargetId("t1") ? 1 : 0;
+    Serve(book, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(got > 50, "%d", got);
+}
+
+// All hosts have lost their power; targets still hold the connections of
+// before and turn new ones away. A host keeps to the target that it has a
+// connection to: with a second one, another host would be left without any.
+Test(target_book, while_connections_are_scarce_it_keeps_to_those_it_has) {
+  bool is_first = true;
+  TargetBook book({.self = Hosts(1)[0],
+                   .zone = ZoneId("a"),
+                   .is_connected = [&is_first](const TargetId& id) {
+                     return id == TargetId(is_first ? "t1" : "t2");
+                   }});
+  RoutingConfig config{
+      .version = 1, .services = {{.name = kService, .max_connections = 100}}};
+  book.SetRouting(std::make_shared<RouteTable>(config));
+  for (const char* id : {"t1", "t2"}) {
+    book.Learn(Record(id, "a"), kStart);
+    Serve(book, TargetId(id), milliseconds(10), kStart);
+  }
+  book.OnSent(TargetId("t2"), kStart);
+  book.OnTurnedAway(TargetId("t2"), kStart);
+  for (int i = 0; i < 50; ++i) {
+    cr_assert(*book.Pick(kService, {}, kStart) == TargetId("t1"));
+  }
+  // It is no suspect: where the first is tried already, it is next.
+  const std::vector<TargetId> tried{TargetId("t1")};
+  cr_expect(*book.Pick(kService, tried, kStart) == TargetId("t2"));
+}
+
 }  // namespace
 }  // namespace knapweedroad
