Target book split; entry and control hosts share their common parts

Change: ConnectionShare (who holds how many connections, with a test over hosts and caps), TargetState, CostOf; edge/role_parts. Two things that nothing read are gone (a route's priority, RequestRun::may_have_run).

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -12,6 +12,7 @@
 #include "knapweedroad/control/member_watch.h"
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/directory_cache.h"
+#include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/edge/watch_hub.h"
 #include "knapweedroad/host/control_replica.h"
 #include "knapweedroad/host/control_service.h"
@@ -52,14 +53,6 @@
   return ControlHostId(settings.peer_address);
 }
 
-std::vector<HostId> SeedIds(const RoleSettings& settings) {
-  std::vector<HostId> seeds;
-  for (const Endpoint& seed : settings.control_seeds) {
-    seeds.push_back(ControlHostId({seed.ip, settings.peer_address.port}));
-  }
-  return seeds;
-}
-
 RequestId RandomRequestId() {
   std::random_device device;
   return RequestId(std::to_string((uint64_t{device()} << 32) | device()));
@@ -507,38 +500,27 @@
   if (const auto port = self.server->Start(); !port) {
     return tl::unexpected(port.error().detail);
   }
-  if (settings.metrics_port != 0) {
-    self.metrics_server = std::make_unique<HttpServer>(
-        self.runtime,
-        HttpServerOptions{
-            .endpoint = {settings.peer_address.ip, settings.metrics_port},
-            .handler = [&self](const HttpRequest&, HttpExchange&) {
-              return HttpResponse{
-                  .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                  .body = self.PrintMetrics()};
-            }});
-    if (const auto port = self.metrics_server->Start(); !port) {
-      return tl::unexpected(port.error().detail);
-    }
+  auto metrics_server = StartMetricsServer(
+      self.runtime, settings, [&self] { return self.PrintMetrics(); });
+  if (!metrics_server) {
+    return tl::unexpected(metrics_server.error());
   }
+  self.metrics_server = *std::move(metrics_server);
   self.follower->Start();
   self.runtime.Spawn([state = this->state] { state->KeepMembers(); });
   self.runtime.Spawn([state = this->state] { state->KeepDirectory(); });
-  self.runtime.Spawn([state = this->state] {
-    while (!state->is_stopped) {
+  RepeatEvery(self.runtime, kTick, [state = this->state] {
+    if (!state->is_stopped) {
       state->Tick();
-      Runtime::SleepFor(kTick);
     }
+    return !state->is_stopped;
   });
   return {};
 }
 
 void ControlHost::Reload(const RoleSettings& settings) {
   this->state->seeds = SeedIds(settings);
-  LogLine("settings_reloaded")
-      .Add("host", settings.name)
-      .Add("seeds", this->state->seeds.size())
-      .Info();
+  LogReload(settings);
 }
 
 void ControlHost::Shutdown() {
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -13,6 +13,7 @@
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_request.h"
+#include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/net/http_server.h"
@@ -41,14 +42,6 @@
 // Kept of the grace at a stop for leaving in order.
 constexpr Duration kStopMargin = milliseconds(500);
 
-std::vector<HostId> SeedIds(const RoleSettings& settings) {
-  std::vector<HostId> seeds;
-  for (const Endpoint& seed : settings.control_seeds) {
-    seeds.push_back(ControlHostId({seed.ip, settings.peer_address.port}));
-  }
-  return seeds;
-}
-
 void LogBelief(const TargetBelief& belief) {
   LogLine("target_believed")
       .Add("target", belief.target)
@@ -414,20 +407,12 @@
       return tl::unexpected(port.error().detail);
     }
   }
-  if (settings.metrics_port != 0) {
-    self.metrics_server = std::make_unique<HttpServer>(
-        self.runtime,
-        HttpServerOptions{
-            .endpoint = {settings.peer_address.ip, settings.metrics_port},
-            .handler = [&self](const HttpRequest&, HttpExchange&) {
-              return HttpResponse{
-                  .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                  .body = self.PrintMetrics()};
-            }});
-    if (const auto port = self.metrics_server->Start(); !port) {
-      return tl::unexpected(port.error().detail);
-    }
+  auto metrics_server = StartMetricsServer(
+      self.runtime, settings, [&self] { return self.PrintMetrics(); });
+  if (!metrics_server) {
+    return tl::unexpected(metrics_server.error());
   }
+  self.metrics_server = *std::move(metrics_server);
   self.follower = std::make_unique<ControlFollower>(
       self.runtime,
       ControlFollowerOptions{
@@ -450,21 +435,18 @@
               }});
   self.follower->Start();
   self.last_tick = Runtime::Now();
-  self.runtime.Spawn([state = this->state] {
-    while (!state->is_stopped) {
+  RepeatEvery(self.runtime, kTick, [state = this->state] {
+    if (!state->is_stopped) {
       state->Tick();
-      Runtime::SleepFor(kTick);
     }
+    return !state->is_stopped;
   });
   return {};
 }
 
 void EntryHost::Reload(const RoleSettings& settings) {
   this->state->seeds = SeedIds(settings);
-  LogLine("settings_reloaded")
-      .Add("host", settings.name)
-      .Add("seeds", this->state->seeds.size())
-      .Info();
+  LogReload(settings);
 }
 
 void EntryHost::Shutdown() {
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -122,8 +122,6 @@
   RunStep OnWake(TimePoint now);
 
   bool is_over() const { return this->over; }
-  // Whether some attempt may have run.
-  bool may_have_run() const { return this->unproven > 0; }
   // Attempts sent so far, and how many of them beyond each service's first.
   size_t attempts() const { return this->attempt_shards.size(); }
   size_t extra_attempts() const { return this->extra; }
--- a/knapweedroad/routing/route_config.h
+++ b/knapweedroad/routing/route_config.h
@@ -34,8 +34,6 @@
   Duration timeout{};
   // Answers within this time are worth most to the caller.
   Duration latency_target{};
-  // Rank under overload; 0 is the most urgent.
-  int priority = 0;
   // One: all requests go there. Several: by weight, or, on a scatter route,
   // every request goes to all of them.
   std::vector<RouteService> services;
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -8,57 +8,19 @@
 #include <xxhash.h>
 
 #include "knapweedroad/routing/route_table.h"
+#include "knapweedroad/routing/target_cost.h"
 
 namespace knapweedroad {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Part of a target's connections that hosts plan with; the rest is for health
-// questions, hosts that restart, and hosts that aren't known yet.
-constexpr double kConnectionShare = 0.8;
-// A list of hosts that changed less than this ago may be half of it: after a
-// loss of power all hosts find control within a second or two.
-constexpr size_t kYoungCap = 2;
-constexpr Duration kHostsSettle = std::chrono::milliseconds(1500);
-// Hosts that left the list may be back, and hold their connections, for this.
-constexpr Duration kHostsMemory = std::chrono::seconds(10);
 // Weight of a new value in a smoothed latency: about the last seven decide,
 // so that a target that turns slow shows within a fraction of a second.
 constexpr double kLatencyWeight = 0.15;
 constexpr double kServiceLatencyWeight = 0.02;
-// A latency not confirmed for this long is half forgotten, and what is not
-// known is taken for a little better than usual: a target that was slow is
-// tried again after some seconds.
-constexpr Duration kLatencyHalfLife = std::chrono::seconds(3);
-constexpr double kUnknownLatency = 0.8;
-// What a target says of its load is half out of date after this. A host hears
-// from each of a shard's targets about ten times a second; with less memory it
-// would know of its own requests alone, and a zone's hosts would go on filling
-// their own zone's target while the others are free.
-constexpr Duration kLoadHalfLife = milliseconds(120);
-// Failures are half forgotten after this: a host of many asks a target only
-// every other second, and must remember from one request to the next.
-constexpr Duration kFailureHalfLife = std::chrono::seconds(4);
 // Weight of a new outcome in the smoothed share of failures.
 constexpr double kFailureWeight = 0.3;
-// A target that fails every time costs like one nine times as slow.
-constexpr double kFailureCost = 8;
-// The same where all hosts together know it: no chance then, and each failure
-// uses up a retry that another request would be answered by.
-constexpr double kSharedFailureCost = 20;
-// What an answer from another zone costs beside its time: bytes between zones
-// are paid for, and latencies of a dozen values differ by a third by chance, so
-// a near target that looks half as slow again is as good.
-constexpr double kOtherZoneCost = 1.6;
-// What a target costs to which this host keeps no connections: a new one holds
-// a slot for some milliseconds, and may be over the target's cap.
-constexpr double kOtherPartCost = 2;
-// An attempt unanswered for this many usual latencies counts as stalled, and
-// not before kStallFloor: pauses of a tenth of a second come every few seconds.
-constexpr double kStallFactor = 3;
-constexpr Duration kStallFloor = milliseconds(15);
-constexpr Duration kFirstLatency = milliseconds(10);
 // Unanswered for this many usual latencies, and for more than two of the pauses
 // that targets make now and then, a target counts as silent.
 constexpr double kSilentFactor = 6;
@@ -91,17 +53,11 @@
 // targets still hold the connections of before, and a host that takes a second
 // place leaves another without any. Targets notice within about ten seconds.
 constexpr Duration kScarceMemory = std::chrono::seconds(4);
-constexpr double kNewConnectionCost = 4;
 // One pick in so many passes over what others say of a target: somebody has to
 // find out that it is well again. A hundred requests a second do so once in
 // three seconds; more would cost each scatter over many shards a retry.
 constexpr unsigned kDoubtOneIn = 300;
 
-double Decay(Duration age, Duration half_life) {
-  return std::exp2(-static_cast<double>(age.count()) /
-                   static_cast<double>(half_life.count()));
-}
-
 uint64_t HashOf(const HostId& host, const TargetId& target) {
   return XXH64(target.str().data(), target.str().size(),
                XXH64(host.str().data(), host.str().size(), 0));
@@ -121,39 +77,18 @@
   this->zones_out = {zones.begin(), zones.end()};
 }
 
-void TargetBook::SetEntryHosts(std::vector<HostId> next, TimePoint now) {
-  if (next == this->hosts) {
-    return;
-  }
-  const bool is_recent =
-      this->hosts_changed && now - *this->hosts_changed < kHostsMemory;
-  this->hosts_before = is_recent
-                           ? std::max(this->hosts_before, this->hosts.size())
-                           : this->hosts.size();
-  this->hosts_changed = now;
-  this->hosts = std::move(next);
-}
-
-size_t TargetBook::entry_hosts() const {
-  return std::max<size_t>({this->hosts.size(), this->hosts_before, 1});
-}
-
-bool TargetBook::IsListYoung(TimePoint now) const {
-  return !this->hosts_changed || now - *this->hosts_changed < kHostsSettle;
-}
-
-TargetBook::Target* TargetBook::Get(const TargetId& id) {
+TargetState* TargetBook::Get(const TargetId& id) {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : &found->second;
 }
 
-const TargetBook::Target* TargetBook::Get(const TargetId& id) const {
+const TargetState* TargetBook::Get(const TargetId& id) const {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : &found->second;
 }
 
 const TargetRecord* TargetBook::Find(const TargetId& id) const {
-  const Target* const target = this->Get(id);
+  const TargetState* const target = this->Get(id);
   return target == nullptr ? nullptr : &target->record;
 }
 
@@ -167,7 +102,7 @@
 }
 
 void TargetBook::Learn(const TargetRecord& record, TimePoint now) {
-  Target* known = this->Get(record.id);
+  TargetState* known = this->Get(record.id);
   if (known != nullptr && !Supersedes(record, known->record)) {
     return;
   }
@@ -187,14 +122,14 @@
   known->cold_until = now + record.cold_left;
 }
 
-bool TargetBook::IsCold(const Target& target, TimePoint now) const {
+bool TargetBook::IsCold(const TargetState& target, TimePoint now) const {
   return target.cold_until > now;
 }
 
 // Failure: a cold target crashes under what all hosts together send it, while
 // each of them alone was polite. So only a few hosts, the same ones in every
 // host's reckoning, send to it at all.
-bool TargetBook::MaySendCold(const Target& target, TimePoint now) const {
+bool TargetBook::MaySendCold(const TargetState& target, TimePoint now) const {
   if (now < target.next_cold_send) {
     return false;
   }
@@ -208,7 +143,7 @@
   const auto senders = std::min<size_t>(
       kColdSenders, static_cast<size_t>(std::max(0.0, allowed / 1.5)));
   size_t before = 0;
-  for (const HostId& host : this->hosts) {
+  for (const HostId& host : this->share.hosts()) {
     if (host != this->options.self &&
         HashOf(host, target.record.id) < target.rank) {
       ++before;
@@ -217,7 +152,7 @@
   return before < senders;
 }
 
-bool TargetBook::IsUsable(const Target& target, TimePoint now) const {
+bool TargetBook::IsUsable(const TargetState& target, TimePoint now) const {
   const TargetPhase phase = target.record.phase;
   const bool is_trusted_silent =
       phase == TargetPhase::kSilent && now - target.last_success < kSilentTrust;
@@ -225,40 +160,15 @@
          !this->zones_out.contains(target.record.zone);
 }
 
-// Failure: all hosts have just started, each believes to be alone, and takes
-// all of a target's connections. The target resets what is over its cap, also
-// health questions, and looks broken to everybody. So a host that knows few
-// others yet takes one.
-size_t TargetBook::CapOf(const Target& target, TimePoint now) const {
+size_t TargetBook::MaxConnections(const ServiceId& id) const {
   const RoutedService* const service =
-      this->routing == nullptr
-          ? nullptr
-          : this->routing->FindService(target.record.service);
-  if (service == nullptr || service->max_connections == 0) {
-    return 1;
-  }
-  const double share = static_cast<double>(service->max_connections) *
-                       kConnectionShare /
-                       static_cast<double>(this->entry_hosts());
-  const auto cap = std::max<size_t>(1, static_cast<size_t>(share));
-  return this->IsListYoung(now) ? std::min(cap, kYoungCap) : cap;
+      this->routing == nullptr ? nullptr : this->routing->FindService(id);
+  return service == nullptr ? 0 : service->max_connections;
 }
 
-size_t TargetBook::SubsetSize(const Service& service) const {
-  const size_t all = service.targets.size();
-  const Target* const first =
-      service.targets.empty() ? nullptr : this->Get(service.targets.front());
-  const RoutedService* const config =
-      this->routing == nullptr || first == nullptr
-          ? nullptr
-          : this->routing->FindService(first->record.service);
-  if (config == nullptr || config->max_connections == 0) {
-    return all;
-  }
-  const double places = static_cast<double>(all * config->max_connections) *
-                        kConnectionShare /
-                        static_cast<double>(this->entry_hosts());
-  return std::clamp<size_t>(static_cast<size_t>(places), 1, all);
+size_t TargetBook::CapOf(const TargetState& target, TimePoint now) const {
+  const size_t most = this->MaxConnections(target.record.service);
+  return most == 0 ? 1 : this->share.CapOf(most, now);
 }
 
 // Failure: with more hosts than a target takes connections, each host's one
@@ -266,17 +176,19 @@
 // host then keeps to a part of the targets, its own zone's first; every host
 // draws another part.
 bool TargetBook::IsInSubset(const Service& service,
-                            const Target& target) const {
-  const size_t size = this->SubsetSize(service);
+                            const TargetState& target) const {
+  const size_t most = this->MaxConnections(target.record.service);
+  const size_t all = service.targets.size();
+  const size_t size = most == 0 ? all : this->share.SubsetSize(all, most);
   if (size >= service.targets.size()) {
     return true;
   }
-  const auto key = [this](const Target& of) {
+  const auto key = [this](const TargetState& of) {
     return std::pair(of.record.zone != this->options.zone, of.rank);
   };
   size_t before = 0;
   for (const TargetId& id : service.targets) {
-    const Target* const other = this->Get(id);
+    const TargetState* const other = this->Get(id);
     const bool counts =
         other->record.phase == TargetPhase::kServing && !other->is_suspect;
     if (other != &target && counts && key(*other) < key(target)) {
@@ -286,7 +198,7 @@
   return before < size;
 }
 
-bool TargetBook::MayTry(const Target& target, TimePoint now) const {
+bool TargetBook::MayTry(const TargetState& target, TimePoint now) const {
   if (!this->IsUsable(target, now) ||
       target.in_flight >= this->CapOf(target, now)) {
     return false;
@@ -301,10 +213,6 @@
          now >= target.next_trial;
 }
 
-double TargetBook::FailureShare(const Target& target, TimePoint now) const {
-  return target.failures * Decay(now - target.failures_at, kFailureHalfLife);
-}
-
 void TargetBook::LearnTroubles(const HostId& control_host,
                                std::optional<std::vector<TargetTrouble>> told,
                                TimePoint now) {
@@ -327,7 +235,7 @@
   }
   for (const auto& [host, told] : this->troubles) {
     for (const TargetTrouble& trouble : told.targets) {
-      Target* const target = this->Get(trouble.target);
+      TargetState* const target = this->Get(trouble.target);
       if (target == nullptr) {
         continue;
       }
@@ -345,7 +253,7 @@
 // well and crowd their own. So only what a target itself has done is shared:
 // answers, refusals, broken answers and late ones, never that it can't be
 // reached.
-bool TargetBook::IsOutside(const Target& target) const {
+bool TargetBook::IsOutside(const TargetState& target) const {
   return target.record.zone != this->options.zone;
 }
 
@@ -364,62 +272,28 @@
   }
 }
 
-void TargetBook::ShareOutcome(const Target& target, TargetEvidence seen) {
+void TargetBook::ShareOutcome(const TargetState& target, TargetEvidence seen) {
   if (this->options.on_evidence) {
     seen.target = target.record.id;
     this->options.on_evidence(seen);
   }
 }
 
-double TargetBook::ExpectedLatency(const Service& service,
-                                   const Target& target,
-                                   TimePoint now) const {
-  const double usual = service.latency > 0
-                           ? service.latency
-                           : static_cast<double>(kFirstLatency.count());
-  if (target.latency <= 0) {
-    return usual;
-  }
-  const double kept = Decay(now - target.latency_at, kLatencyHalfLife);
-  return target.latency * kept + kUnknownLatency * usual * (1 - kept);
-}
-
 double TargetBook::Cost(const Service& service,
-                        const Target& target,
+                        const TargetState& target,
                         TimePoint now) {
-  const bool believes_others = this->random() % kDoubtOneIn != 0;
-  const double shared_failures = believes_others ? target.shared_failures : 0;
-  const double shared_slowdown = believes_others ? target.shared_slowdown : 1;
-  const double latency =
-      std::max(this->ExpectedLatency(service, target, now),
-               service.latency * (shared_slowdown > 1 ? shared_slowdown : 0));
-  const double told =
-      static_cast<double>(target.load.running + target.load.waiting) *
-      Decay(now - target.load_at, kLoadHalfLife);
-  const double slots = std::max<double>(1, target.record.slots);
-  const double busy =
-      std::max(told, static_cast<double>(target.in_flight)) / slots;
-  double cost = latency * (1 + busy);
-  cost *= 1 + std::max(kFailureCost * this->FailureShare(target, now),
-                       kSharedFailureCost * shared_failures);
-  if (!target.sent.empty()) {
-    const auto age = static_cast<double>((now - target.sent.front()).count());
-    const double floor = std::max(kStallFactor * latency,
-                                  static_cast<double>(kStallFloor.count()));
-    if (age > floor) {
-      cost += kStallFactor * age;
-    }
-  }
-  if (target.record.zone != this->options.zone) {
-    cost *= kOtherZoneCost;
-  }
-  if (now < this->connections_scarce_until && this->options.is_connected &&
-      !this->options.is_connected(target.record.id)) {
-    cost *= kNewConnectionCost;
-  }
+  const bool is_scarce = now < this->connections_scarce_until;
+  const CostContext context{
+      .usual_latency = service.latency,
+      .believes_others = this->random() % kDoubtOneIn != 0,
+      .is_other_zone = this->IsOutside(target),
+      .is_other_part = !this->IsInSubset(service, target),
+      .takes_scarce_connection = is_scarce && this->options.is_connected &&
+                                 !this->options.is_connected(target.record.id)};
   // Ties are broken by lot.
-  return cost * (1 + 0.02 * static_cast<double>(this->random()) /
-                         static_cast<double>(std::minstd_rand::max()));
+  return CostOf(target, context, now) *
+         (1 + 0.02 * static_cast<double>(this->random()) /
+                  static_cast<double>(std::minstd_rand::max()));
 }
 
 std::optional<TargetId> TargetBook::Pick(const ServiceId& service_id,
@@ -434,9 +308,9 @@
   enum Rank { kWarm, kTrial, kCold, kNone };
   Rank best_rank = kNone;
   double best_cost = std::numeric_limits<double>::max();
-  Target* best = nullptr;
+  TargetState* best = nullptr;
   for (const TargetId& id : service.targets) {
-    Target& target = *this->Get(id);
+    TargetState& target = *this->Get(id);
     if (!this->MayTry(target, now) ||
         std::ranges::find(tried, id) != tried.end()) {
       continue;
@@ -450,10 +324,7 @@
     if (rank == kNone || rank > best_rank) {
       continue;
     }
-    double cost = this->Cost(service, target, now);
-    if (!this->IsInSubset(service, target)) {
-      cost *= kOtherPartCost;
-    }
+    const double cost = this->Cost(service, target, now);
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
       best_cost = cost;
@@ -466,7 +337,7 @@
   if (best_rank == kCold) {
     best->next_cold_send = now + kColdSpacing;
   } else if (best_rank == kTrial) {
-    const auto hosts = static_cast<int64_t>(this->entry_hosts());
+    const auto hosts = static_cast<int64_t>(this->share.host_count());
     best->next_trial =
         now + std::max(kLeastTrialInterval, kTrialIntervalAHost * hosts);
   }
@@ -492,12 +363,12 @@
     return false;
   }
   return std::ranges::any_of(found->second.targets, [&](const TargetId& id) {
-    const Target& target = *this->Get(id);
+    const TargetState& target = *this->Get(id);
     return !this->IsOutside(target) && this->IsWell(target, now);
   });
 }
 
-bool TargetBook::IsWell(const Target& target, TimePoint now) const {
+bool TargetBook::IsWell(const TargetState& target, TimePoint now) const {
   return this->IsUsable(target, now) && !target.is_suspect &&
          !this->IsCold(target, now);
 }
@@ -509,7 +380,7 @@
     return count;
   }
   for (const TargetId& id : found->second.targets) {
-    const Target& target = *this->Get(id);
+    const TargetState& target = *this->Get(id);
     const TargetPhase phase = target.record.phase;
     if (phase == TargetPhase::kLeaving || phase == TargetPhase::kGone) {
       ++count.leaving;
@@ -529,13 +400,13 @@
 }
 
 void TargetBook::OnSent(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     ++target->in_flight;
     target->sent.push_back(now);
   }
 }
 
-void TargetBook::EndAttempt(Target& target) {
+void TargetBook::EndAttempt(TargetState& target) {
   if (target.in_flight > 0) {
     --target.in_flight;
   }
@@ -546,12 +417,7 @@
   }
 }
 
-void TargetBook::CountFailure(Target& target, double weight, TimePoint now) {
-  target.failures = this->FailureShare(target, now) * (1 - weight) + weight;
-  target.failures_at = now;
-}
-
-void TargetBook::Tell(const Target& target,
+void TargetBook::Tell(const TargetState& target,
                       std::string_view belief,
                       std::string_view cause,
                       Duration span) const {
@@ -563,7 +429,7 @@
   }
 }
 
-void TargetBook::Trust(Target& target, std::string_view cause) {
+void TargetBook::Trust(TargetState& target, std::string_view cause) {
   if (std::exchange(target.is_suspect, false)) {
     this->Tell(target, "trusted", cause);
   }
@@ -573,7 +439,7 @@
   target.unhealthy_probes = 0;
 }
 
-void TargetBook::CountLatency(Target& target,
+void TargetBook::CountLatency(TargetState& target,
                               double taken,
                               double weight,
                               TimePoint now) {
@@ -596,7 +462,7 @@
                             Duration latency,
                             const std::optional<TargetLoad>& load,
                             TimePoint now) {
-  Target* const target = this->Get(id);
+  TargetState* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
@@ -607,8 +473,7 @@
     target->load = *load;
     target->load_at = now;
   }
-  target->failures = this->FailureShare(*target, now) * (1 - kFailureWeight);
-  target->failures_at = now;
+  CountOutcome(*target, 0, kFailureWeight, now);
   target->last_success = now;
   if (this->IsOutside(*target)) {
     this->OnOutsideAnswer(now);
@@ -620,7 +485,7 @@
 void TargetBook::OnDeclined(const TargetId& id,
                             const std::optional<TargetLoad>& load,
                             TimePoint now) {
-  Target* const target = this->Get(id);
+  TargetState* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
@@ -629,22 +494,22 @@
     target->load = *load;
     target->load_at = now;
   }
-  this->CountFailure(*target, kFailureWeight, now);
+  CountOutcome(*target, 1, kFailureWeight, now);
   this->ShareOutcome(*target, {.failed = 1});
 }
 
 void TargetBook::OnFailed(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     this->EndAttempt(*target);
-    this->CountFailure(*target, kFailureWeight, now);
+    CountOutcome(*target, 1, kFailureWeight, now);
     this->ShareOutcome(*target, {.failed = 1});
   }
 }
 
 void TargetBook::OnBroken(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     this->EndAttempt(*target);
-    this->CountFailure(*target, kFailureWeight, now);
+    CountOutcome(*target, 1, kFailureWeight, now);
     this->ShareOutcome(*target, {.failed = 1});
     target->is_doubted = true;
   }
@@ -653,17 +518,17 @@
 // The next attempts go elsewhere, but it is sound: no health question, which
 // would need a connection as well.
 void TargetBook::OnTurnedAway(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     this->EndAttempt(*target);
-    this->CountFailure(*target, kFailureWeight, now);
+    CountOutcome(*target, 1, kFailureWeight, now);
     this->connections_scarce_until = now + kScarceMemory;
   }
 }
 
-void TargetBook::Suspect(Target& target,
+void TargetBook::Suspect(TargetState& target,
                          std::string_view cause,
                          TimePoint now) {
-  this->CountFailure(target, 1, now);
+  CountOutcome(target, 1, 1, now);
   if (!std::exchange(target.is_suspect, true)) {
     const TimePoint since = target.sent.empty() ? now : target.sent.front();
     this->Tell(target, "suspected", cause, now - since);
@@ -676,7 +541,7 @@
 }
 
 void TargetBook::OnUnreachable(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     this->EndAttempt(*target);
     this->Suspect(*target, "unreachable", now);
     target->is_only_silent = false;
@@ -684,7 +549,7 @@
 }
 
 void TargetBook::OnSilent(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     const bool was_suspect = target->is_suspect;
     this->Suspect(*target, "silent", now);
     target->is_only_silent = !was_suspect || target->is_only_silent;
@@ -708,10 +573,10 @@
 }
 
 void TargetBook::OnMisdirected(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     this->EndAttempt(*target);
     target->record.phase = TargetPhase::kGone;
-    this->CountFailure(*target, 1, now);
+    CountOutcome(*target, 1, 1, now);
     this->Tell(*target, "gone", "another_at_its_address");
   }
 }
@@ -721,7 +586,7 @@
 void TargetBook::OnAbandoned(const TargetId& id,
                              Duration waited,
                              TimePoint now) {
-  Target* const target = this->Get(id);
+  TargetState* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
@@ -737,14 +602,14 @@
 // cold; what is sent in good faith crashes it again. Its closed idle
 // connections are the first sign, so a health question goes first.
 void TargetBook::OnIdleClosed(const TargetId& id, TimePoint now) {
-  if (Target* const target = this->Get(id)) {
+  if (TargetState* const target = this->Get(id)) {
     target->is_doubted = true;
     target->next_probe = std::min(target->next_probe, now);
   }
 }
 
-Duration TargetBook::ProbeInterval(const Target& target) const {
-  const auto hosts = static_cast<int64_t>(this->entry_hosts());
+Duration TargetBook::ProbeInterval(const TargetState& target) const {
+  const auto hosts = static_cast<int64_t>(this->share.host_count());
   const Duration least = std::max(kProbeInterval, kProbeIntervalAHost * hosts);
   const auto steps = std::min(target.failed_probes, kProbeBackoffSteps);
   return least + least * static_cast<int64_t>(steps) / 2;
@@ -773,7 +638,7 @@
 void TargetBook::OnProbe(const TargetId& id,
                          const ProbeResult& result,
                          TimePoint now) {
-  Target* const target = this->Get(id);
+  TargetState* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -27,9 +27,11 @@
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/target_evidence.h"
 #include "knapweedroad/registry/target_record.h"
+#include "knapweedroad/routing/connection_share.h"
 #include "knapweedroad/routing/reach_watch.h"
 #include "knapweedroad/routing/service_count.h"
 #include "knapweedroad/routing/target_load.h"
+#include "knapweedroad/routing/target_state.h"
 
 namespace knapweedroad {
 
@@ -91,14 +93,16 @@
   void SetRouting(std::shared_ptr<const RouteTable> routing);
   void SetZonesOut(const std::vector<ZoneId>& zones);
   // All entry hosts, this one among them: they share what a target bears.
-  void SetEntryHosts(std::vector<HostId> hosts, TimePoint now);
+  void SetEntryHosts(std::vector<HostId> hosts, TimePoint now) {
+    this->share.SetHosts(std::move(hosts), now);
+  }
   // What all hosts of the zone together see of targets, as one control host
   // tells it; replaces what it told before. Nothing: that still holds.
   void LearnTroubles(const HostId& control_host,
                      std::optional<std::vector<TargetTrouble>> troubles,
                      TimePoint now);
   // How many share it, at the most, as far as known.
-  size_t entry_hosts() const;
+  size_t entry_hosts() const { return this->share.host_count(); }
 
   // The target of the service that promises the soonest answer, none of
   // `tried`; nothing if none can take a request now.
@@ -162,83 +166,44 @@
   void OnProbe(const TargetId& id, const ProbeResult& result, TimePoint now);
 
  private:
-  struct Target {
-    TargetRecord record;
-    TimePoint cold_until;
-    size_t in_flight = 0;
-    // When the oldest attempt that is still unanswered was sent.
-    std::vector<TimePoint> sent;
-    // Smoothed latency in ns; zero: none yet.
-    double latency = 0;
-    TimePoint latency_at;
-    TargetLoad load;
-    TimePoint load_at;
-    // Smoothed share of failures.
-    double failures = 0;
-    TimePoint failures_at;
-    // The same and a factor on latency, as all hosts together see it.
-    double shared_failures = 0;
-    double shared_slowdown = 1;
-    // Orders a service's targets differently on each entry host.
-    uint64_t rank = 0;
-    // Not used until a health question is answered well.
-    bool is_suspect = false;
-    // Suspected for its silence only: connections to it could be had.
-    bool is_only_silent = false;
-    // A health question is wanted.
-    bool is_doubted = false;
-    TimePoint next_probe;
-    size_t failed_probes = 0;
-    // Health answers "unhealthy" although it can be reached.
-    size_t unhealthy_probes = 0;
-    TimePoint next_trial;
-    TimePoint last_success;
-    TimePoint next_cold_send;
-  };
-
   struct Service {
     std::vector<TargetId> targets;
     // Smoothed over its targets, in ns.
     double latency = 0;
   };
 
-  Target* Get(const TargetId& id);
-  const Target* Get(const TargetId& id) const;
+  TargetState* Get(const TargetId& id);
+  const TargetState* Get(const TargetId& id) const;
   void Drop(const TargetId& id);
-  bool IsUsable(const Target& target, TimePoint now) const;
-  bool IsCold(const Target& target, TimePoint now) const;
-  bool IsWell(const Target& target, TimePoint now) const;
-  bool MayTry(const Target& target, TimePoint now) const;
-  bool MaySendCold(const Target& target, TimePoint now) const;
-  // How many of the service's targets this host keeps connections to.
-  size_t SubsetSize(const Service& service) const;
-  bool IsInSubset(const Service& service, const Target& target) const;
-  // Whether the list of hosts may still lack most of them.
-  bool IsListYoung(TimePoint now) const;
-  size_t CapOf(const Target& target, TimePoint now) const;
-  // The latency to expect of the target when idle as usual, in ns.
-  double ExpectedLatency(const Service& service,
-                         const Target& target,
-                         TimePoint now) const;
-  double Cost(const Service& service, const Target& target, TimePoint now);
-  double FailureShare(const Target& target, TimePoint now) const;
-  void EndAttempt(Target& target);
-  bool IsOutside(const Target& target) const;
-  void ShareOutcome(const Target& target, TargetEvidence seen);
+  bool IsUsable(const TargetState& target, TimePoint now) const;
+  bool IsCold(const TargetState& target, TimePoint now) const;
+  bool IsWell(const TargetState& target, TimePoint now) const;
+  bool MayTry(const TargetState& target, TimePoint now) const;
+  bool MaySendCold(const TargetState& target, TimePoint now) const;
+  bool IsInSubset(const Service& service, const TargetState& target) const;
+  // Of all hosts together; zero: not configured.
+  size_t MaxConnections(const ServiceId& service) const;
+  size_t CapOf(const TargetState& target, TimePoint now) const;
+  double Cost(const Service& service, const TargetState& target, TimePoint now);
+  void EndAttempt(TargetState& target);
+  bool IsOutside(const TargetState& target) const;
+  void ShareOutcome(const TargetState& target, TargetEvidence seen);
   void ApplyTroubles(TimePoint now);
-  void CountFailure(Target& target, double weight, TimePoint now);
-  void Suspect(Target& target, std::string_view cause, TimePoint now);
-  void Trust(Target& target, std::string_view cause);
-  void Tell(const Target& target,
+  void Suspect(TargetState& target, std::string_view cause, TimePoint now);
+  void Trust(TargetState& target, std::string_view cause);
+  void Tell(const TargetState& target,
             std::string_view belief,
             std::string_view cause,
             Duration span = Duration::zero()) const;
   // Smoothed latencies take the value in.
-  void CountLatency(Target& target, double taken, double weight, TimePoint now);
-  Duration ProbeInterval(const Target& target) const;
+  void CountLatency(TargetState& target,
+                    double taken,
+                    double weight,
+                    TimePoint now);
+  Duration ProbeInterval(const TargetState& target) const;
 
   TargetBookOptions options;
-  std::unordered_map<TargetId, Target> targets;
+  std::unordered_map<TargetId, TargetState> targets;
   std::unordered_map<ServiceId, Service> services;
   std::shared_ptr<const RouteTable> routing;
   std::set<ZoneId> zones_out;
@@ -247,11 +212,7 @@
     TimePoint told;
   };
   std::map<HostId, ToldTroubles> troubles;
-  std::vector<HostId> hosts;
-  // When the list of hosts last changed; none: never heard of any.
-  std::optional<TimePoint> hosts_changed;
-  // The most hosts of a list that was replaced a short while ago.
-  size_t hosts_before = 0;
+  ConnectionShare share;
   ReachWatch reach_watch;
   // Until then targets are taken to be short of connections.
   TimePoint connections_scarce_until;
--- /dev/null
+++ b/knapweedroad/routing/target_cost.cc
@@ -0,0 +1,115 @@
+#include "knapweedroad/routing/target_cost.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "knapweedroad/routing/target_state.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A latency not confirmed for this long is half forgotten, and what is not
+// known is taken for a little better than usual: a target that was slow is
+// tried again after some seconds.
+constexpr Duration kLatencyHalfLife = std::chrono::seconds(3);
+constexpr double kUnknownLatency = 0.8;
+// What a target says of its load is half out of date after this. A host hears
+// from each of a shard's targets about ten times a second; with less memory it
+// would know of its own requests alone, and a zone's hosts would go on filling
+// their own zone's target while the others are free.
+constexpr Duration kLoadHalfLife = milliseconds(120);
+// Failures are half forgotten after this: a host of many asks a target only
+// every other second, and must remember from one request to the next.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(4);
+// A target that fails every time costs like one nine times as slow.
+constexpr double kFailureCost = 8;
+// The same where all hosts together know it: no chance then, and each failure
+// uses up a retry that another request would be answered by.
+constexpr double kSharedFailureCost = 20;
+// What an answer from another zone costs beside its time: bytes between zones
+// are paid for, and latencies of a dozen values differ by a third by chance, so
+// a near target that looks half as slow again is as good.
+constexpr double kOtherZoneCost = 1.6;
+// What a target costs to which this host keeps no connections: a new one holds
+// a slot for some milliseconds, and may be over the target's cap.
+constexpr double kOtherPartCost = 2;
+// An attempt unanswered for this many usual latencies counts as stalled, and
+// not before kStallFloor: pauses of a tenth of a second come every few seconds.
+constexpr double kStallFactor = 3;
+constexpr Duration kStallFloor = milliseconds(15);
+constexpr Duration kFirstLatency = milliseconds(10);
+// After a target has turned a connection away a host keeps to those that it
+// has: a host that takes a second place leaves another without any.
+constexpr double kNewConnectionCost = 4;
+
+double Decay(Duration age, Duration half_life) {
+  return std::exp2(-static_cast<double>(age.count()) /
+                   static_cast<double>(half_life.count()));
+}
+
+double ExpectedLatency(const TargetState& target,
+                       double usual_latency,
+                       TimePoint now) {
+  const double usual = usual_latency > 0
+                           ? usual_latency
+                           : static_cast<double>(kFirstLatency.count());
+  if (target.latency <= 0) {
+    return usual;
+  }
+  const double kept = Decay(now - target.latency_at, kLatencyHalfLife);
+  return target.latency * kept + kUnknownLatency * usual * (1 - kept);
+}
+
+double StallCost(const TargetState& target, double latency, TimePoint now) {
+  if (target.sent.empty()) {
+    return 0;
+  }
+  const auto age = static_cast<double>((now - target.sent.front()).count());
+  const double floor = std::max(kStallFactor * latency,
+                                static_cast<double>(kStallFloor.count()));
+  return age > floor ? kStallFactor * age : 0;
+}
+
+}  // namespace
+
+double FailureShare(const TargetState& target, TimePoint now) {
+  return target.failures * Decay(now - target.failures_at, kFailureHalfLife);
+}
+
+void CountOutcome(TargetState& target,
+                  double failure,
+                  double weight,
+                  TimePoint now) {
+  target.failures = FailureShare(target, now) * (1 - weight) + weight * failure;
+  target.failures_at = now;
+}
+
+double CostOf(const TargetState& target,
+              const CostContext& context,
+              TimePoint now) {
+  double latency = ExpectedLatency(target, context.usual_latency, now);
+  double failing = kFailureCost * FailureShare(target, now);
+  if (context.believes_others) {
+    failing = std::max(failing, kSharedFailureCost * target.shared_failures);
+    if (target.shared_slowdown > 1) {
+      latency =
+          std::max(latency, context.usual_latency * target.shared_slowdown);
+    }
+  }
+  const double told =
+      static_cast<double>(target.load.running + target.load.waiting) *
+      Decay(now - target.load_at, kLoadHalfLife);
+  const double slots = std::max<double>(1, target.record.slots);
+  const double busy =
+      std::max(told, static_cast<double>(target.in_flight)) / slots;
+  double cost = latency * (1 + busy) * (1 + failing);
+  cost += StallCost(target, latency, now);
+  cost *= context.is_other_zone ? kOtherZoneCost : 1;
+  cost *= context.is_other_part ? kOtherPartCost : 1;
+  cost *= context.takes_scarce_connection ? kNewConnectionCost : 1;
+  return cost;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/routing/target_state.h
@@ -0,0 +1,52 @@
+// What an entry host knows of one target: its record and the evidence.
+
+#ifndef KNAPWEEDROAD_ROUTING_TARGET_STATE_H_
+#define KNAPWEEDROAD_ROUTING_TARGET_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/registry/target_record.h"
+#include "knapweedroad/routing/target_load.h"
+
+namespace knapweedroad {
+
+struct TargetState {
+  TargetRecord record;
+  TimePoint cold_until;
+  size_t in_flight = 0;
+  // When the attempts that are still unanswered were sent, oldest first.
+  std::vector<TimePoint> sent;
+  // Smoothed latency in ns; zero: none yet.
+  double latency = 0;
+  TimePoint latency_at;
+  TargetLoad load;
+  TimePoint load_at;
+  // Smoothed share of failures.
+  double failures = 0;
+  TimePoint failures_at;
+  // The same and a factor on latency, as all hosts of the zone together see it.
+  double shared_failures = 0;
+  double shared_slowdown = 1;
+  // Orders a service's targets differently on each entry host.
+  uint64_t rank = 0;
+  // Not used until a health question is answered well.
+  bool is_suspect = false;
+  // Suspected for its silence only: connections to it could be had.
+  bool is_only_silent = false;
+  // A health question is wanted.
+  bool is_doubted = false;
+  TimePoint next_probe;
+  size_t failed_probes = 0;
+  // Health answers "unhealthy" although it can be reached.
+  size_t unhealthy_probes = 0;
+  TimePoint next_trial;
+  TimePoint last_success;
+  TimePoint next_cold_send;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_ROUTING_TARGET_STATE_H_
