A control host that is cut off alone doesn't make its zone's hosts leave

Cause, found by reading: a control host that has lost all others tells its zone's hosts that the zone is cut off; where only it is cut off, hosts without callers would have left the balancer's rotation at each of its replies.

Change: its word counts only while nothing has come from outside the zone for 1.2 s; the control host of another zone that each host follows answers once a second at the least. Test first: it failed on the code before.

--- a/knapweedroad/routing/reach_watch.cc
+++ b/knapweedroad/routing/reach_watch.cc
@@ -12,6 +12,9 @@
 // While a zone can be reached its targets answer a hundred times a second; even
 // a host with a request a second hears from them more often than this.
 constexpr Duration kLeastSilence = std::chrono::milliseconds(400);
+// The control host of another zone that this host follows answers once a second
+// at the least.
+constexpr Duration kControlSilence = std::chrono::milliseconds(1200);
 // Weight of a request in the smoothed share: the last three or so decide.
 constexpr double kRequestWeight = 0.3;
 constexpr double kMostWithoutTargets = 0.5;
@@ -26,7 +29,6 @@
   const bool was_cut_off = this->is_cut_off(now);
   this->unanswered.clear();
   this->answered = now;
-  this->told_cut_off = false;
   this->sends_away = false;
   if (was_cut_off) {
     this->without_targets = 0;
@@ -42,6 +44,7 @@
 
 void ReachWatch::OnTold(bool is_cut_off, TimePoint now) {
   if (!is_cut_off && this->told_cut_off) {
+    this->told_cut_off = false;
     this->OnAnswered(now);
   }
   this->told_cut_off = is_cut_off;
@@ -53,10 +56,14 @@
                           (has_targets ? 0 : kRequestWeight);
 }
 
+// Failure: a control host has lost all others, but not its zone's hosts. They
+// reach other zones well, and believing it they would send callers away; those
+// without callers would do so in turns, at each of its replies.
 bool ReachWatch::is_cut_off(TimePoint now) const {
-  return this->told_cut_off ||
+  const Duration silence = now - this->answered;
+  return (this->told_cut_off && silence >= kControlSilence) ||
          (this->unanswered.size() >= kLeastSilentTargets &&
-          now - this->answered >= kLeastSilence);
+          silence >= kLeastSilence);
 }
 
 // Failure: a service is down everywhere, all hosts of all zones send their
--- a/knapweedroad/routing/reach_watch_test.cc
+++ b/knapweedroad/routing/reach_watch_test.cc
@@ -77,12 +77,26 @@
   watch.OnAnswered(kStart);
   watch.OnTold(/*is_cut_off=*/true, kStart + seconds(1));
   const TimePoint now = kStart + seconds(2);
+  cr_assert(watch.is_cut_off(now));
   cr_expect_not(watch.should_send_away(/*zone_serves_all=*/true, now));
   cr_expect(watch.should_send_away(/*zone_serves_all=*/false, now));
   watch.OnTold(/*is_cut_off=*/false, now);
   cr_expect_not(watch.should_send_away(/*zone_serves_all=*/false, now));
 }
 
+// Only the zone's control host is cut off: its hosts hear from other zones.
+Test(reach_watch, a_cut_off_control_host_alone_sends_nobody_away) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart - milliseconds(100));
+  for (TimePoint now = kStart; now < kStart + seconds(5); now += seconds(1)) {
+    watch.OnTold(/*is_cut_off=*/true, now);
+    cr_expect_not(watch.should_send_away(/*zone_serves_all=*/false, now));
+    watch.OnAnswered(now);
+    cr_expect_not(watch.should_send_away(/*zone_serves_all=*/false,
+                                         now + milliseconds(900)));
+  }
+}
+
 // A few lookups that the zone can serve come between: a host that changes its
 // word with each of them is in and out of rotation, and callers stay.
 Test(reach_watch, it_keeps_its_word_until_something_answers_from_outside) {
