--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -1,7 +1,7 @@
 // One connection to a target: one exchange at a time.
 //
 //   auto connection = TargetConnection::Make(io, dialect, scratch);
-//   connection->Connect(endpoint, [](bool connected) { ... });
+//   connection->Connect(endpoint, [](ConnectEnd end) { ... });
 //   connection->Exchange(bytes, id, [](TargetReply reply) { ... });
 //   if (connection->reusable()) KeepForLater(connection);
 
