A list of targets in trouble is forgotten when nobody replaces it

Cause, found by reading: a list was dropped only when another one arrived. In a zone with one control host, targets that it had listed stayed avoided for as long as it was away.

Change: entry hosts drop, with each tick, what control hosts have told that no longer reply; test first, it fails with the check taken out. A comment that had drifted to another function is back where it belongs.

Ruled out: expiry at each reply, which doesn't come where no control host can be reached.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -349,6 +349,7 @@
   this->links.Sweep(now);
   this->Adopt();
   this->WatchReach(now);
+  this->book.ForgetOldTroubles(now);
   if (!stood_still) {
     this->book.SuspectSilent(now);
     this->Probe(now);
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -224,7 +224,18 @@
   }
 }
 
-// The worst that any control host says counts: each hears a part of the hosts.
+void TargetBook::ForgetOldTroubles(TimePoint now) {
+  const bool is_any_old =
+      std::ranges::any_of(this->troubles, [now](const auto& entry) {
+        return now - entry.second.told > kTroublesMemory;
+      });
+  if (is_any_old) {
+    this->ApplyTroubles(now);
+  }
+}
+
+// The worst that any control host of the zone says counts: one that has just
+// started has heard little yet.
 void TargetBook::ApplyTroubles(TimePoint now) {
   std::erase_if(this->troubles, [now](const auto& entry) {
     return now - entry.second.told > kTroublesMemory;
@@ -248,11 +259,6 @@
   }
 }
 
-// Failure: two zones can't reach each other, and their hosts report each
-// other's targets; hosts of a third zone, which reach both, would avoid them as
-// well and crowd their own. So only what a target itself has done is shared:
-// answers, refusals, broken answers and late ones, never that it can't be
-// reached.
 bool TargetBook::IsOutside(const BookedTarget& target) const {
   return target.record.zone != this->options.zone;
 }
@@ -272,6 +278,11 @@
   }
 }
 
+// Failure: two zones can't reach each other, and their hosts report each
+// other's targets; hosts of a third zone, which reach both, would avoid them as
+// well and crowd their own. So only what a target itself has done is shared:
+// answers, refusals, broken answers and late ones, never that it can't be
+// reached.
 void TargetBook::ShareOutcome(const BookedTarget& target, TargetEvidence seen) {
   if (this->options.on_evidence) {
     seen.target = target.record.id;
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -101,6 +101,9 @@
   void LearnTroubles(const HostId& control_host,
                      std::optional<std::vector<TargetTrouble>> troubles,
                      TimePoint now);
+  // Drops what control hosts that no longer reply have told. Called every few
+  // hundred milliseconds.
+  void ForgetOldTroubles(TimePoint now);
   // How many share it, at the most, as far as known.
   size_t entry_hosts() const { return this->share.host_count(); }
 
--- a/knapweedroad/routing/target_book_test.cc
+++ b/knapweedroad/routing/target_book_test.cc
@@ -342,6 +342,29 @@
   cr_expect(got > 50, "%d", got);
 }
 
+// A zone's only control host dies after it has listed a target. No other list
+// comes that would replace its own, and the target would be avoided for as long
+// as the control host is away.
+Test(target_book, a_list_is_forgotten_without_any_other_list) {
+  TargetBook book = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    book.Learn(Record(id, "a"), kStart);
+    Serve(book, TargetId(id), milliseconds(10), kStart);
+  }
+  book.LearnTroubles(HostId("c1"),
+                     std::vector{TargetTrouble{TargetId("t1"), 8, 1}}, kStart);
+  TimePoint now = kStart + seconds(6);
+  book.ForgetOldTroubles(now);
+  int got = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *book.Pick(kService, {}, now);
+    got += id == TargetId("t1") ? 1 : 0;
+    Serve(book, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(got > 50, "%d", got);
+}
+
 // All hosts have lost their power; targets still hold the connections of
 // before and turn new ones away. A host keeps to the target that it has a
 // connection to: with a second one, another host would be left without any.
