Attempts that nobody waits for any more leave a target's queue within 20 ms

Cause: with one of three targets of a shard gone and one slow, what an answer had left without ran on for up to 600 ms in the queue of the targets that were still well. Hypothesis: cut sooner, new requests find room.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -39,8 +39,9 @@
 // from their side: two ways of up to 3 ms and the host's own work.
 constexpr Duration kTargetMargin = milliseconds(8);
 // What is still out when the answer has gone may end within this, so that its
-// connection can be used again.
-constexpr Duration kStragglerGrace = milliseconds(600);
+// connection can be used again. Failure: a shard is short of room, and attempts
+// that nobody waits for any more run on in the very queue that is too long.
+constexpr Duration kStragglerGrace = milliseconds(20);
 // After the caller has left, work on targets is cut within this: under the
 // half second that callers' work may outlive them.
 constexpr Duration kAbandonGrace = milliseconds(60);
