Shards that can't serve all in time are left out by turns

Cause: two shards of ten short of room, nine parts needed: all requests queue for both and all are late. Change: an entry host learns for each shard how often its parts are late, and each request leaves out at most as many short shards as its least share bears; a shard left out is asked after all if another one fails.

Where four shards are short, their targets' own time is over the aim, and callers who come back find the same.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -134,7 +134,8 @@
             .budget_limits = {.ratio = this->options.settings.retry_ratio,
                               .slack = this->options.settings.retry_slack,
                               .window = this->options.settings.retry_window},
-            .started = Runtime::Now()} {}
+            .started = Runtime::Now(),
+            .shedding = ShardShedding({.seed = RandomSeed()})} {}
 
 CallerLimits EntryHost::State::Limits() const {
   return this->parts.table == nullptr ? CallerLimits()
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -112,6 +112,8 @@
               std::string_view cause,
               std::optional<Duration> retry_after);
   RequestRunOptions RunOptions(const RouteConfig& route);
+  // Whether the caller has most of the latency target left.
+  bool IsFresh() const;
   void MakeHooks();
   std::string Bytes(const TargetId& target) const;
   void Do(RunStep step);
@@ -198,6 +200,11 @@
   return options;
 }
 
+bool EntryRequest::IsFresh() const {
+  const Duration left = this->target_at - Runtime::Now();
+  return left * 2 >= this->route->latency_target;
+}
+
 void EntryRequest::MakeHooks() {
   this->hooks.pick = [this](const ServiceId& service,
                             std::span<const TargetId> tried) {
@@ -216,6 +223,17 @@
     this->parts.metrics.CountExtra(sent);
     return sent;
   };
+  this->hooks.leave_out = [this](size_t most) {
+    return this->parts.shedding.Choose(this->services, most, Runtime::Now());
+  };
+  // A caller who comes back has little of the latency target left: parts that
+  // are late for it say nothing of their shards.
+  if (!this->IsFresh()) {
+    return;
+  }
+  this->hooks.on_part = [this](const ServiceId& service, bool in_time) {
+    this->parts.shedding.OnPart(service, in_time, Runtime::Now());
+  };
 }
 
 void EntryRequest::Start() {
--- a/knapweedroad/edge/entry_request.h
+++ b/knapweedroad/edge/entry_request.h
@@ -16,6 +16,7 @@
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/routing/extra_budget.h"
 #include "knapweedroad/routing/latency_window.h"
+#include "knapweedroad/routing/shard_shedding.h"
 
 namespace knapweedroad {
 
@@ -48,6 +49,7 @@
   SplitRotation& rotation;
   ExtraBudgetLimits budget_limits;
   TimePoint started;
+  ShardShedding shedding;
   std::unordered_map<ServiceId, ExtraBudget> budgets;
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -37,6 +37,11 @@
       hooks(hooks),
       shards(this->options.services.size()) {}
 
+size_t RequestRun::CountOpen() const {
+  return static_cast<size_t>(
+      std::ranges::count(this->shards, ShardState::kOpen, &Shard::state));
+}
+
 size_t RequestRun::Needed() const {
   const double share =
       this->options.min_share * static_cast<double>(this->shards.size());
@@ -88,8 +93,48 @@
   return true;
 }
 
+void RequestRun::LeaveOut() {
+  if (!this->options.is_scatter || !this->hooks.leave_out) {
+    return;
+  }
+  for (const size_t index :
+       this->hooks.leave_out(this->shards.size() - this->Needed())) {
+    this->shards[index].state = ShardState::kLeftOut;
+  }
+}
+
+void RequestRun::TakeIn(TimePoint now, RunStep& step) {
+  for (size_t i = 0; i < this->shards.size(); ++i) {
+    Shard& shard = this->shards[i];
+    if (shard.state != ShardState::kLeftOut) {
+      continue;
+    }
+    shard.state = ShardState::kOpen;
+    shard.is_waiting = !this->Begin(i, /*is_hedge=*/false, now, step);
+  }
+}
+
+void RequestRun::Judge(Shard& shard, bool in_time) {
+  if (!std::exchange(shard.is_judged, true) && this->hooks.on_part) {
+    const auto index = static_cast<size_t>(&shard - this->shards.data());
+    this->hooks.on_part(this->options.services[index], in_time);
+  }
+}
+
+void RequestRun::JudgeLate(TimePoint now) {
+  if (now < this->options.target_at) {
+    return;
+  }
+  for (Shard& shard : this->shards) {
+    if (shard.state == ShardState::kOpen) {
+      this->Judge(shard, /*in_time=*/false);
+    }
+  }
+}
+
 RunStep RequestRun::Start(TimePoint now) {
   RunStep step;
+  this->LeaveOut();
   size_t served = 0;
   for (const ServiceId& service : this->options.services) {
     served += this->hooks.is_served(service, {}) ? 1 : 0;
@@ -102,6 +147,9 @@
       this->shards[i].state = ShardState::kHopeless;
       continue;
     }
+    if (this->shards[i].state == ShardState::kLeftOut) {
+      continue;
+    }
     if (!this->Begin(i, /*is_hedge=*/false, now, step)) {
       this->shards[i].is_waiting =
           this->hooks.is_served(this->options.services[i], {});
@@ -123,6 +171,7 @@
   Shard* const shard = this->ShardOf(attempt);
   if (shard != nullptr && shard->state != ShardState::kAnswered) {
     shard->state = ShardState::kAnswered;
+    this->Judge(*shard, now <= this->options.target_at);
     this->answers.push_back(std::move(answer));
   }
   return this->Finish(std::move(step), now);
@@ -278,12 +327,13 @@
 
 // Whether the request is at its end.
 bool RequestRun::Conclude(TimePoint now, RunStep& step) {
+  this->JudgeLate(now);
   const size_t answered = this->answers.size();
-  size_t open = 0;
-  for (const Shard& shard : this->shards) {
-    open += shard.state == ShardState::kOpen ? 1 : 0;
-  }
   const size_t needed = this->Needed();
+  if (answered + this->CountOpen() < needed) {
+    this->TakeIn(now, step);
+  }
+  const size_t open = this->CountOpen();
   if (answered >= needed && open == 0) {
     this->EndWithParts(
         step, answered == this->shards.size() ? "whole" : "rest_failed");
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -106,6 +106,12 @@
       is_served;
   // Whether one more attempt beyond the first may be sent; counts it.
   std::function<bool(const ServiceId& service, bool is_hedge)> spend_extra;
+  // Shards that the request had better leave out, `most` at the most, as
+  // indices into `services`; absent: none.
+  std::function<std::vector<size_t>(size_t most)> leave_out;
+  // Told of each service asked, once: whether its part was in when the answer
+  // was due. May be absent.
+  std::function<void(const ServiceId& service, bool in_time)> on_part;
 };
 
 class RequestRun {
@@ -127,7 +133,7 @@
   size_t extra_attempts() const { return this->extra; }
 
  private:
-  enum class ShardState : uint8_t { kOpen, kAnswered, kHopeless };
+  enum class ShardState : uint8_t { kOpen, kAnswered, kHopeless, kLeftOut };
 
   struct Shard {
     ShardState state = ShardState::kOpen;
@@ -144,6 +150,7 @@
     bool was_declined = false;
     bool is_waiting = false;
     bool hedge_refused = false;
+    bool is_judged = false;
   };
 
   Shard* ShardOf(uint32_t attempt);
@@ -153,11 +160,18 @@
                 TimePoint now,
                 RunStep& step);
   void Hedge(TimePoint now, RunStep& step);
+  // Marks what Start() leaves out.
+  void LeaveOut();
+  // Asks what was left out after all, once the answer can't do without.
+  void TakeIn(TimePoint now, RunStep& step);
+  void Judge(Shard& shard, bool in_time);
+  void JudgeLate(TimePoint now);
   RunStep Finish(RunStep step, TimePoint now);
   bool Conclude(TimePoint now, RunStep& step);
   void EndWithParts(RunStep& step, std::string_view cause);
   void EndWithout(TimePoint now, RunStep& step);
   void End(RunStep& step, RunEnd end);
+  size_t CountOpen() const;
   size_t Needed() const;
 
   RequestRunOptions options;
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -235,5 +235,63 @@
   cr_expect(run.extra_attempts() == 0);
 }
 
+// A shard is short of room. The caller's answer goes without its part as soon
+// as the others are in, instead of waiting for it until it is due.
+Test(request_run, an_answer_leaves_without_the_shard_that_was_left_out) {
+  World world(3);
+  world.hooks.leave_out = [](size_t most) {
+    cr_expect(most == 1);
+    return std::vector<size_t>{1};
+  };
+  RequestRun run = world.Make();
+  const RunStep begun = run.Start(kStart);
+  cr_assert(begun.start.size() == 2);
+  run.OnAnswer(0, {.status = 200}, kStart + milliseconds(5));
+  const RunStep step =
+      run.OnAnswer(1, {.status = 200}, kStart + milliseconds(9));
+  cr_assert(step.end.has_value());
+  cr_expect(step.end->kind == RunEndKind::kParts);
+  cr_expect(step.end->missing == 1);
+}
+
+// Another shard fails altogether. The one that was left out is needed now, and
+// the caller gets an answer instead of a failure.
+Test(request_run, a_shard_left_out_is_asked_once_it_is_needed) {
+  World world(3);
+  world.hooks.leave_out = [](size_t) { return std::vector<size_t>{1}; };
+  world.options.max_attempts = 1;
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnAnswer(0, {.status = 200}, kStart + milliseconds(5));
+  const RunStep step =
+      run.OnEnd(1, AttemptEnd::kBroken, kStart + milliseconds(9));
+  cr_assert(!step.end.has_value());
+  cr_assert(step.start.size() == 1);
+  cr_expect(step.start[0].service == 1);
+  const RunStep end =
+      run.OnAnswer(2, {.status = 200}, kStart + milliseconds(20));
+  cr_assert(end.end.has_value());
+  cr_expect(end.end->kind == RunEndKind::kParts);
+}
+
+// Each shard is judged once: in time, late at the moment it was due, or not at
+// all where it was left out.
+Test(request_run, it_tells_which_parts_were_in_when_they_were_due) {
+  World world(3);
+  std::map<std::string, bool> told;
+  world.hooks.on_part = [&](const ServiceId& service, bool in_time) {
+    cr_expect(!told.contains(service.str()));
+    told[service.str()] = in_time;
+  };
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnAnswer(0, {.status = 200}, kStart + milliseconds(5));
+  run.OnAnswer(2, {.status = 200}, kStart + milliseconds(6));
+  run.OnWake(kStart + milliseconds(100));
+  const std::map<std::string, bool> expected{
+      {"a", true}, {"b", false}, {"c", true}};
+  cr_expect(told == expected);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/routing/shard_shedding.h
@@ -0,0 +1,71 @@
+// Which shards a request had better leave out, because they can't serve all
+// requests in time: learned from how often each one's parts came late.
+//
+//   ShardShedding shedding({.seed = seed});
+//   shedding.OnPart(service, /*in_time=*/false, now);
+//   for (size_t shard : shedding.Choose(services, most, now)) LeaveOut(shard);
+
+#ifndef KNAPWEEDROAD_ROUTING_SHARD_SHEDDING_H_
+#define KNAPWEEDROAD_ROUTING_SHARD_SHEDDING_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad {
+
+struct ShardSheddingOptions {
+  // What one late part adds to the share of requests that leave its shard out,
+  // and what one in time takes off: a shard is left out more while over one
+  // part in six is late.
+  double step_up = 0.1;
+  double step_down = 0.02;
+  // The most of a shard's requests that may leave it out: the others show when
+  // it has room again.
+  double most = 0.9;
+  // The share halves in this time without news.
+  Duration half_life = std::chrono::milliseconds(2500);
+  uint64_t seed = 1;
+};
+
+// Failure: a shard has lost targets and gets through half of what is asked of
+// it. All requests queue there, so all are late instead of half of them, and
+// with two such shards no answer reaches its least share in time. Load shedding
+// by shard: each request leaves out at most as many as its least share bears.
+// Those that still ask a short shard are few enough to be served in time.
+class ShardShedding {
+ public:
+  explicit ShardShedding(ShardSheddingOptions options);
+
+  // A part of the shard was there when the answer was due, or was not.
+  void OnPart(const ServiceId& shard, bool in_time, TimePoint now);
+
+  // Indices into `shards`, `most` of them at the most. Draws at most one shard
+  // a place, so that requests spread over several short shards.
+  std::vector<size_t> Choose(std::span<const ServiceId> shards,
+                             size_t most,
+                             TimePoint now);
+
+  // The share of requests that leave it out.
+  double ShareOf(const ServiceId& shard, TimePoint now) const;
+
+ private:
+  struct Shed {
+    double share = 0;
+    TimePoint at;
+  };
+
+  ShardSheddingOptions options;
+  std::unordered_map<ServiceId, Shed> sheds;
+  std::minstd_rand random;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_ROUTING_SHARD_SHEDDING_H_
