A target's queue stays short: each host bounds its attempts by the load that the target reports

Cause: all hosts fill the queue of the one target that a shard has left; it answers in order of arrival, so all its answers are late. Change: an additive increase, multiplicative decrease bound on attempts out on a target, driven by the reported queue (routing/concurrency_limit).

--- a/knapweedroad/routing/booked_target.h
+++ b/knapweedroad/routing/booked_target.h
@@ -9,6 +9,7 @@
 
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/target_record.h"
+#include "knapweedroad/routing/concurrency_limit.h"
 #include "knapweedroad/routing/target_load.h"
 
 namespace knapweedroad {
@@ -24,6 +25,7 @@
   TimePoint latency_at;
   TargetLoad load;
   TimePoint load_at;
+  ConcurrencyLimit limit;
   // Smoothed share of failures.
   double failures = 0;
   TimePoint failures_at;
--- /dev/null
+++ b/knapweedroad/routing/concurrency_limit.h
@@ -0,0 +1,38 @@
+// How many attempts this host may have out on one target at once: an additive
+// increase, multiplicative decrease bound by the queue that the target reports.
+//
+//   ConcurrencyLimit limit;
+//   limit.OnLoad(load, slots, cap);
+//   if (in_flight < limit.Allowed(cap)) Send();
+
+#ifndef KNAPWEEDROAD_ROUTING_CONCURRENCY_LIMIT_H_
+#define KNAPWEEDROAD_ROUTING_CONCURRENCY_LIMIT_H_
+
+#include <cstddef>
+
+#include "knapweedroad/routing/target_load.h"
+
+namespace knapweedroad {
+
+// Failure: a shard has lost targets, and all hosts fill the queue of the one
+// that is left. It answers in the order of arrival, so every answer is as late
+// as the queue is long. With a short queue those that are sent are in time, and
+// the others wait on their hosts, where they end without having cost the target
+// anything.
+class ConcurrencyLimit {
+ public:
+  // What the target reported with an answer or a refusal. `cap` bounds the
+  // limit from above.
+  void OnLoad(const TargetLoad& load, size_t slots, size_t cap);
+
+  // At least one; `cap` until the target has reported a load.
+  size_t Allowed(size_t cap) const;
+
+ private:
+  // Zero: no report yet.
+  double limit = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_ROUTING_CONCURRENCY_LIMIT_H_
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -200,7 +200,7 @@
 
 bool TargetBook::MayTry(const BookedTarget& target, TimePoint now) const {
   if (!this->IsUsable(target, now) ||
-      target.in_flight >= this->CapOf(target, now)) {
+      target.in_flight >= target.limit.Allowed(this->CapOf(target, now))) {
     return false;
   }
   if (!target.is_suspect) {
@@ -469,6 +469,17 @@
                               taken * kServiceLatencyWeight;
 }
 
+void TargetBook::TakeLoad(BookedTarget& target,
+                          const std::optional<TargetLoad>& load,
+                          TimePoint now) {
+  if (!load) {
+    return;
+  }
+  target.load = *load;
+  target.load_at = now;
+  target.limit.OnLoad(*load, target.record.slots, this->CapOf(target, now));
+}
+
 void TargetBook::OnAnswered(const TargetId& id,
                             Duration latency,
                             const std::optional<TargetLoad>& load,
@@ -480,10 +491,7 @@
   this->EndAttempt(*target);
   this->CountLatency(*target, static_cast<double>(latency.count()),
                      kLatencyWeight, now);
-  if (load) {
-    target->load = *load;
-    target->load_at = now;
-  }
+  this->TakeLoad(*target, load, now);
   CountOutcome(*target, 0, kFailureWeight, now);
   target->last_success = now;
   if (this->IsOutside(*target)) {
@@ -501,10 +509,7 @@
     return;
   }
   this->EndAttempt(*target);
-  if (load) {
-    target->load = *load;
-    target->load_at = now;
-  }
+  this->TakeLoad(*target, load, now);
   CountOutcome(*target, 1, kFailureWeight, now);
   this->ShareOutcome(*target, {.failed = 1});
 }
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -191,6 +191,9 @@
               const BookedTarget& target,
               TimePoint now);
   void EndAttempt(BookedTarget& target);
+  void TakeLoad(BookedTarget& target,
+                const std::optional<TargetLoad>& load,
+                TimePoint now);
   bool IsOutside(const BookedTarget& target) const;
   void ShareOutcome(const BookedTarget& target, TargetEvidence seen);
   void ApplyTroubles(TimePoint now);
