Requests that may still be in time go before late ones at a busy target

Hypothesis: what is late already competes with what isn't for the same free attempt; asked again every 25 ms instead of every 4, it gives way.

--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -13,6 +13,8 @@
 constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
 // How often a service whose targets are all busy here is asked again.
 constexpr Duration kBusyRetry = std::chrono::milliseconds(4);
+// The same once the answer is late: those that may still be in time go first.
+constexpr Duration kLateBusyRetry = std::chrono::milliseconds(25);
 
 }  // namespace
 
@@ -367,7 +369,8 @@
       continue;
     }
     if (shard.is_waiting) {
-      wake = std::min(wake, now + kBusyRetry);
+      const bool is_late = now >= this->options.target_at;
+      wake = std::min(wake, now + (is_late ? kLateBusyRetry : kBusyRetry));
     } else if (this->options.idempotent && !shard.hedge_refused &&
                shard.sent < this->options.max_attempts) {
       wake = std::min(wake, std::max(now, shard.hedge_at));
