Zones tell each other which targets are in trouble

Cause: on the larger site 79 hosts ask each target less than once a second. Change: control hosts of other zones tell what their zone has listed; own evidence goes before it. A target that is asked alone is compared with what its service did before.

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -197,6 +197,13 @@
 }
 
 void ControlHost::State::OnNews(const HostId& from, const WatchReply& reply) {
+  if (reply.zone != this->options.settings.zone) {
+    if (reply.has_troubles) {
+      this->evidence.LearnOthers(from, reply.troubles, Runtime::Now());
+    } else {
+      this->evidence.HearOthers(from, Runtime::Now());
+    }
+  }
   const uint64_t before = this->registry.revision();
   for (const TargetRecord& record : reply.targets) {
     this->registry.Merge(record, Runtime::Now());
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -126,12 +126,15 @@
     }
   }
   reply.is_cut_off = this->options.is_cut_off();
-  reply.troubles_revision = this->options.evidence.revision();
+  const EvidenceBoard& evidence = this->options.evidence;
+  const bool is_control = call.role == FollowerRole::kControl;
+  reply.troubles_revision =
+      is_control ? evidence.own_revision() : evidence.revision();
   reply.has_troubles =
-      call.shares_evidence &&
+      (call.shares_evidence || is_control) &&
       (!is_same || call.troubles_revision != reply.troubles_revision);
   if (reply.has_troubles) {
-    reply.troubles = this->options.evidence.troubles();
+    reply.troubles = is_control ? evidence.own_troubles() : evidence.troubles();
   }
   return reply;
 }
--- a/knapweedroad/registry/evidence_board.cc
+++ b/knapweedroad/registry/evidence_board.cc
@@ -33,11 +33,30 @@
 // Bounds the reply to a follower: about 5 KB before packing.
 constexpr size_t kMostListed = 256;
 
+// A service's best latency counts this much less a second: it is soon forgotten
+// where all of its targets have more to do.
+constexpr double kBestGrowthPerSecond = 1.07;
+
+// A control host of another zone replies several times a second; without it for
+// this long its list is dropped.
+constexpr Duration kOthersMemory = std::chrono::seconds(4);
+// What this zone has judged itself within this goes before other zones' lists.
+constexpr Duration kOwnJudgement = std::chrono::seconds(2);
+
 int Badness(const TargetTrouble& trouble) {
   return int{trouble.failed} * int{TargetTrouble::kFailedUnits} +
          int{trouble.slowdown};
 }
 
+void SortAndBound(std::vector<TargetTrouble>& list) {
+  std::ranges::sort(list,
+                    [](const TargetTrouble& left, const TargetTrouble& right) {
+                      return std::pair(-Badness(left), left.target) <
+                             std::pair(-Badness(right), right.target);
+                    });
+  list.resize(std::min(list.size(), kMostListed));
+}
+
 }  // namespace
 
 void EvidenceBoard::Fade(Entry& entry, TimePoint now) {
@@ -96,8 +115,22 @@
   }
 }
 
+// Failure: a zone's hosts send nearly all requests for a service to its target
+// in their own zone. It turns slow, the others give too little evidence to
+// compare it with, and it passes for the best there is. So it is compared with
+// what the service's targets did before, too.
+void EvidenceBoard::RememberBest(const ServiceId& service,
+                                 double latency_us,
+                                 TimePoint now) {
+  BestLatency& known = this->best[service];
+  const double age = std::chrono::duration<double>(now - known.at).count();
+  const double remembered = known.us * std::pow(kBestGrowthPerSecond, age);
+  if (known.us <= 0 || latency_us < remembered) {
+    known = {.us = latency_us, .at = now};
+  }
+}
+
 bool EvidenceBoard::Refresh(const ServiceOf& service_of, TimePoint now) {
-  std::map<ServiceId, double> best;
   std::map<TargetId, ServiceId> services;
   for (auto at = this->targets.begin(); at != this->targets.end();) {
     Entry& entry = at->second;
@@ -109,27 +142,26 @@
     Fade(entry, now);
     services.emplace(at->first, service);
     if (entry.timed >= kLeastAttempts) {
-      const double mean = entry.latency_us / entry.timed;
-      const auto [known, is_first] = best.emplace(service, mean);
-      known->second = std::min(known->second, mean);
+      this->RememberBest(service, entry.latency_us / entry.timed, now);
     }
     ++at;
   }
   std::vector<TargetTrouble> next;
   for (auto& [target, entry] : this->targets) {
     entry.trouble.target = target;
-    const auto found = best.find(services.at(target));
-    Judge(entry, found == best.end() ? 0 : found->second, now);
+    const auto found = this->best.find(services.at(target));
+    Judge(entry, found == this->best.end() ? 0 : found->second.us, now);
     if (entry.is_listed()) {
       next.push_back(entry.trouble);
     }
   }
-  std::ranges::sort(next,
-                    [](const TargetTrouble& left, const TargetTrouble& right) {
-                      return std::pair(-Badness(left), left.target) <
-                             std::pair(-Badness(right), right.target);
-                    });
-  next.resize(std::min(next.size(), kMostListed));
+  SortAndBound(next);
+  if (next != this->own_listed) {
+    this->own_listed = next;
+    ++this->own_changes;
+  }
+  this->AddOthers(next, now);
+  SortAndBound(next);
   if (next == this->listed) {
     return false;
   }
@@ -138,4 +170,48 @@
   return true;
 }
 
+void EvidenceBoard::LearnOthers(const HostId& control_host,
+                                std::vector<TargetTrouble> troubles,
+                                TimePoint now) {
+  this->others[control_host] = {.troubles = std::move(troubles), .heard = now};
+}
+
+void EvidenceBoard::HearOthers(const HostId& control_host, TimePoint now) {
+  const auto found = this->others.find(control_host);
+  if (found != this->others.end()) {
+    found->second.heard = now;
+  }
+}
+
+// Failure: a target turns slow, and only its own zone asks it often enough to
+// see that soon. Hosts of other zones go on sending it a request each now and
+// then; with many hosts and many shards nearly every scatter meets one.
+//
+// What this zone has seen itself goes before: a target may fail for the callers
+// of one zone alone.
+void EvidenceBoard::AddOthers(std::vector<TargetTrouble>& list, TimePoint now) {
+  std::erase_if(this->others, [now](const auto& entry) {
+    return now - entry.second.heard > kOthersMemory;
+  });
+  std::map<TargetId, TargetTrouble> worst;
+  for (const auto& [host, told] : this->others) {
+    for (const TargetTrouble& trouble : told.troubles) {
+      const auto own = this->targets.find(trouble.target);
+      if (own != this->targets.end() &&
+          now - own->second.judged < kOwnJudgement) {
+        continue;
+      }
+      const auto [known, is_first] = worst.emplace(trouble.target, trouble);
+      if (Badness(known->second) < Badness(trouble)) {
+        known->second = trouble;
+      }
+    }
+  }
+  for (const auto& [target, trouble] : worst) {
+    if (std::ranges::find(list, target, &TargetTrouble::target) == list.end()) {
+      list.push_back(trouble);
+    }
+  }
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/registry/evidence_board.h
+++ b/knapweedroad/registry/evidence_board.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -34,13 +35,27 @@
   // One host's report; entries beyond the bound on targets are left out.
   void Add(std::span<const TargetEvidence> report, TimePoint now);
 
-  // Makes the list anew. True: it differs from the one before.
+  // What a control host of another zone has listed by its own zone's reports;
+  // replaces what it said before.
+  void LearnOthers(const HostId& control_host,
+                   std::vector<TargetTrouble> troubles,
+                   TimePoint now);
+  // That control host has replied without news: its list still holds.
+  void HearOthers(const HostId& control_host, TimePoint now);
+
+  // Makes the lists anew. True: the whole one differs from the one before.
   bool Refresh(const ServiceOf& service_of, TimePoint now);
 
-  // As of the last Refresh(), worst first.
+  // As of the last Refresh(), worst first: by this zone's reports and, for
+  // targets of which those say too little, by what other zones listed.
   const std::vector<TargetTrouble>& troubles() const { return this->listed; }
   // Rises with each change of the list.
   uint64_t revision() const { return this->changes; }
+  // The same by this zone's reports alone, to be told to other zones.
+  const std::vector<TargetTrouble>& own_troubles() const {
+    return this->own_listed;
+  }
+  uint64_t own_revision() const { return this->own_changes; }
   size_t size() const { return this->targets.size(); }
 
  private:
@@ -61,10 +76,29 @@
     }
   };
 
+  // The least latency that a service's targets were seen with lately.
+  struct BestLatency {
+    double us = 0;
+    TimePoint at;
+  };
+
+  struct OthersList {
+    std::vector<TargetTrouble> troubles;
+    TimePoint heard;
+  };
+
+  // Adds what other zones listed and this one knows too little of.
+  void AddOthers(std::vector<TargetTrouble>& list, TimePoint now);
+
   static void Fade(Entry& entry, TimePoint now);
   static void Judge(Entry& entry, double best_latency_us, TimePoint now);
+  void RememberBest(const ServiceId& service, double latency_us, TimePoint now);
 
   std::unordered_map<TargetId, Entry> targets;
+  std::map<ServiceId, BestLatency> best;
+  std::map<HostId, OthersList> others;
+  std::vector<TargetTrouble> own_listed;
+  uint64_t own_changes = 0;
   std::vector<TargetTrouble> listed;
   uint64_t changes = 0;
 };
--- a/knapweedroad/registry/evidence_board_test.cc
+++ b/knapweedroad/registry/evidence_board_test.cc
@@ -61,6 +61,37 @@
   cr_expect_eq(board.troubles()[0].slowdown, 7);
 }
 
+// A zone's hosts ask their own zone's target nearly always. It turns eight
+// times as slow; the two others were asked too seldom to compare it with, and
+// callers of the zone wait for it until each host has noticed alone.
+Test(evidence_board, a_target_that_is_asked_alone_is_compared_with_before) {
+  EvidenceBoard board;
+  AddAll(board, {Answers("near", 30, 12'000), Answers("far", 2, 12'000)},
+         kStart);
+  board.Refresh(OneService, kStart);
+  cr_assert(board.troubles().empty());
+  const TimePoint later = kStart + seconds(8);
+  AddAll(board, {Answers("near", 30, 96'000), Answers("far", 2, 12'000)},
+         later);
+  cr_assert(board.Refresh(OneService, later));
+  cr_assert_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.troubles()[0].target, TargetId("near"));
+}
+
+// All targets of a service have twice the work for a minute. They are compared
+// with each other again, and none is in trouble.
+Test(evidence_board, a_service_with_more_to_do_is_not_in_trouble) {
+  EvidenceBoard board;
+  for (int second = 0; second < 60; ++second) {
+    const TimePoint now = kStart + seconds(second);
+    const uint64_t latency_us = second < 20 ? 10'000 : 20'000;
+    AddAll(board, {Answers("a", 20, latency_us), Answers("b", 20, latency_us)},
+           now);
+    board.Refresh(OneService, now);
+  }
+  cr_expect(board.troubles().empty());
+}
+
 Test(evidence_board, few_attempts_tell_nothing) {
   EvidenceBoard board;
   AddAll(board,
@@ -122,5 +153,48 @@
   cr_expect_eq(board.troubles().size(), 256);
 }
 
+TargetTrouble Slow(const char* target, uint8_t slowdown) {
+  return {.target = TargetId(target), .slowdown = slowdown};
+}
+
+const HostId kOther("control-of-another-zone");
+
+// A target of another zone turns slow. This zone's hosts ask it once a second
+// together, too seldom to see it; with dozens of shards nearly every scatter
+// waits for one such target until its own zone has told.
+Test(evidence_board, what_another_zone_has_listed_is_listed_here) {
+  EvidenceBoard board;
+  AddAll(board, {Answers("far", 2, 90'000)}, kStart);
+  board.LearnOthers(kOther, {Slow("far", 8)}, kStart);
+  cr_assert(board.Refresh(OneService, kStart));
+  cr_assert_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.troubles()[0].slowdown, 8);
+  // It isn't passed on as seen here: it would never be forgotten.
+  cr_expect(board.own_troubles().empty());
+}
+
+// A target fails for the callers of one zone alone. The others' hosts, which
+// ask it often and are served, go on using it.
+Test(evidence_board, what_this_zone_sees_goes_before_what_others_listed) {
+  EvidenceBoard board;
+  AddAll(board, {Answers("near", 20, 10'000)}, kStart);
+  board.LearnOthers(kOther, {Slow("near", 8)}, kStart);
+  board.Refresh(OneService, kStart);
+  cr_expect(board.troubles().empty());
+}
+
+// The zone that listed a target is cut off. What it said is forgotten, as
+// nobody there can say any more that the target is well.
+Test(evidence_board, the_list_of_a_zone_that_fell_silent_is_dropped) {
+  EvidenceBoard board;
+  board.LearnOthers(kOther, {Slow("far", 8)}, kStart);
+  board.Refresh(OneService, kStart);
+  board.HearOthers(kOther, kStart + seconds(3));
+  board.Refresh(OneService, kStart + seconds(6));
+  cr_expect_eq(board.troubles().size(), 1);
+  board.Refresh(OneService, kStart + seconds(8));
+  cr_expect(board.troubles().empty());
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -29,10 +29,9 @@
   // The agreed version that the follower has in force.
   uint64_t agreed_version = 0;
   // Whether the follower is an entry host of the same zone: only those share
-  // what they see, as bytes between zones are paid for, and a target may do
-  // well for one zone and not for another.
+  // what they see, as a target may do well for one zone and not for another.
   bool shares_evidence = false;
-  // What such a host has of the list of targets in trouble, and whether it was
+  // What the follower has of the list of targets in trouble, and whether it was
   // told that the zone is cut off.
   uint64_t troubles_revision = 0;
   bool knows_cut_off = false;
@@ -80,7 +79,8 @@
   std::vector<HostId> entry_hosts;
   // Whether this control host has lost those of all other zones.
   bool is_cut_off = false;
-  // Absent where the follower has this list, or doesn't share evidence.
+  // Absent where the follower has this list, or doesn't share evidence. For
+  // entry hosts the whole list; for control hosts what this zone has seen.
   bool has_troubles = false;
   uint64_t troubles_revision = 0;
   std::vector<TargetTrouble> troubles;
