Connections to targets are shared out after a loss of power, and tried again

Cause: after all hosts have lost their power, targets hold the connections of before for ten seconds. Change: while a target has turned this host away lately, connections are closed after use; a shard whose targets all turned a request away is tried again after 10 ms where the answer needs it.

Ruled out: the hosts' own processor time (0.6% in the mean), the budget for extra attempts (none was sent).

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -311,6 +311,7 @@
                        ? Duration::max()
                        : kFreshIdle,
        .settles = !this->route->idempotent && !this->route->is_scatter,
+       .keep_connection = !this->parts.book.is_connection_scarce(now),
        .deadline = this->deadline},
       [self, number = start.attempt](TargetReply reply) {
         self->OnReply(number, std::move(reply));
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -13,7 +13,11 @@
 constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
 // How often a service whose targets are all busy here is asked again.
 constexpr Duration kBusyRetry = std::chrono::milliseconds(4);
-// The same once the answer is late: those that may still be in time go first.
+// How often one whose targets all turned a new connection away: about as long
+// as an attempt holds a place.
+constexpr Duration kUnreachedRetry = std::chrono::milliseconds(10);
+// The same as kBusyRetry once the answer is late: those that may still be in
+// time go first.
 constexpr Duration kLateBusyRetry = std::chrono::milliseconds(25);
 
 }  // namespace
@@ -83,6 +87,7 @@
   }
   const auto attempt = static_cast<uint32_t>(this->attempt_shards.size());
   this->attempt_shards.push_back(static_cast<uint32_t>(index));
+  this->attempt_targets.push_back(*target);
   shard.tried.push_back(*target);
   ++shard.sent;
   ++shard.out;
@@ -111,8 +116,12 @@
     if (shard.state != ShardState::kLeftOut) {
       continue;
     }
-    shard.state = ShardState::kOpen;
-    shard.is_waiting = !this->Begin(i, /*is_hedge=*/false, now, step);
+    const bool is_served =
+        this->hooks.is_served(this->options.services[i], shard.tried);
+    shard.state = is_served ? ShardState::kOpen : ShardState::kHopeless;
+    shard.is_waiting =
+        is_served && (now < shard.wait_until ||
+                      !this->Begin(i, /*is_hedge=*/false, now, step));
   }
 }
 
@@ -204,9 +213,11 @@
   if (shard == nullptr) {
     return this->Finish(std::move(step), now);
   }
+  const TargetId target = this->attempt_targets[attempt];
   if (end == AttemptEnd::kNeverSent) {
     --shard->sent;
     --shard->arrived;
+    shard->unreached.push_back(target);
   }
   if (end != AttemptEnd::kBroken) {
     --this->unproven;
@@ -236,6 +247,9 @@
   if (may && this->Begin(index, /*is_hedge=*/false, now, step)) {
     return;
   }
+  if (may && this->SetAside(shard, now)) {
+    return;
+  }
   const bool can_wait =
       may && !shard.hedge_refused && shard.arrived == 0 &&
       this->hooks.is_served(this->options.services[index], shard.tried);
@@ -246,6 +260,24 @@
   shard.state = ShardState::kHopeless;
 }
 
+// Failure: all hosts have lost their power, and targets that still hold the
+// connections of before turn new ones away. A request that gives up a shard
+// which it needs once each of its targets has done so fails within
+// milliseconds, while places come free all the time. So those targets are tried
+// again; the answer still goes without the shard if it can.
+bool RequestRun::SetAside(Shard& shard, TimePoint now) {
+  if (shard.arrived > 0 || shard.unreached.empty()) {
+    return false;
+  }
+  std::erase_if(shard.tried, [&](const TargetId& target) {
+    return std::ranges::find(shard.unreached, target) != shard.unreached.end();
+  });
+  shard.unreached.clear();
+  shard.wait_until = now + kUnreachedRetry;
+  shard.state = ShardState::kLeftOut;
+  return true;
+}
+
 void RequestRun::Hedge(TimePoint now, RunStep& step) {
   for (size_t i = 0; i < this->shards.size(); ++i) {
     Shard& shard = this->shards[i];
@@ -253,6 +285,9 @@
       continue;
     }
     if (shard.is_waiting) {
+      if (now < shard.wait_until) {
+        continue;
+      }
       if (!this->Begin(i, /*is_hedge=*/false, now, step) &&
           !this->hooks.is_served(this->options.services[i], shard.tried)) {
         shard.state = ShardState::kHopeless;
@@ -370,7 +405,8 @@
     }
     if (shard.is_waiting) {
       const bool is_late = now >= this->options.target_at;
-      wake = std::min(wake, now + (is_late ? kLateBusyRetry : kBusyRetry));
+      const Duration pause = is_late ? kLateBusyRetry : kBusyRetry;
+      wake = std::min(wake, std::max(now + pause, shard.wait_until));
     } else if (this->options.idempotent && !shard.hedge_refused &&
                shard.sent < this->options.max_attempts) {
       wake = std::min(wake, std::max(now, shard.hedge_at));
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -138,6 +138,8 @@
   struct Shard {
     ShardState state = ShardState::kOpen;
     std::vector<TargetId> tried;
+    // Of those, the ones that nothing was sent to: they may be tried again.
+    std::vector<TargetId> unreached;
     // Attempts that count against `max_attempts`, and those still out.
     size_t sent = 0;
     size_t out = 0;
@@ -145,6 +147,8 @@
     size_t arrived = 0;
     // Not before this is another attempt sent beside one that is out.
     TimePoint hedge_at;
+    // While it waits: not before this is a target looked for again.
+    TimePoint wait_until;
     // A target's own failure, to pass on if nothing better comes.
     std::optional<TargetAnswer> failure;
     bool was_declined = false;
@@ -154,6 +158,9 @@
   };
 
   Shard* ShardOf(uint32_t attempt);
+  // Leaves out a shard whose targets all turned its connections away; they may
+  // be tried again later. False: that isn't why it has no target left.
+  bool SetAside(Shard& shard, TimePoint now);
   bool Begin(size_t index, bool is_hedge, TimePoint now, RunStep& step);
   void TryAgain(size_t index,
                 bool is_proven_not_run,
@@ -180,6 +187,7 @@
   std::vector<TargetAnswer> answers;
   // The shard of each attempt; `kEnded` once it has ended.
   std::vector<uint32_t> attempt_shards;
+  std::vector<TargetId> attempt_targets;
   size_t extra = 0;
   // Attempts without a proof that they did not run.
   size_t unproven = 0;
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -293,5 +293,31 @@
   cr_expect(told == expected);
 }
 
+// All hosts have lost their power, and the targets of two of three shards still
+// hold the connections of before. The caller got a failure within milliseconds;
+// a place comes free soon after, and the answer has all that it needs.
+Test(request_run, a_shard_it_needs_is_tried_again_after_it_turned_all_away) {
+  World world(3);
+  world.options.max_attempts = 1;
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnAnswer(0, Good("1"), kStart);
+  // Attempts 1 and 2 are the first on b and c; each shard has three targets.
+  for (uint32_t attempt = 1; attempt < 6; ++attempt) {
+    cr_assert(!run.OnEnd(attempt, AttemptEnd::kNeverSent, kStart).end);
+  }
+  const RunStep last = run.OnEnd(6, AttemptEnd::kNeverSent, kStart);
+  cr_assert(!last.end.has_value());
+  cr_assert(last.wake_at.has_value());
+  const TimePoint again = kStart + milliseconds(12);
+  const RunStep retried = run.OnWake(again);
+  cr_expect(!retried.start.empty());
+  cr_assert(!retried.end.has_value());
+  const RunStep end = run.OnAnswer(retried.start[0].attempt, Good("2"), again);
+  cr_assert(end.end.has_value());
+  cr_expect(end.end->kind == RunEndKind::kParts);
+  cr_expect(end.end->missing == 1);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -129,6 +129,12 @@
   // A control host of another zone has answered, or a target.
   void OnOutsideAnswer(TimePoint now);
 
+  // Whether targets are short of connections: one has turned this host away
+  // lately.
+  bool is_connection_scarce(TimePoint now) const {
+    return now < this->connections_scarce_until;
+  }
+
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
 
