Lists of targets in trouble have a class of their own

Behaviour unchanged: what control hosts list, and forgetting it, moves out of the target book, which held it beside choice, health and connections. Tests of routing, registry and edge pass (target_book_test covers both).

--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -45,9 +45,6 @@
 // A target whose heartbeats have stopped is used while it goes on to answer.
 constexpr Duration kSilentTrust = std::chrono::seconds(2);
 
-// A control host's list of targets in trouble counts for this long after its
-// last reply; it replies once a second at the least.
-constexpr Duration kTroublesMemory = std::chrono::seconds(4);
 // After a target has turned a connection away, for this long a host keeps to
 // the targets that it is connected to: all hosts have lost their power, the
 // targets still hold the connections of before, and a host that takes a second
@@ -216,45 +213,27 @@
 void TargetBook::LearnTroubles(const HostId& control_host,
                                std::optional<std::vector<TargetTrouble>> told,
                                TimePoint now) {
-  ToldTroubles& held = this->troubles[control_host];
-  held.told = now;
-  if (told) {
-    held.targets = *std::move(told);
-    this->ApplyTroubles(now);
+  if (this->outliers.Learn(control_host, std::move(told), now)) {
+    this->ApplyOutliers();
   }
 }
 
 void TargetBook::ForgetOldTroubles(TimePoint now) {
-  const bool is_any_old =
-      std::ranges::any_of(this->troubles, [now](const auto& entry) {
-        return now - entry.second.told > kTroublesMemory;
-      });
-  if (is_any_old) {
-    this->ApplyTroubles(now);
+  if (this->outliers.ForgetOld(now)) {
+    this->ApplyOutliers();
   }
 }
 
-// The worst that any control host of the zone says counts: one that has just
-// started has heard little yet.
-void TargetBook::ApplyTroubles(TimePoint now) {
-  std::erase_if(this->troubles, [now](const auto& entry) {
-    return now - entry.second.told > kTroublesMemory;
-  });
+void TargetBook::ApplyOutliers() {
   for (auto& [id, target] : this->targets) {
     target.shared_failures = 0;
     target.shared_slowdown = 1;
   }
-  for (const auto& [host, told] : this->troubles) {
-    for (const TargetTrouble& trouble : told.targets) {
-      BookedTarget* const target = this->Get(trouble.target);
-      if (target == nullptr) {
-        continue;
-      }
-      const double failed =
+  for (const auto& [id, trouble] : this->outliers.Worst()) {
+    if (BookedTarget* const target = this->Get(id)) {
+      target->shared_failures =
           static_cast<double>(trouble.failed) / TargetTrouble::kFailedUnits;
-      target->shared_failures = std::max(target->shared_failures, failed);
-      target->shared_slowdown =
-          std::max<double>(target->shared_slowdown, trouble.slowdown);
+      target->shared_slowdown = static_cast<double>(trouble.slowdown);
     }
   }
 }
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -13,7 +13,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -29,6 +28,7 @@
 #include "knapweedroad/registry/target_record.h"
 #include "knapweedroad/routing/booked_target.h"
 #include "knapweedroad/routing/connection_share.h"
+#include "knapweedroad/routing/outlier_lists.h"
 #include "knapweedroad/routing/reach_watch.h"
 #include "knapweedroad/routing/service_count.h"
 #include "knapweedroad/routing/target_load.h"
@@ -202,7 +202,7 @@
                 TimePoint now);
   bool IsOutside(const BookedTarget& target) const;
   void ShareOutcome(const BookedTarget& target, TargetEvidence seen);
-  void ApplyTroubles(TimePoint now);
+  void ApplyOutliers();
   void Suspect(BookedTarget& target, std::string_view cause, TimePoint now);
   void Trust(BookedTarget& target, std::string_view cause);
   void Tell(const BookedTarget& target,
@@ -221,11 +221,7 @@
   std::unordered_map<ServiceId, Service> services;
   std::shared_ptr<const RouteTable> routing;
   std::set<ZoneId> zones_out;
-  struct ToldTroubles {
-    std::vector<TargetTrouble> targets;
-    TimePoint told;
-  };
-  std::map<HostId, ToldTroubles> troubles;
+  OutlierLists outliers;
   ConnectionShare share;
   ReachWatch reach_watch;
   // Until then targets are taken to be short of connections.
