--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -110,6 +110,7 @@
             .cold_burst_factor = this->options.settings.cold_burst_factor,
             .cold_slack = this->options.settings.cold_slack,
             .seed = RandomSeed(),
+            .started = Runtime::Now(),
             .on_belief = LogBelief,
             .on_evidence =
                 [this](const TargetEvidence& seen) {
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -55,9 +55,6 @@
 // request that must not run twice nobody could then say whether it ran.
 constexpr Duration kFreshIdle = milliseconds(500);
 
-// Targets notice within this that the hosts of their connections are gone.
-constexpr Duration kOldConnectionsHeld = std::chrono::seconds(12);
-
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
@@ -118,7 +115,6 @@
   // Whether the caller has most of the latency target left.
   bool IsFresh() const;
   void MakeHooks();
-  bool GivesBackConnections(TimePoint now) const;
   std::string Bytes(const TargetId& target) const;
   void Do(RunStep step);
   void Send(const AttemptStart& start);
@@ -295,15 +291,6 @@
   return bytes;
 }
 
-// Failure: all hosts have lost their power, and targets still hold the
-// connections of before. The first hosts take the few places left and keep
-// them; the others can't ask those targets for seconds. Later, hosts that are
-// turned away are simply many, and each new connection costs its target time.
-bool EntryRequest::GivesBackConnections(TimePoint now) const {
-  return now - this->parts.started < kOldConnectionsHeld &&
-         this->parts.book.is_connection_scarce(now);
-}
-
 void EntryRequest::Send(const AttemptStart& start) {
   if (this->attempts.size() <= start.attempt) {
     this->attempts.resize(start.attempt + 1);
@@ -324,7 +311,7 @@
                        ? Duration::max()
                        : kFreshIdle,
        .settles = !this->route->idempotent && !this->route->is_scatter,
-       .keep_connection = !this->GivesBackConnections(now),
+       .keep_connection = !this->parts.book.GivesBackConnections(now),
        .deadline = this->deadline},
       [self, number = start.attempt](TargetReply reply) {
         self->OnReply(number, std::move(reply));
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/target_book.cc
@@ -50,6 +50,8 @@
 // targets still hold the connections of before, and a host that takes a second
 // place leaves another without any. Targets notice within about ten seconds.
 constexpr Duration kScarceMemory = std::chrono::seconds(4);
+// Targets notice within this that the hosts of their connections are gone.
+constexpr Duration kOldConnectionsHeld = std::chrono::seconds(12);
 // One pick in so many passes over what others say of a target: somebody has to
 // find out that it is well again. A hundred requests a second do so once in
 // three seconds; more would cost each scatter over many shards a retry.
@@ -510,6 +512,15 @@
   }
 }
 
+// Failure: all hosts have lost their power, and targets still hold the
+// connections of before. The first hosts take the few places left and keep
+// them; the others can't ask those targets for seconds. Later, hosts that are
+// turned away are simply many, and each new connection costs its target time.
+bool TargetBook::GivesBackConnections(TimePoint now) const {
+  return now < this->connections_scarce_until &&
+         now - this->options.started < kOldConnectionsHeld;
+}
+
 // The next attempts go elsewhere, but it is sound: no health question, which
 // would need a connection as well.
 void TargetBook::OnTurnedAway(const TargetId& id, TimePoint now) {
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/target_book.h
@@ -55,6 +55,8 @@
   double cold_burst_factor = 1.5;
   double cold_slack = 5;
   uint64_t seed = 1;
+  // When this host began to send.
+  TimePoint started;
   // Told of each change of belief; may be absent.
   std::function<void(const TargetBelief&)> on_belief;
   // Told of each attempt's outcome, to be shared with other hosts; may be
@@ -129,11 +131,9 @@
   // A control host of another zone has answered, or a target.
   void OnOutsideAnswer(TimePoint now);
 
-  // Whether targets are short of connections: one has turned this host away
-  // lately.
-  bool is_connection_scarce(TimePoint now) const {
-    return now < this->connections_scarce_until;
-  }
+  // Whether connections are to be closed after use, so that other hosts find
+  // places at the targets.
+  bool GivesBackConnections(TimePoint now) const;
 
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
--- a/knapweedroad/routing/target_book_test.cc
+++ b/knapweedroad/routing/target_book_test.cc
@@ -392,5 +392,30 @@
   cr_expect(*book.Pick(kService, tried, kStart) == TargetId("t2"));
 }
 
+// All hosts have lost their power; targets still hold the connections of before
+// and have few places. Hosts that keep those to themselves leave the others'
+// callers without an answer for ten seconds.
+Test(target_book, a_host_that_has_just_started_gives_scarce_connections_back) {
+  TargetBook book({.self = HostId("e"), .started = kStart});
+  book.Learn(Record("t1", "a"), kStart);
+  cr_expect_not(book.GivesBackConnections(kStart));
+  book.OnSent(TargetId("t1"), kStart);
+  book.OnTurnedAway(TargetId("t1"), kStart + seconds(1));
+  cr_expect(book.GivesBackConnections(kStart + seconds(2)));
+  // Nothing was turned away lately: places are there again.
+  cr_expect_not(book.GivesBackConnections(kStart + seconds(6)));
+}
+
+// Many hosts under high load: now and then a target turns one away. Its other
+// connections are kept, as each new one would cost its target time.
+Test(target_book, a_host_that_runs_for_long_keeps_its_connections) {
+  TargetBook book({.self = HostId("e"), .started = kStart});
+  book.Learn(Record("t1", "a"), kStart);
+  const TimePoint later = kStart + seconds(30);
+  book.OnSent(TargetId("t1"), later);
+  book.OnTurnedAway(TargetId("t1"), later);
+  cr_expect_not(book.GivesBackConnections(later));
+}
+
 }  // namespace
 }  // namespace knapweedroad
