A sound target that is busy goes before idle ones that refuse

Cause: with half of the targets refusing 45 of 100 requests, each shard's one sound target has the rest of the work and a longer latency. It was compared with the refusing ones, listed as slow, and a failure was weighed by the failing target's own short latency: nine first attempts of 36 went to refusing targets although all hosts knew them, the budget for retries was gone, and the request failed. Change: refusing targets are no measure for others' latency; a failure seen by all costs by the square of its share, in the service's usual latency. Both tests fail on the code before.

--- a/knapweedroad/registry/evidence_board.cc
+++ b/knapweedroad/registry/evidence_board.cc
@@ -141,7 +141,12 @@
     }
     Fade(entry, now);
     services.emplace(at->first, service);
-    if (entry.timed >= kLeastAttempts) {
+    // Failure: a target that refuses half of its requests answers the others
+    // fast, as it has little to do; compared with it, those that have the rest
+    // of the work look slow.
+    const double attempts = entry.answered + entry.failed;
+    const bool is_sound = entry.failed < kLeastFailedShare * attempts;
+    if (is_sound && entry.timed >= kLeastAttempts) {
       this->RememberBest(service, entry.latency_us / entry.timed, now);
     }
     ++at;
--- a/knapweedroad/registry/evidence_board_test.cc
+++ b/knapweedroad/registry/evidence_board_test.cc
@@ -153,6 +153,24 @@
   cr_expect_eq(board.troubles().size(), 256);
 }
 
+// Two of three targets refuse half of their requests and, with little to do,
+// answer the others fast. The third has the rest of the work; listed as slow it
+// would be avoided for those that refuse.
+Test(evidence_board, a_busy_target_is_not_compared_with_one_that_refuses) {
+  EvidenceBoard board;
+  AddAll(board,
+         {{.target = TargetId("refuses"),
+           .answered = 10,
+           .failed = 10,
+           .timed = 10,
+           .latency_us = 10 * 10'000},
+          Answers("busy", 20, 40'000)},
+         kStart);
+  board.Refresh(OneService, kStart);
+  cr_assert_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.troubles()[0].target, TargetId("refuses"));
+}
+
 TargetTrouble Slow(const char* target, uint8_t slowdown) {
   return {.target = TargetId(target), .slowdown = slowdown};
 }
--- a/knapweedroad/routing/target_book_test.cc
+++ b/knapweedroad/routing/target_book_test.cc
@@ -392,6 +392,31 @@
   cr_expect(*book.Pick(kService, tried, kStart) == TargetId("t2"));
 }
 
+// Two of a shard's three targets refuse half of their requests, and answer the
+// others fast. The sound one is in another zone and has the rest of the work;
+// by latency alone half of all requests go to those that refuse, retries run
+// out, and callers get no answer.
+Test(target_book, a_sound_target_with_more_to_do_goes_before_one_that_refuses) {
+  TargetBook book = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    book.Learn(Record(id, "a"), kStart);
+  }
+  book.Learn(Record("sound", "b"), kStart);
+  book.LearnTroubles(HostId("c1"),
+                     std::vector{TargetTrouble{TargetId("t1"), 4, 1},
+                                 TargetTrouble{TargetId("t2"), 4, 1}},
+                     kStart);
+  TimePoint now = kStart;
+  int sound = 0;
+  for (int i = 0; i < 300; ++i) {
+    const TargetId id = *book.Pick(kService, {}, now);
+    sound += id == TargetId("sound") ? 1 : 0;
+    Serve(book, id, milliseconds(id == TargetId("sound") ? 90 : 8), now);
+    now += milliseconds(10);
+  }
+  cr_expect(sound > 285, "%d", sound);
+}
+
 // All hosts have lost their power; targets still hold the connections of before
 // and have few places. Hosts that keep those to themselves leave the others'
 // callers without an answer for ten seconds.
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -25,9 +25,10 @@
 constexpr Duration kFailureHalfLife = std::chrono::seconds(4);
 // A target that fails every time costs like one nine times as slow.
 constexpr double kFailureCost = 8;
-// The same where all hosts together know it: no chance then, and each failure
-// uses up a retry that another request would be answered by.
-constexpr double kSharedFailureCost = 20;
+// The same where all hosts together know it, by the square of the share: with
+// few failures a retry mends nearly all; with many, retries run out, and what
+// fails is lost.
+constexpr double kSharedFailureCost = 100;
 // What an answer from another zone costs beside its time: bytes between zones
 // are paid for, and latencies of a dozen values differ by a third by chance, so
 // a near target that looks half as slow again is as good.
@@ -92,7 +93,8 @@
   double latency = ExpectedLatency(target, context.usual_latency, now);
   double failing = kFailureCost * FailureShare(target, now);
   if (context.believes_others) {
-    failing = std::max(failing, kSharedFailureCost * target.shared_failures);
+    failing = std::max(failing, kSharedFailureCost * target.shared_failures *
+                                    target.shared_failures);
     if (target.shared_slowdown > 1) {
       latency =
           std::max(latency, context.usual_latency * target.shared_slowdown);
@@ -104,7 +106,12 @@
   const double slots = std::max<double>(1, target.record.slots);
   const double busy =
       std::max(told, static_cast<double>(target.in_flight)) / slots;
-  double cost = latency * (1 + busy) * (1 + failing);
+  // Failure: a target that refuses half of its requests has little to do and
+  // answers the others at once; by its own latency alone it looks better than a
+  // sound one that has the rest of its shard's requests. A failure costs the
+  // time of another attempt, which the service's usual latency tells.
+  const double answered = latency * (1 + busy);
+  double cost = answered + failing * std::max(answered, context.usual_latency);
   cost += StallCost(target, latency, now);
   cost *= context.is_other_zone ? kOtherZoneCost : 1;
   cost *= context.is_other_part ? kOtherPartCost : 1;
