A request that targets turn away for half a second is refused as not run

Cause: found on reading: a shard that is tried again after its targets turned all connections away had no bound but the deadline, eight seconds for a lookup. Test first: it ran to two seconds without an end.

--- a/knapweedroad/registry/evidence_board_test.cc
+++ b/knapweedroad/registry/evidence_board_test.cc
@@ -163,7 +163,7 @@
            .answered = 10,
            .failed = 10,
            .timed = 10,
-           .latency_us = 10 * 10'000},
+           .latency_us = 100'000},
           Answers("busy", 20, 40'000)},
          kStart);
   board.Refresh(OneService, kStart);
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -16,6 +16,9 @@
 // How often one whose targets all turned a new connection away: about as long
 // as an attempt holds a place.
 constexpr Duration kUnreachedRetry = std::chrono::milliseconds(10);
+// A request whose targets turn it away for this long is refused: its caller may
+// find another host that has a place.
+constexpr Duration kUnreachedPatience = std::chrono::milliseconds(450);
 // The same as kBusyRetry once the answer is late: those that may still be in
 // time go first.
 constexpr Duration kLateBusyRetry = std::chrono::milliseconds(25);
@@ -145,6 +148,7 @@
 
 RunStep RequestRun::Start(TimePoint now) {
   RunStep step;
+  this->started = now;
   this->LeaveOut();
   size_t served = 0;
   for (const ServiceId& service : this->options.services) {
@@ -266,7 +270,8 @@
 // milliseconds, while places come free all the time. So those targets are tried
 // again; the answer still goes without the shard if it can.
 bool RequestRun::SetAside(Shard& shard, TimePoint now) {
-  if (shard.arrived > 0 || shard.unreached.empty()) {
+  if (shard.arrived > 0 || shard.unreached.empty() ||
+      now - this->started > kUnreachedPatience) {
     return false;
   }
   std::erase_if(shard.tried, [&](const TargetId& target) {
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -171,6 +171,7 @@
   void LeaveOut();
   // Asks what was left out after all, once the answer can't do without.
   void TakeIn(TimePoint now, RunStep& step);
+  // Tells, once, whether the shard's part was in when the answer was due.
   void Judge(Shard& shard, bool in_time);
   void JudgeLate(TimePoint now);
   RunStep Finish(RunStep step, TimePoint now);
@@ -183,6 +184,7 @@
 
   RequestRunOptions options;
   const RunHooks& hooks;
+  TimePoint started;
   std::vector<Shard> shards;
   std::vector<TargetAnswer> answers;
   // The shard of each attempt; `kEnded` once it has ended.
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -321,5 +321,27 @@
   cr_expect(end.end->missing == 1);
 }
 
+// All targets of a lookup are full of connections for seconds. Its caller hears
+// within half a second that it has not run, and isn't held to the deadline.
+Test(request_run, a_lookup_that_is_turned_away_for_long_is_refused) {
+  World world(1);
+  world.options.idempotent = false;
+  world.options.deadline = kStart + milliseconds(8000);
+  RequestRun run = world.Make();
+  RunStep step = run.Start(kStart);
+  TimePoint now = kStart;
+  while (!step.end && now < kStart + milliseconds(2000)) {
+    if (step.start.empty()) {
+      now = std::max(*step.wake_at, now + milliseconds(1));
+      step = run.OnWake(now);
+    } else {
+      step = run.OnEnd(step.start[0].attempt, AttemptEnd::kNeverSent, now);
+    }
+  }
+  cr_assert(step.end.has_value());
+  cr_expect(step.end->kind == RunEndKind::kNotRun);
+  cr_expect(now <= kStart + milliseconds(500));
+}
+
 }  // namespace
 }  // namespace knapweedroad
