--- /dev/null
+++ b/bench/entry/entry_cost.cc
@@ -0,0 +1,196 @@
+// What one gathered question costs an entry host: processor time, allocations
+// and bytes allocated for each sub-request, by how many shards it asks.
+//
+//   entry_cost [SHARDS...]
+//
+// The real caller server, request, target table and links run in this thread
+// against stand-ins in another one. System calls are counted from outside:
+//
+//   strace -f -c entry_cost 42
+
+#include <time.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bench/entry/allocation_count.h"
+#include "bench/entry/stand_in_world.h"
+#include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/edge/caller_server.h"
+#include "knapweedroad/edge/dialect.h"
+#include "knapweedroad/edge/entry_metrics.h"
+#include "knapweedroad/edge/entry_request.h"
+#include "knapweedroad/edge/target_links.h"
+#include "knapweedroad/net/runtime.h"
+#include "knapweedroad/routing/route_table.h"
+#include "knapweedroad/routing/split_rotation.h"
+#include "knapweedroad/routing/target_book.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kTargetsAShard = 3;
+constexpr size_t kWarmUpQuestions = 50;
+// So that each size sends about as many sub-requests.
+constexpr size_t kSubRequests = 40'000;
+
+double ThreadMicroseconds() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 +
+         static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+std::optional<TargetLoad> ParseLoad(std::string_view) {
+  return TargetLoad{.running = 1, .waiting = 0, .slots = 3};
+}
+
+Dialect MakeDialect() {
+  Dialect dialect;
+  dialect.parse_load = ParseLoad;
+  dialect.parse_cold_left = [](std::string_view) { return std::nullopt; };
+  return dialect;
+}
+
+ServiceId ShardName(size_t shard) {
+  return ServiceId("shard" + std::to_string(shard));
+}
+
+std::shared_ptr<const RouteTable> MakeTable(size_t shards) {
+  RouteConfig route{.name = "all",
+                    .host_name = "a.example",
+                    .path_prefix = "/all/",
+                    .idempotent = true,
+                    .timeout = milliseconds(1500),
+                    .latency_target = milliseconds(1500),
+                    .is_scatter = true,
+                    .max_attempts = 2,
+                    .top_records = 10,
+                    .min_share = 0.95};
+  RoutingConfig config{.version = 1};
+  for (size_t i = 0; i < shards; ++i) {
+    route.services.push_back({.service = ShardName(i)});
+    config.services.push_back(
+        {.name = ShardName(i), .max_connections = 100'000});
+  }
+  config.routes.push_back(std::move(route));
+  return std::make_shared<RouteTable>(std::move(config));
+}
+
+// An entry host without its control part.
+class Entry {
+ public:
+  Entry(Runtime& runtime, size_t shards, uint16_t target_port)
+      : book({.self = HostId("host"), .zone = ZoneId("a")}),
+        links(runtime,
+              {.dialect = this->dialect,
+               .on_idle_closed = [](const TargetId&) {}}),
+        parts{.runtime = runtime,
+              .dialect = this->dialect,
+              .book = this->book,
+              .links = this->links,
+              .metrics = this->metrics,
+              .rotation = this->rotation,
+              .started = Runtime::Now(),
+              .shedding = ShardShedding({.seed = 1}),
+              .table = MakeTable(shards)},
+        callers(runtime,
+                {.endpoint = {"127.0.0.1", 0},
+                 .dialect = this->dialect,
+                 .on_request =
+                     [this](CallerRequest request,
+                            const std::shared_ptr<CallerExchange>& exchange) {
+                       StartEntryRequest(this->parts, std::move(request),
+                                         exchange);
+                     },
+                 .limits = [] { return CallerLimits(); }}) {
+    this->book.SetRouting(this->parts.table);
+    for (size_t i = 0; i < shards * kTargetsAShard; ++i) {
+      this->book.Learn({.id = TargetId("i-" + std::to_string(1'000'000 + i)),
+                        .service = ShardName(i / kTargetsAShard),
+                        .zone = ZoneId(i % kTargetsAShard == 0 ? "a" : "b"),
+                        .address = {"127.0.0.1", target_port},
+                        .slots = 3,
+                        .started_ms = 1,
+                        .sequence = 1},
+                       Runtime::Now());
+    }
+  }
+
+  uint16_t Start() { return this->callers.Start().value(); }
+  size_t opened() const { return this->links.opened(); }
+
+ private:
+  Dialect dialect = MakeDialect();
+  TargetBook book;
+  TargetLinks links;
+  EntryMetrics metrics;
+  SplitRotation rotation;
+  EntryParts parts;
+  CallerServer callers;
+};
+
+void AskAll(Runtime& runtime,
+            StandInWorld& world,
+            uint16_t port,
+            size_t questions) {
+  bool is_done = false;
+  world.Ask({.port = port, .questions = questions, .on_done = [&] {
+               runtime.Post([&] { is_done = true; });
+             }});
+  while (!is_done) {
+    Runtime::SleepFor(milliseconds(20));
+  }
+}
+
+void Measure(Runtime& runtime, size_t shards) {
+  StandInWorld world;
+  Entry entry(runtime, shards, world.StartTargets());
+  const uint16_t port = entry.Start();
+  AskAll(runtime, world, port, kWarmUpQuestions);
+  const size_t questions = std::max<size_t>(kSubRequests / shards, 10);
+  const size_t opened = entry.opened();
+  const AllocationCount before = CountAllocations();
+  const double start = ThreadMicroseconds();
+  AskAll(runtime, world, port, questions);
+  const double took = ThreadMicroseconds() - start;
+  const AllocationCount after = CountAllocations();
+  const auto subs = static_cast<double>(questions * shards);
+  std::printf("%6zu %12.1f %12.2f %14.1f %14.0f %10zu\n", shards,
+              took / static_cast<double>(questions), took / subs,
+              static_cast<double>(after.calls - before.calls) / subs,
+              static_cast<double>(after.bytes - before.bytes) / subs,
+              entry.opened() - opened);
+}
+
+}  // namespace
+}  // namespace knapweedroad
+
+int main(int argc, char** argv) {
+  using namespace knapweedroad;
+  std::vector<size_t> sizes;
+  for (int i = 1; i < argc; ++i) {
+    sizes.push_back(std::strtoul(argv[i], nullptr, 10));
+  }
+  if (sizes.empty()) {
+    sizes = {10, 42, 63, 200, 1500};
+  }
+  LogLine::SetSink([](std::string_view) {});
+  Runtime runtime;
+  std::printf("%6s %12s %12s %14s %14s %10s\n", "shards", "us/question",
+              "us/sub", "allocs/sub", "bytes/sub", "opened");
+  for (const size_t shards : sizes) {
+    Measure(runtime, shards);
+  }
+  std::fflush(stdout);
+  std::_Exit(0);
+}
