An entry host follows one control host of its zone while that hears all others

Cause: each entry host held calls on three control hosts, two of them in other zones: about two calls a second across zones a host, 600 bytes each all told, and every change was told three times.

Change: registry/follow_plan decides. The own zone's control host is enough while it is live and says that it hears all others; a host that was heard by anybody within 10 s and isn't live there takes that away, and three are followed again. A cut that the own zone's control host tells of counts once control hosts of other zones had 0.6 s to answer.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <map>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -12,6 +11,7 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/registry/follow_plan.h"
 #include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
@@ -40,13 +40,22 @@
 // another, has been taken away.
 constexpr Duration kForgetAfter = std::chrono::seconds(90);
 constexpr Duration kLiveWithin = milliseconds(2500);
+// One that nobody has heard for this long is down or has been taken away.
+constexpr Duration kMissedWithin = std::chrono::seconds(10);
+// A host that has just started hasn't heard of all others yet.
+constexpr Duration kStartSettles = std::chrono::seconds(3);
 
 struct Known {
   TimePoint heard;
   TimePoint failed;
   bool was_live = false;
+  bool hears_all = false;
   // Empty: not heard yet.
   ZoneId zone;
+
+  bool is_live(TimePoint now) const {
+    return this->was_live && now - this->heard < kLiveWithin;
+  }
 };
 
 uint64_t RankOf(const HostId& self, const HostId& host) {
@@ -78,7 +87,7 @@
       : runtime(runtime), options(std::move(options)) {}
 
   std::vector<HostId> Candidates() const;
-  std::set<HostId> Wanted(TimePoint now) const;
+  std::vector<HostId> Wanted(TimePoint now) const;
   void Choose();
   void Follow(const HostId& host);
   bool Ask(PeerClient& peer, const HostId& host, WatchCall& call);
@@ -95,6 +104,7 @@
   std::map<HostId, Known> known;
   std::set<HostId> followed;
   std::set<HostId> wanted;
+  TimePoint started;
   bool is_pulling = false;
   // The newest version that a control host told of.
   uint64_t told_version = 0;
@@ -113,22 +123,27 @@
   return {hosts.begin(), hosts.end()};
 }
 
-std::set<HostId> ControlFollower::State::Wanted(TimePoint now) const {
-  std::vector<HostId> hosts = this->Candidates();
-  const auto key = [&](const HostId& host) {
+std::vector<HostId> ControlFollower::State::Wanted(TimePoint now) const {
+  const std::vector<HostId> hosts = this->Candidates();
+  if (this->options.most_links == 0) {
+    return hosts;
+  }
+  std::vector<FollowCandidate> candidates;
+  for (const HostId& host : hosts) {
+    FollowCandidate candidate{.host = host,
+                              .rank = RankOf(this->options.self, host)};
     const auto found = this->known.find(host);
-    const bool failed_lately = found != this->known.end() &&
-                               now - found->second.failed < kAvoidAfterFailure;
-    const bool is_other_zone =
-        found == this->known.end() || found->second.zone != this->options.zone;
-    return std::tuple(failed_lately, is_other_zone,
-                      RankOf(this->options.self, host));
-  };
-  std::ranges::sort(hosts, {}, key);
-  if (this->options.most_links > 0 && hosts.size() > this->options.most_links) {
-    hosts.resize(this->options.most_links);
+    if (found != this->known.end()) {
+      const Known& facts = found->second;
+      candidate.zone = facts.zone;
+      candidate.is_live = facts.is_live(now);
+      candidate.failed_lately = now - facts.failed < kAvoidAfterFailure;
+      candidate.hears_all = facts.hears_all;
+    }
+    candidates.push_back(std::move(candidate));
   }
-  return {hosts.begin(), hosts.end()};
+  return PlanFollowing(candidates, {.zone = this->options.zone,
+                                    .most = this->options.most_links});
 }
 
 void ControlFollower::State::Choose() {
@@ -138,7 +153,8 @@
       const TimePoint last = std::max(entry.second.heard, TimePoint());
       return last != TimePoint() && now - last > kForgetAfter;
     });
-    this->wanted = this->Wanted(now);
+    const std::vector<HostId> hosts = this->Wanted(now);
+    this->wanted = {hosts.begin(), hosts.end()};
     for (const HostId& host : this->wanted) {
       if (this->followed.insert(host).second) {
         this->runtime.Spawn(
@@ -191,6 +207,7 @@
         .Info();
   }
   facts.zone = reply->zone;
+  facts.hears_all = reply->hears_all;
   for (const ControlHostRecord& other : reply->control_hosts) {
     if (other.host != this->options.self) {
       Known& heard_of = this->known[other.host];
@@ -203,6 +220,7 @@
   call.hosts_revision = reply->hosts_revision;
   call.troubles_revision = reply->troubles_revision;
   call.knows_cut_off = reply->is_cut_off;
+  call.knows_hears_all = reply->hears_all;
   this->options.on_reply(host, *reply);
   this->told_version = std::max(this->told_version, reply->agreed_version);
   if (reply->agreed_version > this->options.held_version()) {
@@ -283,6 +301,7 @@
 }
 
 void ControlFollower::Start() {
+  this->state->started = Runtime::Now();
   this->state->runtime.Spawn([state = this->state] { state->Choose(); });
 }
 
@@ -290,7 +309,7 @@
   std::vector<HostId> live;
   const TimePoint now = Runtime::Now();
   for (const auto& [host, facts] : this->state->known) {
-    if (facts.was_live && now - facts.heard < kLiveWithin) {
+    if (facts.is_live(now)) {
       live.push_back(host);
     }
   }
@@ -309,6 +328,17 @@
   return this->state->Candidates();
 }
 
+bool ControlFollower::HearsAll() const {
+  const TimePoint now = Runtime::Now();
+  if (now - this->state->started < kStartSettles) {
+    return false;
+  }
+  return std::ranges::none_of(this->state->known, [now](const auto& entry) {
+    const Known& facts = entry.second;
+    return !facts.is_live(now) && now - facts.heard < kMissedWithin;
+  });
+}
+
 void ControlFollower::Hear(const HostId& host) {
   this->state->known[host].heard = Runtime::Now();
 }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -26,8 +26,8 @@
   // Control hosts of this zone are followed first.
   ZoneId zone;
   FollowerRole role = FollowerRole::kEntry;
-  // Control hosts followed at a time, however many there are. Two may be cut
-  // off or down and news still comes.
+  // Control hosts followed at a time while none is fit to be the only one,
+  // however many there are. Zero: always all of them.
   size_t most_links = 3;
   // Asked again and again: seeds may be exchanged.
   std::function<std::vector<HostId>()> seeds;
@@ -52,6 +52,8 @@
   std::vector<ControlHostRecord> LiveRecords() const;
   // All control hosts known, seeds included.
   std::vector<HostId> KnownHosts() const;
+  // Whether every control host that anybody has heard lately is live here.
+  bool HearsAll() const;
   // A control host that this host has heard of by another way.
   void Hear(const HostId& host);
 
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -109,6 +109,8 @@
   // Whether control hosts of other zones were ever reached, and now aren't.
   bool has_reached_others = false;
   bool is_cut_off = false;
+  // Whether all other control hosts are heard.
+  bool hears_all = false;
   bool is_stopped = false;
 };
 
@@ -310,6 +312,13 @@
         .Warning();
     this->hub->Wake();
   }
+  const bool hears = this->follower->HearsAll();
+  if (std::exchange(this->hears_all, hears) != hears) {
+    LogLine(hears ? "control_hosts_all_heard" : "control_hosts_missed")
+        .Add("control_hosts", live.size())
+        .Info();
+    this->hub->Wake();
+  }
 }
 
 void ControlHost::State::JudgeTargets(TimePoint now) {
@@ -457,6 +466,7 @@
           .agreed_version = [&self] { return self.agreed_version; },
           .control_hosts = [&self] { return self.ControlHosts(); },
           .is_cut_off = [&self] { return self.is_cut_off; },
+          .hears_all = [&self] { return self.hears_all; },
           .on_control_follower =
               [&self](const HostId& host) { self.follower->Hear(host); }});
   self.directory =
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -71,6 +71,8 @@
          (call.shares_evidence &&
           (call.troubles_revision != this->options.evidence.revision() ||
            call.knows_cut_off != this->options.is_cut_off())) ||
+         (call.role == FollowerRole::kEntry &&
+          call.knows_hears_all != this->options.hears_all()) ||
          call.agreed_version < this->options.agreed_version();
 }
 
@@ -120,12 +122,14 @@
   reply.has_hosts = !is_same || call.hosts_revision < this->hosts_revision;
   if (reply.has_hosts) {
     reply.control_hosts = this->told_control_hosts;
-    reply.entry_hosts = this->told_entry_hosts;
     if (call.role == FollowerRole::kControl) {
       reply.own_entry_hosts = this->OwnEntryHosts();
+    } else {
+      reply.entry_hosts = this->told_entry_hosts;
     }
   }
   reply.is_cut_off = this->options.is_cut_off();
+  reply.hears_all = this->options.hears_all();
   const EvidenceBoard& evidence = this->options.evidence;
   const bool is_control = call.role == FollowerRole::kControl;
   reply.troubles_revision =
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -32,6 +32,8 @@
   std::function<std::vector<ControlHostRecord>()> control_hosts;
   // Whether the control hosts of all other zones are lost.
   std::function<bool()> is_cut_off;
+  // Whether this control host hears all others.
+  std::function<bool()> hears_all;
   // A control host follows this one: it may not have been known.
   std::function<void(const HostId&)> on_control_follower;
 };
--- /dev/null
+++ b/knapweedroad/registry/follow_plan.cc
@@ -0,0 +1,30 @@
+#include "knapweedroad/registry/follow_plan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace knapweedroad {
+
+std::vector<HostId> PlanFollowing(std::span<const FollowCandidate> known,
+                                  const FollowPlanOptions& options) {
+  std::vector<const FollowCandidate*> order;
+  for (const FollowCandidate& candidate : known) {
+    order.push_back(&candidate);
+  }
+  std::ranges::sort(order, {}, [&](const FollowCandidate* candidate) {
+    return std::tuple(candidate->failed_lately, candidate->zone != options.zone,
+                      candidate->rank);
+  });
+  std::vector<HostId> followed;
+  for (const FollowCandidate* const candidate : order) {
+    followed.push_back(candidate->host);
+    const bool is_enough =
+        candidate->is_live && candidate->hears_all && !candidate->failed_lately;
+    if (is_enough || followed.size() == options.most) {
+      break;
+    }
+  }
+  return followed;
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/registry/follow_plan.h
@@ -0,0 +1,47 @@
+// Which control hosts a host follows.
+//
+//   std::vector<HostId> followed = PlanFollowing(known, {.zone = zone});
+
+#ifndef KNAPWEEDROAD_REGISTRY_FOLLOW_PLAN_H_
+#define KNAPWEEDROAD_REGISTRY_FOLLOW_PLAN_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "knapweedroad/base/id.h"
+
+namespace knapweedroad {
+
+// What a follower knows of one control host.
+struct FollowCandidate {
+  HostId host;
+  // Empty: not heard yet.
+  ZoneId zone;
+  bool is_live = false;
+  bool failed_lately = false;
+  // It says that it hears all other control hosts, so that its news is whole.
+  bool hears_all = false;
+  // Orders candidates that are alike, differently on each follower.
+  uint64_t rank = 0;
+};
+
+struct FollowPlanOptions {
+  // Control hosts of this zone come first.
+  ZoneId zone;
+  // Followed at a time while none is fit to be the only one.
+  size_t most = 3;
+};
+
+// In order of preference. One that hears all others is enough; those that are
+// preferred to it are tried again and again.
+//
+// Failure: each host hears of each change from several control hosts, most of
+// them in other zones, and their bytes grow with the hosts times the changes.
+std::vector<HostId> PlanFollowing(std::span<const FollowCandidate> known,
+                                  const FollowPlanOptions& options);
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_REGISTRY_FOLLOW_PLAN_H_
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -35,6 +35,7 @@
   // told that the zone is cut off.
   uint64_t troubles_revision = 0;
   bool knows_cut_off = false;
+  bool knows_hears_all = false;
   // What it has seen since its last call.
   std::vector<TargetEvidence> evidence;
 
@@ -43,7 +44,8 @@
   void serialize(Archive& archive) {
     archive(this->follower, this->role, this->epoch, this->revision,
             this->hosts_revision, this->agreed_version, this->shares_evidence,
-            this->troubles_revision, this->knows_cut_off, this->evidence);
+            this->troubles_revision, this->knows_cut_off, this->knows_hears_all,
+            this->evidence);
   }
 };
 
@@ -73,12 +75,14 @@
   // Absent where the follower has this list.
   bool has_hosts = false;
   std::vector<ControlHostRecord> control_hosts;
-  // Entry hosts that follow this control host itself.
+  // For control hosts: entry hosts that follow this control host itself.
   std::vector<HostId> own_entry_hosts;
-  // All entry hosts that this control host has heard of.
+  // For entry hosts: all that this control host has heard of.
   std::vector<HostId> entry_hosts;
   // Whether this control host has lost those of all other zones.
   bool is_cut_off = false;
+  // Whether it hears all other control hosts, so that its news is whole.
+  bool hears_all = false;
   // Absent where the follower has this list, or doesn't share evidence. For
   // entry hosts the whole list; for control hosts what this zone has seen.
   bool has_troubles = false;
@@ -91,8 +95,8 @@
     archive(this->zone, this->epoch, this->revision, this->hosts_revision,
             this->agreed_version, this->targets, this->has_hosts,
             this->control_hosts, this->own_entry_hosts, this->entry_hosts,
-            this->is_cut_off, this->has_troubles, this->troubles_revision,
-            this->troubles);
+            this->is_cut_off, this->hears_all, this->has_troubles,
+            this->troubles_revision, this->troubles);
   }
 };
 
--- a/knapweedroad/routing/reach_watch.cc
+++ b/knapweedroad/routing/reach_watch.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/routing/reach_watch.h"
 
 #include <cstddef>
+#include <utility>
 
 namespace knapweedroad {
 namespace {
@@ -12,8 +13,9 @@
 // While a zone can be reached its targets answer a hundred times a second; even
 // a host with a request a second hears from them more often than this.
 constexpr Duration kLeastSilence = std::chrono::milliseconds(400);
-// The control host of another zone that this host follows answers once a second
-// at the least.
+// A host that is told of a cut follows control hosts of other zones. They
+// answer their first call within this, and then once a second at the least.
+constexpr Duration kFirstAnswer = std::chrono::milliseconds(600);
 constexpr Duration kControlSilence = std::chrono::milliseconds(1200);
 // Weight of a request in the smoothed share: the last three or so decide.
 constexpr double kRequestWeight = 0.3;
@@ -47,7 +49,9 @@
     this->told_cut_off = false;
     this->OnAnswered(now);
   }
-  this->told_cut_off = is_cut_off;
+  if (!std::exchange(this->told_cut_off, is_cut_off)) {
+    this->told = now;
+  }
 }
 
 void ReachWatch::OnRequest(bool has_targets, TimePoint now) {
@@ -61,7 +65,8 @@
 // without callers would do so in turns, at each of its replies.
 bool ReachWatch::is_cut_off(TimePoint now) const {
   const Duration silence = now - this->answered;
-  return (this->told_cut_off && silence >= kControlSilence) ||
+  return (this->told_cut_off && now - this->told >= kFirstAnswer &&
+          silence >= kControlSilence) ||
          (this->unanswered.size() >= kLeastSilentTargets &&
           silence >= kLeastSilence);
 }
--- a/knapweedroad/routing/reach_watch.h
+++ b/knapweedroad/routing/reach_watch.h
@@ -44,6 +44,8 @@
   std::set<TargetId> unanswered;
   TimePoint answered;
   bool told_cut_off = false;
+  // Since when.
+  TimePoint told;
   bool sends_away = false;
   TimePoint last_request;
   // Smoothed share of requests without targets.
