Replies to followers are made once for all; targets at their cap are asked more and more seldom

Control hosts were busy with one packed list of 495 targets for each of about a hundred followers, again at each change of the list of hosts; each entry host wrote 495 lines on it.

The new test of targets at their cap fails on the code before.

--- a/knapweedroad/base/log_line.h
+++ b/knapweedroad/base/log_line.h
@@ -12,6 +12,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace knapweedroad {
 
@@ -23,9 +24,15 @@
   LogLine& Add(std::string_view key, std::string_view value);
   template <typename Value>
   LogLine& Add(std::string_view key, const Value& value) {
-    std::ostringstream text;
-    text << value;
-    return this->Add(key, std::string_view(text.view()));
+    if constexpr (std::is_integral_v<Value>) {
+      return this->Add(key, std::string_view(std::to_string(value)));
+    } else if constexpr (requires { std::string_view(value.str()); }) {
+      return this->Add(key, std::string_view(value.str()));
+    } else {
+      std::ostringstream text;
+      text << value;
+      return this->Add(key, std::string_view(text.view()));
+    }
   }
 
   // Write the line at that level; Trace() only with --v=1. Ask TraceIsOn()
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -157,7 +157,7 @@
     if (!call) {
       return tl::unexpected("unreadable call: " + call.error());
     }
-    return EncodePacked(this->hub->Answer(*call));
+    return this->hub->Answer(*call);
   }
   if (type == PeerMessageType::kPull) {
     const auto call = DecodeBytes<PullCall>(body);
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -30,6 +30,9 @@
 
 using std::chrono::milliseconds;
 
+// News of more targets than this, as after a start, is told by one line: the
+// control host's log has a line for each.
+constexpr size_t kMostTargetLines = 16;
 constexpr Duration kTick = milliseconds(100);
 // A tick this late means that the process stood still.
 constexpr Duration kStandstill = milliseconds(400);
@@ -178,13 +181,21 @@
   } else {
     this->book.reach().OnTold(reply.is_cut_off, now);
   }
+  const bool is_bulk = reply.targets.size() > kMostTargetLines;
+  if (is_bulk) {
+    LogLine("targets_told")
+        .Add("count", reply.targets.size())
+        .Add("revision", reply.revision)
+        .Add("from", from)
+        .Info();
+  }
   for (const TargetRecord& record : reply.targets) {
     const TargetRecord* const known = this->book.Find(record.id);
     const bool is_change = known == nullptr || known->phase != record.phase ||
                            known->started_ms != record.started_ms ||
                            record.cold_left > Duration::zero();
     this->book.Learn(record, now);
-    if (is_change) {
+    if (is_change && !is_bulk) {
       LogLine("target_told")
           .Add("target", record.id)
           .Add("service", record.service)
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -8,10 +8,12 @@
 #include <utility>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/reply_cache.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
 #include "knapweedroad/registry/evidence_board.h"
 #include "knapweedroad/registry/target_registry.h"
+#include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
 namespace {
@@ -24,6 +26,9 @@
 // News of the same moment goes out together: at a start, dozens of targets
 // announce themselves within a few milliseconds of each other.
 constexpr Duration kGather = milliseconds(10);
+// Entry hosts that come and go are told of together: when hundreds start, each
+// would else make the whole list go to all the others.
+constexpr Duration kEntryHostsInterval = milliseconds(400);
 // A follower that hasn't called for this long is gone.
 constexpr Duration kFollowerTimeout = milliseconds(3500);
 
@@ -49,9 +54,11 @@
 
   bool HasNews(const WatchCall& call) const;
   WatchReply MakeReply(const WatchCall& call) const;
+  ReplyKey KeyOf(const WatchCall& call) const;
+  std::string EncodeReply(const WatchCall& call);
   std::vector<HostId> OwnEntryHosts() const;
   std::vector<HostId> AllEntryHosts() const;
-  void NoteHosts();
+  void NoteHosts(TimePoint now);
 
   Runtime& runtime;
   WatchHubOptions options;
@@ -61,7 +68,9 @@
   std::map<HostId, OtherEntryHosts> others;
   std::vector<HostId> told_entry_hosts;
   std::vector<ControlHostRecord> told_control_hosts;
+  TimePoint hosts_told;
   std::unordered_set<std::shared_ptr<TimedEvent>> waiting;
+  ReplyCache replies;
 };
 
 bool WatchHub::State::HasNews(const WatchCall& call) const {
@@ -95,12 +104,17 @@
   return {hosts.begin(), hosts.end()};
 }
 
-void WatchHub::State::NoteHosts() {
-  std::vector<HostId> entry = this->AllEntryHosts();
+void WatchHub::State::NoteHosts(TimePoint now) {
   std::vector<ControlHostRecord> control = this->options.control_hosts();
-  if (entry == this->told_entry_hosts && control == this->told_control_hosts) {
+  const bool is_control_same = control == this->told_control_hosts;
+  if (is_control_same && now - this->hosts_told < kEntryHostsInterval) {
+    return;
+  }
+  std::vector<HostId> entry = this->AllEntryHosts();
+  if (is_control_same && entry == this->told_entry_hosts) {
     return;
   }
+  this->hosts_told = now;
   LogLine("hosts_changed")
       .Add("entry_hosts", entry.size())
       .Add("control_hosts", control.size())
@@ -143,12 +157,35 @@
   return reply;
 }
 
+ReplyKey WatchHub::State::KeyOf(const WatchCall& call) const {
+  const bool is_same = call.epoch == this->epoch;
+  const EvidenceBoard& evidence = this->options.evidence;
+  const bool is_control = call.role == FollowerRole::kControl;
+  return {.role = call.role,
+          .shares_evidence = call.shares_evidence,
+          .is_cut_off = this->options.is_cut_off(),
+          .hears_all = this->options.hears_all(),
+          .from = {.targets = is_same ? call.revision : 0,
+                   .hosts = is_same ? call.hosts_revision : 0,
+                   .troubles = is_same ? call.troubles_revision : 0},
+          .to = {.targets = this->options.registry.revision(),
+                 .hosts = this->hosts_revision,
+                 .troubles = is_control ? evidence.own_revision()
+                                        : evidence.revision()},
+          .agreed_version = this->options.agreed_version()};
+}
+
+std::string WatchHub::State::EncodeReply(const WatchCall& call) {
+  return this->replies.Get(this->KeyOf(call), Runtime::Now(),
+                           [&] { return EncodePacked(this->MakeReply(call)); });
+}
+
 WatchHub::WatchHub(Runtime& runtime, WatchHubOptions options)
     : state(std::make_shared<State>(runtime, std::move(options))) {}
 
 WatchHub::~WatchHub() = default;
 
-WatchReply WatchHub::Answer(const WatchCall& call) {
+std::string WatchHub::Answer(const WatchCall& call) {
   const auto self = this->state;
   const TimePoint now = Runtime::Now();
   if (call.role == FollowerRole::kControl) {
@@ -170,7 +207,7 @@
   if (self->HasNews(call) && call.epoch == self->epoch) {
     Runtime::SleepFor(kGather);
   }
-  return self->MakeReply(call);
+  return self->EncodeReply(call);
 }
 
 void WatchHub::Wake() {
@@ -215,7 +252,7 @@
            control.end();
   });
   const uint64_t before = self.hosts_revision;
-  self.NoteHosts();
+  self.NoteHosts(now);
   if (self.hosts_revision != before) {
     this->Wake();
   }
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -2,7 +2,7 @@
 // is news for them, else after a while.
 //
 //   WatchHub hub(runtime, {.registry = registry, ...});
-//   WatchReply reply = hub.Answer(call);   // blocks the fiber
+//   std::string reply = hub.Answer(call);   // blocks the fiber
 //   hub.Wake();                            // something has changed
 
 #ifndef KNAPWEEDROAD_EDGE_WATCH_HUB_H_
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "knapweedroad/base/id.h"
@@ -43,7 +44,8 @@
   WatchHub(Runtime& runtime, WatchHubOptions options);
   ~WatchHub();
 
-  WatchReply Answer(const WatchCall& call);
+  // A packed WatchReply.
+  std::string Answer(const WatchCall& call);
   void Wake();
 
   // Another control host's own entry hosts.
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -13,9 +13,10 @@
 constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
 // How often a service whose targets are all busy here is asked again.
 constexpr Duration kBusyRetry = std::chrono::milliseconds(4);
-// How often one whose targets all turned a new connection away: about as long
-// as an attempt holds a place.
+// One whose targets all turned a new connection away is asked again after about
+// as long as an attempt holds a place, and each time twice as long after that.
 constexpr Duration kUnreachedRetry = std::chrono::milliseconds(10);
+constexpr int kUnreachedBackoff = 2;
 // A request whose targets turn it away for this long is refused: its caller may
 // find another host that has a place.
 constexpr Duration kUnreachedPatience = std::chrono::milliseconds(450);
@@ -272,17 +273,23 @@
 // connections of before turn new ones away. A request that gives up a shard
 // which it needs once each of its targets has done so fails within
 // milliseconds, while places come free all the time. So those targets are tried
-// again; the answer still goes without the shard if it can.
+// again, more and more seldom: each try costs the target a connection and this
+// host the time of its other shards. The answer still goes without the shard if
+// it can.
 bool RequestRun::SetAside(Shard& shard, TimePoint now) {
   if (shard.arrived > 0 || shard.unreached.empty() ||
-      now - this->started > kUnreachedPatience) {
+      now - this->started >= kUnreachedPatience) {
     return false;
   }
   std::erase_if(shard.tried, [&](const TargetId& target) {
     return std::ranges::find(shard.unreached, target) != shard.unreached.end();
   });
   shard.unreached.clear();
-  shard.wait_until = now + kUnreachedRetry;
+  shard.pause = shard.pause == Duration::zero()
+                    ? kUnreachedRetry
+                    : shard.pause * kUnreachedBackoff;
+  shard.wait_until =
+      std::min(now + shard.pause, this->started + kUnreachedPatience);
   this->Enter(shard, ShardState::kLeftOut);
   return true;
 }
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -149,6 +149,8 @@
     TimePoint hedge_at;
     // While it waits: not before this is a target looked for again.
     TimePoint wait_until;
+    // Between one look and the next, while targets turn connections away.
+    Duration pause{};
     // A target's own failure, to pass on if nothing better comes.
     std::optional<TargetAnswer> failure;
     bool was_declined = false;
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -343,5 +343,26 @@
   cr_expect(now <= kStart + milliseconds(500));
 }
 
+// Guards against hundreds of hosts that ask targets at their cap for a
+// connection a hundred times a second each, so that nobody gets a place.
+Test(request_run, targets_at_their_cap_are_asked_more_and_more_seldom) {
+  World world(1);
+  world.options.deadline = kStart + milliseconds(8000);
+  RequestRun run = world.Make();
+  RunStep step = run.Start(kStart);
+  TimePoint now = kStart;
+  while (!step.end) {
+    if (step.start.empty()) {
+      now = std::max(*step.wake_at, now + milliseconds(1));
+      step = run.OnWake(now);
+    } else {
+      step = run.OnEnd(step.start[0].attempt, AttemptEnd::kNeverSent, now);
+    }
+  }
+  constexpr size_t kTargets = 3;
+  constexpr size_t kMostTries = 8;
+  cr_expect(run.attempts() <= kTargets * kMostTries);
+}
+
 }  // namespace
 }  // namespace knapweedroad
