A cut off zone's callers are sent away sooner

Cause: callers of a cut zone fail until the balancer has found none of its hosts ready twice, and the slowest host decides.

Change: 0.35 s for the first answer of another zone's control host, which is connected to within 0.15 s; requests that fail count as not served.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -547,8 +547,8 @@
   const int status = this->AnswerCaller(end);
   this->ReleaseAttempts(kStragglerGrace);
   this->parts.book.reach().OnRequest(
-      /*has_targets=*/end.kind != RunEndKind::kNotRun ||
-          this->run->attempts() > 0,
+      /*is_served=*/end.kind == RunEndKind::kParts ||
+          end.kind == RunEndKind::kAnswer,
       Runtime::Now());
   this->Log(end, status);
   if (end.kind == RunEndKind::kParts) {
--- a/knapweedroad/routing/reach_watch.cc
+++ b/knapweedroad/routing/reach_watch.cc
@@ -15,13 +15,13 @@
 constexpr Duration kLeastSilence = std::chrono::milliseconds(400);
 // A host that is told of a cut follows control hosts of other zones. They
 // answer their first call within this, and then once a second at the least.
-constexpr Duration kFirstAnswer = std::chrono::milliseconds(600);
+constexpr Duration kFirstAnswer = std::chrono::milliseconds(350);
 constexpr Duration kControlSilence = std::chrono::milliseconds(1200);
 // Weight of a request in the smoothed share: the last three or so decide.
 constexpr double kRequestWeight = 0.3;
-constexpr double kMostWithoutTargets = 0.5;
+constexpr double kMostUnserved = 0.5;
 // The same where the zone is known to lack targets: one refusal is enough.
-constexpr double kMostWithoutTargetsInZone = 0.25;
+constexpr double kMostUnservedInZone = 0.25;
 // Without a request for this long a host knows nothing of what callers need.
 constexpr Duration kIdleAfter = std::chrono::seconds(1);
 
@@ -33,7 +33,7 @@
   this->answered = now;
   this->sends_away = false;
   if (was_cut_off) {
-    this->without_targets = 0;
+    this->unserved = 0;
   }
   return was_cut_off;
 }
@@ -54,10 +54,10 @@
   }
 }
 
-void ReachWatch::OnRequest(bool has_targets, TimePoint now) {
+void ReachWatch::OnRequest(bool is_served, TimePoint now) {
   this->last_request = now;
-  this->without_targets = this->without_targets * (1 - kRequestWeight) +
-                          (has_targets ? 0 : kRequestWeight);
+  this->unserved =
+      this->unserved * (1 - kRequestWeight) + (is_served ? 0 : kRequestWeight);
 }
 
 // Failure: a control host has lost all others, but not its zone's hosts. They
@@ -84,9 +84,8 @@
     return false;
   }
   const bool is_idle = now - this->last_request > kIdleAfter;
-  const double most =
-      zone_serves_all ? kMostWithoutTargets : kMostWithoutTargetsInZone;
-  if (this->without_targets > most || (is_idle && !zone_serves_all)) {
+  const double most = zone_serves_all ? kMostUnserved : kMostUnservedInZone;
+  if (this->unserved > most || (is_idle && !zone_serves_all)) {
     this->sends_away = true;
   }
   return this->sends_away;
--- a/knapweedroad/routing/reach_watch.h
+++ b/knapweedroad/routing/reach_watch.h
@@ -3,7 +3,7 @@
 //
 //   ReachWatch watch;
 //   watch.OnUnanswered(target, now);      // of another zone
-//   watch.OnRequest(/*has_targets=*/false, now);
+//   watch.OnRequest(/*is_served=*/false, now);
 //   if (watch.should_send_away(zone_serves_all, now)) ReportNotReady();
 //
 // Answers the pattern of a zone without targets of its own for some service:
@@ -29,11 +29,11 @@
   void OnUnanswered(const TargetId& target);
   // A control host of this zone has lost those of all others, or has one again.
   void OnTold(bool is_cut_off, TimePoint now);
-  // A caller's request: whether its services had targets to send to.
-  void OnRequest(bool has_targets, TimePoint now);
+  // A caller's request has ended.
+  void OnRequest(bool is_served, TimePoint now);
 
   bool is_cut_off(TimePoint now) const;
-  // Cut off, and most of its callers' requests are without targets. Where no
+  // Cut off, and most of its callers' requests are not served. Where no
   // callers come, `zone_serves_all` decides: whether the zone's own targets
   // could serve them. Stays until an answer comes from outside.
   bool should_send_away(bool zone_serves_all, TimePoint now);
@@ -48,8 +48,8 @@
   TimePoint told;
   bool sends_away = false;
   TimePoint last_request;
-  // Smoothed share of requests without targets.
-  double without_targets = 0;
+  // Smoothed share of requests that were not served.
+  double unserved = 0;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/reach_watch_test.cc
+++ b/knapweedroad/routing/reach_watch_test.cc
@@ -20,7 +20,7 @@
 
 void Refuse(ReachWatch& watch, int count) {
   for (int i = 0; i < count; ++i) {
-    watch.OnRequest(/*has_targets=*/false, kStart);
+    watch.OnRequest(/*is_served=*/false, kStart);
   }
 }
 
@@ -41,7 +41,7 @@
   ReachWatch watch;
   watch.OnAnswered(kStart);
   LoseTargets(watch, 4);
-  watch.OnRequest(/*has_targets=*/true, kStart + milliseconds(900));
+  watch.OnRequest(/*is_served=*/true, kStart + milliseconds(900));
   cr_expect(watch.is_cut_off(kStart + seconds(1)));
   cr_expect_not(
       watch.should_send_away(/*zone_serves_all=*/true, kStart + seconds(1)));
@@ -107,10 +107,21 @@
   const TimePoint now = kStart + seconds(1);
   cr_assert(watch.should_send_away(/*zone_serves_all=*/true, now));
   for (int i = 0; i < 5; ++i) {
-    watch.OnRequest(/*has_targets=*/true, now);
+    watch.OnRequest(/*is_served=*/true, now);
   }
   cr_expect(watch.should_send_away(/*zone_serves_all=*/true, now));
 }
 
+// Guards against one host of a cut off zone that stays ready for a second,
+// and gets all of the zone's callers: its requests were sent, and failed.
+Test(reach_watch, requests_that_were_sent_and_failed_count_as_unserved) {
+  ReachWatch watch;
+  watch.OnAnswered(kStart);
+  watch.OnTold(/*is_cut_off=*/true, kStart + milliseconds(800));
+  const TimePoint now = kStart + milliseconds(1250);
+  watch.OnRequest(/*is_served=*/false, now);
+  cr_expect(watch.should_send_away(/*zone_serves_all=*/false, now));
+}
+
 }  // namespace
 }  // namespace knapweedroad
