After a start the agreed version is looked for more often

Change: control hosts ask every 30 to 60 ms, with 120 ms for replies, until they know a version; entry hosts pause 0.1 s at the most, and one without any configuration takes the first text it can have.

No test: the pace of these questions is not apart from what asks them.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -230,7 +230,8 @@
 }
 
 // From the own zone where that is possible: texts are long, and bytes between
-// zones are paid for.
+// zones are paid for. A host without any configuration refuses its callers and
+// doesn't wait.
 void ControlFollower::State::PullFromNearest(PeerClient& peer,
                                              const HostId& host) {
   const bool is_near = this->known[host].zone == this->options.zone;
@@ -238,7 +239,8 @@
       std::ranges::any_of(this->known, [&](const auto& entry) {
         return entry.second.was_live && entry.second.zone == this->options.zone;
       });
-  if (!is_near && has_near) {
+  const bool can_wait = this->options.held_version() > 0;
+  if (!is_near && has_near && can_wait) {
     Runtime::SleepFor(kNearPull);
   }
   if (this->known[host].was_live) {
@@ -273,7 +275,7 @@
   // After an outage of all hosts, every pause of a follower is a pause of
   // callers; a refused connection costs next to nothing.
   constexpr Duration kFirstPause = milliseconds(50);
-  constexpr Duration kLongestPause = milliseconds(200);
+  constexpr Duration kLongestPause = milliseconds(100);
   PeerClient peer(
       this->runtime,
       {.endpoint = EndpointOf(host),
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -36,6 +36,10 @@
 // died right after its acknowledgement is in force after this at the latest.
 constexpr Duration kPeekInterval = milliseconds(700);
 constexpr Duration kPeekTimeout = milliseconds(350);
+// The same until a first version is known: after a loss of power no host serves
+// before that, and a quorum is there within a few hundred milliseconds.
+constexpr Duration kFirstPeekInterval = milliseconds(60);
+constexpr Duration kFirstPeekTimeout = milliseconds(120);
 constexpr Duration kMoveTimeout = milliseconds(3000);
 constexpr Duration kFormTimeout = milliseconds(2000);
 // What is known of targets is written down at most this often, and after a
@@ -71,6 +75,10 @@
   void TakeAgreed(uint64_t version, const std::string& text);
   void OnNews(const HostId& from, const WatchReply& reply);
   void KeepMembers();
+  // There is a version, but this host hasn't learned any since its start.
+  bool LooksForFirstVersion() const {
+    return this->agreed_version == 0 && !this->options.settings.first_start;
+  }
   void KeepDirectory();
   void Act(const MemberAction& action);
   void Tick();
@@ -259,7 +267,9 @@
       hosts.push_back(this->self);
       this->service->AskHosts(hosts);
     }
-    const ControlPeek peek = this->service->Peek(Runtime::Now() + kPeekTimeout);
+    const ControlPeek peek = this->service->Peek(
+        Runtime::Now() +
+        (this->LooksForFirstVersion() ? kFirstPeekTimeout : kPeekTimeout));
     MemberView view{.is_formed = peek.is_formed, .reachable = peek.reachable};
     if (peek.chosen) {
       view.members = peek.chosen->value.members;
@@ -270,7 +280,9 @@
     this->Act(watch.Decide(view, Runtime::Now()));
     // By lot, so that hosts which want the same don't want it together.
     std::uniform_int_distribution<int64_t> part(50, 100);
-    Runtime::SleepFor(kPeekInterval * part(random) / 100);
+    const Duration interval =
+        this->LooksForFirstVersion() ? kFirstPeekInterval : kPeekInterval;
+    Runtime::SleepFor(interval * part(random) / 100);
   }
 }
 
