An answer of many parts leaves sooner

Their proofs are 2 KB on a link of 20 Mbit/s, and parts that come together are read one after the other in one turn of the loop, which the loop's clock doesn't show on such a host.

Change: routing/answer_lead adds 50 us a part, 4 ms at the most.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -183,8 +183,9 @@
   const Duration unknown = to.latency_target / kUnknownHedgePart;
   const Duration usual =
       known.latency.Quantile(kHedgeQuantile).value_or(unknown);
+  const size_t parts = to.is_scatter ? to.services.size() : 0;
   this->target_at =
-      received + to.latency_target - elapsed - this->parts.lead.Get();
+      received + to.latency_target - elapsed - this->parts.lead.Get(parts);
   RequestRunOptions options{.is_scatter = to.is_scatter,
                             .idempotent = to.idempotent || to.is_scatter,
                             .max_attempts = to.max_attempts,
--- a/knapweedroad/routing/answer_lead.cc
+++ b/knapweedroad/routing/answer_lead.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/routing/answer_lead.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace knapweedroad {
 
@@ -13,8 +14,10 @@
   this->next = (this->next + 1) % kRemembered;
 }
 
-Duration AnswerLead::Get() const {
-  return this->options.way + *std::ranges::max_element(this->seen);
+Duration AnswerLead::Get(size_t parts) const {
+  const Duration for_parts = this->options.part * static_cast<int64_t>(parts);
+  return this->options.way + std::min(for_parts, this->options.longest_parts) +
+         *std::ranges::max_element(this->seen);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/answer_lead.h
+++ b/knapweedroad/routing/answer_lead.h
@@ -1,7 +1,7 @@
 // How long before an answer is due at the caller it has to be decided on.
 //
 //   AnswerLead lead({});
-//   TimePoint decide_at = due - lead.Get();
+//   TimePoint decide_at = due - lead.Get(parts);
 //   lead.OnSent(finished - decided);
 
 #ifndef KNAPWEEDROAD_ROUTING_ANSWER_LEAD_H_
@@ -15,8 +15,13 @@
 namespace knapweedroad {
 
 struct AnswerLeadOptions {
-  // The way to the caller and back, and the bytes of an answer on its link.
+  // The way to the caller and back.
   Duration way = std::chrono::milliseconds(8);
+  // What each part of an answer adds to that: its proof and records are bytes
+  // on a slow link, and parts that come together are read one after another.
+  Duration part = std::chrono::microseconds(50);
+  // Of all parts together: hosts that ask thousands of shards are fast.
+  Duration longest_parts = std::chrono::milliseconds(4);
   // What finishing an answer is taken to cost until that is known.
   Duration first_finish = std::chrono::milliseconds(3);
   // A host that stood still for seconds doesn't plan for that.
@@ -33,7 +38,8 @@
   // An answer had left `finish` after it was decided on.
   void OnSent(Duration finish);
 
-  Duration Get() const;
+  // For an answer of so many parts.
+  Duration Get(size_t parts) const;
 
  private:
   static constexpr size_t kRemembered = 16;
--- a/knapweedroad/routing/answer_lead_test.cc
+++ b/knapweedroad/routing/answer_lead_test.cc
@@ -22,7 +22,7 @@
   size_t late = 0;
   for (int i = 0; i < 40; ++i) {
     const Duration finish = kSlowHost[i % kSlowHost.size()];
-    late += lead.Get() < kOptions.way + finish ? 1 : 0;
+    late += lead.Get(0) < kOptions.way + finish ? 1 : 0;
     lead.OnSent(finish);
   }
   // The first long one can't be known.
@@ -35,14 +35,22 @@
   for (int i = 0; i < 100; ++i) {
     lead.OnSent(50us);
   }
-  cr_expect(lead.Get() < kOptions.way + 100us);
+  cr_expect(lead.Get(0) < kOptions.way + 100us);
 }
 
 // Guards against answers without their parts after a process stood still.
 Test(answer_lead, a_standstill_is_not_planned_for) {
   AnswerLead lead(kOptions);
   lead.OnSent(3s);
-  cr_expect(lead.Get() == kOptions.way + kOptions.longest_finish);
+  cr_expect(lead.Get(0) == kOptions.way + kOptions.longest_finish);
+}
+
+// Guards against answers of many parts that are late by the time their parts
+// take on a slow link.
+Test(answer_lead, an_answer_of_more_parts_leaves_sooner) {
+  const AnswerLead lead(kOptions);
+  cr_expect(lead.Get(63) - lead.Get(0) == 63 * kOptions.part);
+  cr_expect(lead.Get(1500) - lead.Get(0) == kOptions.longest_parts);
 }
 
 }  // namespace
