A request that its caller gave up leaves a line that its id finds

Cause: an on-call engineer who is given the id of such a request found nothing: only a metric counted it.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -602,9 +602,17 @@
     return;
   }
   this->timer.cancel();
+  const Duration took = Runtime::Now() - this->request.received;
   this->ReleaseAttempts(kAbandonGrace);
-  this->parts.metrics.CountRequest(this->route->name, "caller_left",
-                                   Runtime::Now() - this->request.received);
+  this->parts.metrics.CountRequest(this->route->name, "caller_left", took);
+  LogLine("caller_left")
+      .Add("id", this->request.id)
+      .Add("route", this->route->name)
+      .Add("took_ms", Ms(took))
+      .Add("allowed_ms", Ms(this->deadline - this->request.received))
+      .Add("attempts", this->run->attempts())
+      .Add("story", this->story)
+      .Info();
 }
 
 }  // namespace
