Reverted: a connection that is known to lead to its target names it no more

Order: the first request of a connection names its target and is answered; the second doesn't and gets 421; the target is marked as gone until its next life.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -316,7 +316,7 @@
     this->links.Send(
         {.target = target,
          .address = address,
-         .bytes = [bytes = std::move(bytes)](bool) { return bytes; },
+         .bytes = [bytes = std::move(bytes)] { return bytes; },
          .max_idle = Duration::zero(),
          .deadline = now + kProbeTimeout},
         [self = this->shared_from_this(), probe = std::move(probe)](
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -113,7 +113,7 @@
   // Whether the caller has most of the latency target left.
   bool IsFresh() const;
   void MakeHooks();
-  std::string Bytes(const TargetId& target, bool names_target) const;
+  std::string Bytes(const TargetId& target) const;
   void Do(RunStep step);
   void Send(const AttemptStart& start);
   void OnReply(uint32_t attempt, TargetReply reply);
@@ -268,8 +268,7 @@
   this->Do(this->run->Start(now));
 }
 
-std::string EntryRequest::Bytes(const TargetId& target,
-                                bool names_target) const {
+std::string EntryRequest::Bytes(const TargetId& target) const {
   const Dialect& dialect = this->parts.dialect;
   std::string bytes;
   bytes.reserve(this->request.header.size() + this->request.body.size() + 256);
@@ -285,9 +284,7 @@
   const Duration left = this->deadline - Runtime::Now();
   AppendLine(bytes, dialect.time_left,
              std::to_string(std::max<int64_t>(Ms(left), 1)));
-  if (names_target) {
-    AppendLine(bytes, dialect.expected_target, target.str());
-  }
+  AppendLine(bytes, dialect.expected_target, target.str());
   const bool may_have_body =
       this->request.method != "GET" && this->request.method != "HEAD";
   if (!this->request.body.empty() || may_have_body) {
@@ -313,10 +310,7 @@
   attempt.exchange = this->parts.links.Send(
       {.target = start.target,
        .address = record->address,
-       .bytes =
-           [self, target = start.target](bool names_target) {
-             return self->Bytes(target, names_target);
-           },
+       .bytes = [self, target = start.target] { return self->Bytes(target); },
        .request_id = this->request.id,
        .wants_header = !this->route->is_scatter,
        .max_idle = this->route->idempotent || this->route->is_scatter
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -276,7 +276,6 @@
   TargetReply reply = this->Convert();
   this->is_reusable = !has_extra_bytes && this->is_written &&
                       this->reader->keep_alive() && !this->skipped_left_over;
-  this->proven |= !reply.answer.seal.empty();
   this->reader.reset();
   this->is_busy = false;
   this->last_used = Runtime::Now();
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -76,11 +76,6 @@
   // No callback comes after it.
   void Close();
 
-  // Whether an answer with its target's proof has come on this connection. A
-  // connection stays with the process that it was made to, so later requests
-  // needn't name the target again.
-  bool is_proven() const { return this->proven; }
-
   // Whether another exchange may follow.
   bool reusable() const { return this->is_reusable; }
   // When the connection was last used, and how long the target lets it idle;
@@ -121,7 +116,6 @@
   bool is_busy = false;
   bool is_reusable = false;
   bool skipped_left_over = false;
-  bool proven = false;
   ReplyHandler on_done;
   std::function<void()> on_idle_closed;
   TimePoint sent;
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -167,7 +167,7 @@
   void Write() {
     this->is_fresh = this->connect_by != TimePoint();
     this->connection->Exchange(
-        {.bytes = this->send.bytes(!this->connection->is_proven()),
+        {.bytes = this->send.bytes(),
          .request_id = std::move(this->send.request_id),
          .wants_header = this->send.wants_header},
         [self = this->shared_from_this()](TargetReply reply) {
--- a/knapweedroad/edge/target_links.h
+++ b/knapweedroad/edge/target_links.h
@@ -35,9 +35,8 @@
 struct TargetSend {
   TargetId target;
   Endpoint address;
-  // Makes the request's bytes, right before they are written. They have to name
-  // the target unless it is known to be at the other end of the connection.
-  std::function<std::string(bool names_target)> bytes;
+  // Makes the request's bytes, right before they are written.
+  std::function<std::string()> bytes;
   std::string request_id;
   // Whether the answer's header lines are wanted, beside those that are read.
   bool wants_header = true;
