--- a/bench/admission/admission_bench.cc
+++ b/bench/admission/admission_bench.cc
@@ -37,7 +37,7 @@
   const char* name;
   // Of what the target can do.
   double load;
-  Trouble trouble;
+  Trouble outlier;
 };
 constexpr Scene kScenes[] = {
     {"cold start", 0.7, Trouble::kNone},
@@ -108,7 +108,7 @@
                               .at_least_one = way.at_least_one,
                               .slots = slots,
                               .rate = scene.load * slots / kMeanServiceSeconds,
-                              .trouble = scene.trouble,
+                              .outlier = scene.outlier,
                               .planned_part = FLAGS_planned_part,
                               .seed = seed});
         Add(sum, world.Run());
--- a/bench/admission/admission_world.cc
+++ b/bench/admission/admission_world.cc
@@ -48,10 +48,10 @@
 WorldResult AdmissionWorld::Run() {
   this->ScheduleArrival();
   this->Report();
-  if (this->options.trouble == Trouble::kRestart) {
+  if (this->options.outlier == Trouble::kRestart) {
     this->events.Post(kTroubleAt, [this] { this->target.Restart(); });
   }
-  if (this->options.trouble == Trouble::kFallCold) {
+  if (this->options.outlier == Trouble::kFallCold) {
     this->events.Post(kTroubleAt, [this] { this->target.FallCold(); });
   }
   this->events.Run();
--- a/bench/admission/admission_world.h
+++ b/bench/admission/admission_world.h
@@ -29,7 +29,7 @@
   // Requests a second, from all hosts together.
   double rate = 70;
   Duration length = std::chrono::seconds(20);
-  Trouble trouble = Trouble::kNone;
+  Trouble outlier = Trouble::kNone;
   // As in `TargetAdmission`.
   double planned_part = 0.5;
   uint64_t seed = 1;
--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -24,14 +24,14 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/caller_server.h"
-#include "knapweedroad/edge/dialect.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_request.h"
+#include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
-#include "knapweedroad/routing/target_book.h"
 
 namespace knapweedroad {
 namespace {
@@ -54,11 +54,11 @@
   return TargetLoad{.running = 1, .waiting = 0, .slots = 3};
 }
 
-Dialect MakeDialect() {
-  Dialect dialect;
-  dialect.parse_load = ParseLoad;
-  dialect.parse_cold_left = [](std::string_view) { return std::nullopt; };
-  return dialect;
+HeaderNames MakeHeaderNames() {
+  HeaderNames header_names;
+  header_names.parse_load = ParseLoad;
+  header_names.parse_cold_left = [](std::string_view) { return std::nullopt; };
+  return header_names;
 }
 
 ServiceId ShardName(size_t shard) {
@@ -90,13 +90,13 @@
 class Entry {
  public:
   Entry(Runtime& runtime, size_t shards, uint16_t target_port)
-      : book({.self = HostId("host"), .zone = ZoneId("a")}),
+      : balancer({.self = HostId("host"), .zone = ZoneId("a")}),
         links(runtime,
-              {.dialect = this->dialect,
+              {.header_names = this->header_names,
                .on_idle_closed = [](const TargetId&) {}}),
         parts{.runtime = runtime,
-              .dialect = this->dialect,
-              .book = this->book,
+              .header_names = this->header_names,
+              .balancer = this->balancer,
               .links = this->links,
               .metrics = this->metrics,
               .rotation = this->rotation,
@@ -105,7 +105,7 @@
               .table = MakeTable(shards)},
         callers(runtime,
                 {.endpoint = {"127.0.0.1", 0},
-                 .dialect = this->dialect,
+                 .header_names = this->header_names,
                  .on_request =
                      [this](CallerRequest request,
                             const std::shared_ptr<CallerExchange>& exchange) {
@@ -113,16 +113,17 @@
                                          exchange);
                      },
                  .limits = [] { return CallerLimits(); }}) {
-    this->book.SetRouting(this->parts.table);
+    this->balancer.SetRouting(this->parts.table);
     for (size_t i = 0; i < shards * kTargetsAShard; ++i) {
-      this->book.Learn({.id = TargetId("i-" + std::to_string(1'000'000 + i)),
-                        .service = ShardName(i / kTargetsAShard),
-                        .zone = ZoneId(i % kTargetsAShard == 0 ? "a" : "b"),
-                        .address = {"127.0.0.1", target_port},
-                        .slots = 3,
-                        .started_ms = 1,
-                        .sequence = 1},
-                       Runtime::Now());
+      this->balancer.Learn(
+          {.id = TargetId("i-" + std::to_string(1'000'000 + i)),
+           .service = ShardName(i / kTargetsAShard),
+           .zone = ZoneId(i % kTargetsAShard == 0 ? "a" : "b"),
+           .address = {"127.0.0.1", target_port},
+           .slots = 3,
+           .started_ms = 1,
+           .sequence = 1},
+          Runtime::Now());
     }
   }
 
@@ -130,8 +131,8 @@
   size_t opened() const { return this->links.opened(); }
 
  private:
-  Dialect dialect = MakeDialect();
-  TargetBook book;
+  HeaderNames header_names = MakeHeaderNames();
+  LoadBalancer balancer;
   TargetLinks links;
   EntryMetrics metrics;
   SplitRotation rotation;
--- a/knapweedroad/admission/target_admission_test.cc
+++ b/knapweedroad/admission/target_admission_test.cc
@@ -249,7 +249,7 @@
 
 // A target was so slow for a while that the measured latency is above every
 // deadline. If the estimate kept all work away, nothing would ever correct it,
-// and the target would stay unused for good after the trouble has ended.
+// and the target would stay unused for good after the outlier has ended.
 Test(TargetAdmission, AnIdleTargetIsTriedWhateverWasMeasured) {
   TimePoint now = kStart;
   TargetAdmission admission = WarmTarget(now);
--- a/knapweedroad/control/member_watch.cc
+++ b/knapweedroad/control/membership_controller.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/control/member_watch.h"
+#include "knapweedroad/control/membership_controller.h"
 
 #include <algorithm>
 #include <utility>
@@ -26,10 +26,11 @@
 
 }  // namespace
 
-MemberWatch::MemberWatch(MemberWatchOptions options)
+MembershipController::MembershipController(MembershipControllerOptions options)
     : options(std::move(options)) {}
 
-Duration MemberWatch::AwayFor(const HostId& host, TimePoint now) const {
+Duration MembershipController::AwayFor(const HostId& host,
+                                       TimePoint now) const {
   const auto found = this->away_since.find(host);
   return found == this->away_since.end() ? Duration::zero()
                                          : now - found->second;
@@ -39,7 +40,8 @@
 // it has no vote, and the next loss leaves too few replicas to decide. It
 // shows as changes that are never accepted any more. So whoever has no vote
 // asks for one, in the place of its own former life or of a lost member.
-MemberAction MemberWatch::Join(const Membership& members, TimePoint now) const {
+MemberAction MembershipController::Join(const Membership& members,
+                                        TimePoint now) const {
   MemberAction action{.step = MemberStep::kMove,
                       .joining = this->options.self.host};
   if (members.FindCurrent(this->options.self.host)) {
@@ -64,9 +66,9 @@
 // Failure: a member is gone for good and counts on; with one more down there
 // is no majority, though as many hosts run as ever. One member, the first in
 // order that answers, takes it out.
-MemberAction MemberWatch::DropLost(const Membership& members,
-                                   const MemberView& view,
-                                   TimePoint now) const {
+MemberAction MembershipController::DropLost(const Membership& members,
+                                            const MemberView& view,
+                                            TimePoint now) const {
   if (members.current.size() <= kLeastMembers) {
     return {};
   }
@@ -89,7 +91,8 @@
   return {.step = MemberStep::kMove, .leaving = lost};
 }
 
-MemberAction MemberWatch::Decide(const MemberView& view, TimePoint now) {
+MemberAction MembershipController::Decide(const MemberView& view,
+                                          TimePoint now) {
   if (!view.members) {
     const bool forms = this->options.may_form && !view.is_formed;
     return {.step = forms ? MemberStep::kForm : MemberStep::kNone};
--- a/knapweedroad/control/member_watch.h
+++ b/knapweedroad/control/membership_controller.h
@@ -1,11 +1,11 @@
 // Decides when a control host changes the set of control replicas by itself:
 // a blank one takes its place, and one that is gone for good is replaced.
 //
-//   MemberWatch watch({.self = own_member, .may_form = first_start});
+//   MembershipController watch({.self = own_member, .may_form = first_start});
 //   MemberAction action = watch.Decide(view, now);
 
-#ifndef KNAPWEEDROAD_CONTROL_MEMBER_WATCH_H_
-#define KNAPWEEDROAD_CONTROL_MEMBER_WATCH_H_
+#ifndef KNAPWEEDROAD_CONTROL_MEMBERSHIP_CONTROLLER_H_
+#define KNAPWEEDROAD_CONTROL_MEMBERSHIP_CONTROLLER_H_
 
 #include <cstdint>
 #include <map>
@@ -42,15 +42,15 @@
   std::optional<HostId> joining;
 };
 
-struct MemberWatchOptions {
+struct MembershipControllerOptions {
   MemberId self;
   // The whole system starts for the first time.
   bool may_form = false;
 };
 
-class MemberWatch {
+class MembershipController {
  public:
-  explicit MemberWatch(MemberWatchOptions options);
+  explicit MembershipController(MembershipControllerOptions options);
 
   MemberAction Decide(const MemberView& view, TimePoint now);
 
@@ -61,7 +61,7 @@
                         const MemberView& view,
                         TimePoint now) const;
 
-  MemberWatchOptions options;
+  MembershipControllerOptions options;
   // Since when a host has not answered; absent while it does.
   std::map<HostId, TimePoint> away_since;
   std::optional<TimePoint> unstable_since;
@@ -69,4 +69,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_CONTROL_MEMBER_WATCH_H_
+#endif  // KNAPWEEDROAD_CONTROL_MEMBERSHIP_CONTROLLER_H_
--- a/knapweedroad/control/member_watch_test.cc
+++ b/knapweedroad/control/membership_controller_test.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/control/member_watch.h"
+#include "knapweedroad/control/membership_controller.h"
 
 #include <criterion/criterion.h>
 
@@ -25,10 +25,11 @@
 
 // Control's hosts all lose their power; three come back, one with an empty
 // disk. A second membership formed by it would forget all that was accepted.
-Test(member_watch, forms_only_at_the_first_start_and_where_nobody_has) {
-  MemberWatch later({.self = Member("a")});
+Test(membership_controller,
+     forms_only_at_the_first_start_and_where_nobody_has) {
+  MembershipController later({.self = Member("a")});
   cr_expect(later.Decide({}, kStart).step == MemberStep::kNone);
-  MemberWatch first({.self = Member("a"), .may_form = true});
+  MembershipController first({.self = Member("a"), .may_form = true});
   cr_expect(first.Decide({}, kStart).step == MemberStep::kForm);
   cr_expect(first.Decide({.is_formed = true}, kStart).step ==
             MemberStep::kNone);
@@ -36,8 +37,8 @@
 
 // A host lost its disk: its old vote is gone for good, the next loss leaves no
 // majority, and changes are never accepted any more.
-Test(member_watch, a_blank_replica_takes_its_former_lifes_place) {
-  MemberWatch watch({.self = Member("a", 2)});
+Test(membership_controller, a_blank_replica_takes_its_former_lifes_place) {
+  MembershipController watch({.self = Member("a", 2)});
   const MemberAction action =
       watch.Decide(View(Members({Member("a", 1), Member("b"), Member("c")}),
                         {HostId("a"), HostId("b"), HostId("c")}),
@@ -46,10 +47,11 @@
   cr_expect(action.leaving == HostId("a") && action.joining == HostId("a"));
 }
 
-Test(member_watch, a_newcomer_is_added_or_replaces_a_member_long_away) {
+Test(membership_controller,
+     a_newcomer_is_added_or_replaces_a_member_long_away) {
   const Membership members = Members({Member("a"), Member("b"), Member("c")});
   const std::set<HostId> without_c = {HostId("a"), HostId("b"), HostId("d")};
-  MemberWatch watch({.self = Member("d")});
+  MembershipController watch({.self = Member("d")});
   const MemberAction added = watch.Decide(View(members, without_c), kStart);
   cr_expect(added.step == MemberStep::kMove && !added.leaving);
   const MemberAction replaced =
@@ -60,12 +62,12 @@
 
 // A member never comes back. It counts on in every majority, until one more
 // failure leaves none though enough hosts run.
-Test(member_watch, the_first_member_takes_out_one_that_is_long_away) {
+Test(membership_controller, the_first_member_takes_out_one_that_is_long_away) {
   const Membership members =
       Members({Member("a"), Member("b"), Member("c"), Member("d")});
   const std::set<HostId> without_d = {HostId("a"), HostId("b"), HostId("c")};
-  MemberWatch first({.self = Member("a")});
-  MemberWatch second({.self = Member("b")});
+  MembershipController first({.self = Member("a")});
+  MembershipController second({.self = Member("b")});
   cr_expect(first.Decide(View(members, without_d), kStart).step ==
             MemberStep::kNone);
   const TimePoint later = kStart + seconds(16);
@@ -76,8 +78,8 @@
   cr_expect(action.step == MemberStep::kMove && action.leaving == HostId("d"));
 }
 
-Test(member_watch, never_leaves_fewer_than_three) {
-  MemberWatch watch({.self = Member("a")});
+Test(membership_controller, never_leaves_fewer_than_three) {
+  MembershipController watch({.self = Member("a")});
   const MemberView view = View(Members({Member("a"), Member("b"), Member("c")}),
                                {HostId("a"), HostId("b")});
   watch.Decide(view, kStart);
@@ -86,11 +88,11 @@
 
 // The host that was changing the members dies half way; nothing else may
 // change until somebody finishes or undoes it.
-Test(member_watch, a_change_left_half_done_is_finished_or_undone) {
+Test(membership_controller, a_change_left_half_done_is_finished_or_undone) {
   Membership members = Members({Member("a"), Member("b"), Member("c")});
   members.phase = MembershipPhase::kJoining;
   members.next = {Member("a"), Member("b"), Member("c"), Member("d")};
-  MemberWatch watch({.self = Member("a")});
+  MembershipController watch({.self = Member("a")});
   const std::set<HostId> all = {HostId("a"), HostId("b"), HostId("c"),
                                 HostId("d")};
   cr_expect(watch.Decide(View(members, all), kStart).step == MemberStep::kNone);
--- a/knapweedroad/edge/caller_server.cc
+++ b/knapweedroad/edge/caller_server.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include "knapweedroad/edge/caller_message.h"
-#include "knapweedroad/edge/dialect.h"
+#include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/message_reader.h"
 #include "knapweedroad/edge/socket_options.h"
@@ -205,7 +205,7 @@
 }
 
 void CallerServer::State::Connection::Dispatch() {
-  const Dialect& dialect = this->server->options.dialect;
+  const HeaderNames& header_names = this->server->options.header_names;
   RequestReader& from = *this->reader;
   CallerRequest request{.method = std::move(from.method),
                         .path = std::move(from.path),
@@ -221,15 +221,15 @@
     const std::string_view value = from.value(i);
     if (IsSameName(name, "Host")) {
       request.host = value;
-    } else if (IsSameName(name, dialect.request_id)) {
+    } else if (IsSameName(name, header_names.request_id)) {
       request.id = value;
-    } else if (IsSameName(name, dialect.time_left)) {
+    } else if (IsSameName(name, header_names.time_left)) {
       if (const auto ms = ParseCount(value)) {
         request.time_left = std::chrono::milliseconds(
             std::min<uint64_t>(*ms, uint64_t{24} * 3600 * 1000));
       }
     } else if (!IsHopByHop(name, connection) &&
-               !IsSameName(name, dialect.expected_target) &&
+               !IsSameName(name, header_names.expected_target) &&
                !IsSameName(name, "Expect")) {
       AppendLine(request.header, name, value);
     }
--- a/knapweedroad/edge/caller_server.h
+++ b/knapweedroad/edge/caller_server.h
@@ -1,7 +1,8 @@
 // Takes callers' connections and hands their requests over, without a fiber or
 // a buffer for each connection: hundreds of idle ones cost next to nothing.
 //
-//   CallerServer server(runtime, {.endpoint = endpoint, .dialect = dialect,
+//   CallerServer server(runtime, {.endpoint = endpoint, .header_names =
+//   header_names,
 //                                 .on_request = Handle});
 //   auto port = server.Start();
 
@@ -25,7 +26,7 @@
 class Runtime;
 struct CallerAnswer;
 struct CallerRequest;
-struct Dialect;
+struct HeaderNames;
 
 // One request's way back. Shared by the connection and whoever answers.
 class CallerExchange {
@@ -43,7 +44,7 @@
 
 struct CallerServerOptions {
   Endpoint endpoint;
-  const Dialect& dialect;
+  const HeaderNames& header_names;
   CallerHandler on_request;
   // Asked for each message: may change while the server runs.
   std::function<CallerLimits()> limits;
--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -181,10 +181,10 @@
                                  const HostId& host,
                                  WatchCall& call) {
   call.agreed_version = this->options.held_version();
-  call.shares_evidence = this->options.take_evidence != nullptr &&
+  call.shares_outcomes = this->options.take_outcomes != nullptr &&
                          this->known[host].zone == this->options.zone;
-  if (call.shares_evidence) {
-    call.evidence = this->options.take_evidence(host);
+  if (call.shares_outcomes) {
+    call.outcomes = this->options.take_outcomes(host);
   }
   const auto bytes = peer.Call(PeerMessageType::kWatch, EncodePacked(call),
                                Runtime::Now() + this->CallTimeout());
@@ -218,7 +218,7 @@
   call.epoch = reply->epoch;
   call.revision = reply->revision;
   call.hosts_revision = reply->hosts_revision;
-  call.troubles_revision = reply->troubles_revision;
+  call.outliers_revision = reply->outliers_revision;
   call.knows_cut_off = reply->is_cut_off;
   call.knows_hears_all = reply->hears_all;
   this->options.on_reply(host, *reply);
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -34,7 +34,7 @@
   // The agreed version in force here.
   std::function<uint64_t()> held_version;
   // What `to` is still to hear of targets; absent: nothing.
-  std::function<std::vector<TargetEvidence>(const HostId& to)> take_evidence;
+  std::function<std::vector<TargetOutcomes>(const HostId& to)> take_outcomes;
   std::function<void(const HostId& from, const WatchReply& reply)> on_reply;
   std::function<void(uint64_t version, const std::string& text)> on_agreed;
 };
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "knapweedroad/base/log_line.h"
-#include "knapweedroad/control/member_watch.h"
+#include "knapweedroad/control/membership_controller.h"
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/directory_cache.h"
 #include "knapweedroad/edge/role_parts.h"
@@ -20,7 +20,7 @@
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
-#include "knapweedroad/registry/evidence_board.h"
+#include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
@@ -31,7 +31,7 @@
 constexpr Duration kTick = milliseconds(100);
 // Ticks between judgements of targets. Each change wakes all followers, so this
 // also bounds their calls.
-constexpr int kEvidenceTicks = 3;
+constexpr int kOutlierTicks = 3;
 // How often all replicas are asked what they hold. A version whose announcer
 // died right after its acknowledgement is in force after this at the latest.
 constexpr Duration kPeekInterval = milliseconds(700);
@@ -83,8 +83,8 @@
   void Act(const MemberAction& action);
   void Tick();
   void WatchZones(const std::vector<ControlHostRecord>& live);
-  // Makes the list of targets in trouble anew.
-  void JudgeTargets(TimePoint now);
+  // Makes the list of outliers anew.
+  void DetectOutliers(TimePoint now);
   std::string PrintMetrics() const;
   bool Edit(const std::string& name,
             std::function<void(AgreedState&)> edit,
@@ -97,7 +97,7 @@
   HostId self;
   std::vector<HostId> seeds;
   TargetRegistry registry;
-  EvidenceBoard evidence;
+  OutlierDetector detector;
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<WatchHub> hub;
@@ -208,10 +208,10 @@
 
 void ControlHost::State::OnNews(const HostId& from, const WatchReply& reply) {
   if (reply.zone != this->options.settings.zone) {
-    if (reply.has_troubles) {
-      this->evidence.LearnOthers(from, reply.troubles, Runtime::Now());
+    if (reply.has_outliers) {
+      this->detector.LearnOthers(from, reply.outliers, Runtime::Now());
     } else {
-      this->evidence.HearOthers(from, Runtime::Now());
+      this->detector.HearOthers(from, Runtime::Now());
     }
   }
   const uint64_t before = this->registry.revision();
@@ -258,8 +258,8 @@
 }
 
 void ControlHost::State::KeepMembers() {
-  MemberWatch watch({.self = this->replica->id(),
-                     .may_form = this->options.settings.first_start});
+  MembershipController watch({.self = this->replica->id(),
+                              .may_form = this->options.settings.first_start});
   std::mt19937 random(std::random_device{}());
   while (!this->is_stopped) {
     if (!this->options.settings.first_start || this->agreed_version > 0) {
@@ -333,8 +333,8 @@
   }
 }
 
-void ControlHost::State::JudgeTargets(TimePoint now) {
-  const bool is_changed = this->evidence.Refresh(
+void ControlHost::State::DetectOutliers(TimePoint now) {
+  const bool is_changed = this->detector.Refresh(
       [this](const TargetId& target) {
         const TargetRecord* const record = this->registry.Find(target);
         return record == nullptr || record->phase == TargetPhase::kGone
@@ -347,17 +347,17 @@
   }
   constexpr size_t kMostNamed = 8;
   std::string worst;
-  for (const TargetTrouble& trouble : this->evidence.troubles()) {
-    if (worst.size() > kMostNamed * trouble.target.str().size()) {
+  for (const TargetOutlier& outlier : this->detector.outliers()) {
+    if (worst.size() > kMostNamed * outlier.target.str().size()) {
       break;
     }
-    worst += trouble.target.str() +
-             "(failed_eighths:" + std::to_string(trouble.failed) +
-             ",slowdown:" + std::to_string(trouble.slowdown) + ") ";
+    worst += outlier.target.str() +
+             "(failed_eighths:" + std::to_string(outlier.failed) +
+             ",slowdown:" + std::to_string(outlier.slowdown) + ") ";
   }
-  LogLine("targets_in_trouble")
-      .Add("count", this->evidence.troubles().size())
-      .Add("revision", this->evidence.revision())
+  LogLine("outliers_changed")
+      .Add("count", this->detector.outliers().size())
+      .Add("revision", this->detector.revision())
       .Add("worst", worst)
       .Info();
   this->hub->Wake();
@@ -378,8 +378,8 @@
   }
   this->hub->Sweep();
   this->WatchZones(live);
-  if (++this->ticks % kEvidenceTicks == 0) {
-    this->JudgeTargets(now);
+  if (++this->ticks % kOutlierTicks == 0) {
+    this->DetectOutliers(now);
   }
   if (this->options.on_tick) {
     this->options.on_tick();
@@ -474,7 +474,7 @@
           .self = self.self,
           .zone = settings.zone,
           .registry = self.registry,
-          .evidence = self.evidence,
+          .detector = self.detector,
           .agreed_version = [&self] { return self.agreed_version; },
           .control_hosts = [&self] { return self.ControlHosts(); },
           .is_cut_off = [&self] { return self.is_cut_off; },
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -19,11 +19,11 @@
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/agreed_state.h"
-#include "knapweedroad/routing/evidence_tally.h"
+#include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/outcome_recorder.h"
 #include "knapweedroad/routing/route_adoption.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
-#include "knapweedroad/routing/target_book.h"
 
 namespace knapweedroad {
 namespace {
@@ -45,12 +45,12 @@
 // Kept of the grace at a stop for leaving in order.
 constexpr Duration kStopMargin = milliseconds(500);
 
-void LogBelief(const TargetBelief& belief) {
-  LogLine("target_believed")
-      .Add("target", belief.target)
-      .Add("belief", belief.belief)
-      .Add("cause", belief.cause)
-      .Add("span_ms", std::chrono::floor<milliseconds>(belief.span).count())
+void LogHealthChange(const TargetHealthChange& health) {
+  LogLine("target_health")
+      .Add("target", health.target)
+      .Add("health", health.health)
+      .Add("cause", health.cause)
+      .Add("span_ms", std::chrono::floor<milliseconds>(health.span).count())
       .Info();
 }
 
@@ -66,7 +66,7 @@
 
   void Tick();
   // Whether callers had better go to other zones' hosts.
-  void WatchReach(TimePoint now);
+  void WatchReachability(TimePoint now);
   // Whether the own zone's targets could serve every route.
   bool ZoneServesAll(TimePoint now) const;
   void Probe(TimePoint now);
@@ -83,8 +83,8 @@
   Runtime& runtime;
   EntryHostOptions options;
   std::vector<HostId> seeds;
-  EvidenceTally evidence;
-  TargetBook book;
+  OutcomeRecorder outcomes;
+  LoadBalancer balancer;
   TargetLinks links;
   EntryMetrics metrics;
   SplitRotation rotation;
@@ -108,30 +108,30 @@
     : runtime(runtime),
       options(std::move(given)),
       seeds(SeedIds(this->options.settings)),
-      book({.self = this->options.settings.name,
-            .zone = this->options.settings.zone,
-            .cold_burst_factor = this->options.settings.cold_burst_factor,
-            .cold_slack = this->options.settings.cold_slack,
-            .seed = RandomSeed(),
-            .started = Runtime::Now(),
-            .on_belief = LogBelief,
-            .on_evidence =
-                [this](const TargetEvidence& seen) {
-                  this->evidence.Count(seen);
-                },
-            .is_connected =
-                [this](const TargetId& target) {
-                  return this->links.has_idle(target);
-                }}),
+      balancer({.self = this->options.settings.name,
+                .zone = this->options.settings.zone,
+                .cold_burst_factor = this->options.settings.cold_burst_factor,
+                .cold_slack = this->options.settings.cold_slack,
+                .seed = RandomSeed(),
+                .started = Runtime::Now(),
+                .on_health_change = LogHealthChange,
+                .on_outcomes =
+                    [this](const TargetOutcomes& seen) {
+                      this->outcomes.Count(seen);
+                    },
+                .is_connected =
+                    [this](const TargetId& target) {
+                      return this->links.has_idle(target);
+                    }}),
       links(runtime,
-            {.dialect = this->options.dialect,
+            {.header_names = this->options.header_names,
              .on_idle_closed =
                  [this](const TargetId& target) {
-                   this->book.OnIdleClosed(target, Runtime::Now());
+                   this->balancer.OnIdleClosed(target, Runtime::Now());
                  }}),
       parts{.runtime = runtime,
-            .dialect = this->options.dialect,
-            .book = this->book,
+            .header_names = this->options.header_names,
+            .balancer = this->balancer,
             .links = this->links,
             .metrics = this->metrics,
             .rotation = this->rotation,
@@ -152,7 +152,7 @@
 }
 
 HttpResponse EntryHost::State::AnswerPlatform(const HttpRequest& request) {
-  if (request.path != this->options.dialect.ready_path) {
+  if (request.path != this->options.header_names.ready_path) {
     return {.status = 404};
   }
   return {.status = this->IsReady() ? 200 : 503};
@@ -170,16 +170,16 @@
   this->metrics.SetGauge("agreed_version",
                          static_cast<double>(this->agreed_version));
   this->metrics.SetGauge("entry_hosts",
-                         static_cast<double>(this->book.entry_hosts()));
+                         static_cast<double>(this->balancer.entry_hosts()));
   return this->metrics.Print();
 }
 
 void EntryHost::State::OnNews(const HostId& from, const WatchReply& reply) {
   const TimePoint now = Runtime::Now();
   if (reply.zone != this->options.settings.zone) {
-    this->book.OnOutsideAnswer(now);
+    this->balancer.OnOutsideAnswer(now);
   } else {
-    this->book.reach().OnTold(reply.is_cut_off, now);
+    this->balancer.reachability().OnTold(reply.is_cut_off, now);
   }
   const bool is_bulk = reply.targets.size() > kMostTargetLines;
   if (is_bulk) {
@@ -190,11 +190,11 @@
         .Info();
   }
   for (const TargetRecord& record : reply.targets) {
-    const TargetRecord* const known = this->book.Find(record.id);
+    const TargetRecord* const known = this->balancer.Find(record.id);
     const bool is_change = known == nullptr || known->phase != record.phase ||
                            known->started_ms != record.started_ms ||
                            record.cold_left > Duration::zero();
-    this->book.Learn(record, now);
+    this->balancer.Learn(record, now);
     if (is_change && !is_bulk) {
       LogLine("target_told")
           .Add("target", record.id)
@@ -209,10 +209,10 @@
     }
   }
   if (reply.has_hosts) {
-    this->book.SetEntryHosts(reply.entry_hosts, Runtime::Now());
+    this->balancer.SetEntryHosts(reply.entry_hosts, Runtime::Now());
   }
-  this->book.LearnTroubles(
-      from, reply.has_troubles ? std::optional(reply.troubles) : std::nullopt,
+  this->balancer.LearnOutliers(
+      from, reply.has_outliers ? std::optional(reply.outliers) : std::nullopt,
       now);
 }
 
@@ -229,7 +229,7 @@
     return;
   }
   this->agreed_version = version;
-  this->book.SetZonesOut(state->zones_out);
+  this->balancer.SetZonesOut(state->zones_out);
   if (state->number == 0 || state->text == this->routing_text) {
     return;
   }
@@ -257,14 +257,14 @@
   const TimePoint now = Runtime::Now();
   const auto table = this->adoption.Take(
       [this, now](const ServiceId& service) {
-        return this->book.IsServed(service, now);
+        return this->balancer.IsServed(service, now);
       },
       now);
   if (table == nullptr) {
     return;
   }
   this->parts.table = table;
-  this->book.SetRouting(table);
+  this->balancer.SetRouting(table);
   std::set<std::string> names;
   for (const RouteConfig& route : table->config().routes) {
     names.insert(route.name);
@@ -290,12 +290,12 @@
   const ProbeResult result{
       .is_reachable = is_reachable,
       .is_unclear = reply.kind == ReplyKind::kBroken ||
-                    reply.kind == ReplyKind::kTurnedAway,
+                    reply.kind == ReplyKind::kRejected,
       .is_other_target = is_reachable && !reply.target.empty() &&
                          reply.target != probe.target.str(),
       .is_healthy = is_reachable && reply.answer.status == 200,
       .cold_left = reply.cold_left.value_or(Duration::zero())};
-  this->book.OnProbe(probe.target, result, Runtime::Now());
+  this->balancer.OnProbe(probe.target, result, Runtime::Now());
   LogLine("target_probed")
       .Add("target", probe.target)
       .Add("end", ToString(reply.kind))
@@ -305,12 +305,12 @@
 }
 
 void EntryHost::State::Probe(TimePoint now) {
-  const Dialect& dialect = this->options.dialect;
-  for (DueProbe& probe : this->book.DueProbes(now)) {
+  const HeaderNames& header_names = this->options.header_names;
+  for (DueProbe& probe : this->balancer.DueProbes(now)) {
     std::string bytes = "GET " + probe.health_path +
                         " HTTP/1.1\r\nHost: " + probe.address.ip + "\r\n" +
-                        dialect.expected_target + ": " + probe.target.str() +
-                        "\r\n\r\n";
+                        header_names.expected_target + ": " +
+                        probe.target.str() + "\r\n\r\n";
     const TargetId target = probe.target;
     const Endpoint address = probe.address;
     this->links.Send(
@@ -332,7 +332,7 @@
       this->parts.table->config().routes, [&](const RouteConfig& route) {
         const auto served = std::ranges::count_if(
             route.services, [&](const RouteService& part) {
-              return this->book.IsServedInZone(part.service, now);
+              return this->balancer.IsServedInZone(part.service, now);
             });
         const double all = static_cast<double>(route.services.size());
         const double least = route.is_scatter ? route.min_share * all : all;
@@ -340,10 +340,11 @@
       });
 }
 
-void EntryHost::State::WatchReach(TimePoint now) {
-  ReachWatch& reach = this->book.reach();
-  const bool sends_away = reach.is_cut_off(now) &&
-                          reach.should_send_away(this->ZoneServesAll(now), now);
+void EntryHost::State::WatchReachability(TimePoint now) {
+  ZoneReachability& reachability = this->balancer.reachability();
+  const bool sends_away =
+      reachability.is_cut_off(now) &&
+      reachability.should_send_away(this->ZoneServesAll(now), now);
   if (std::exchange(this->is_sending_away, sends_away) != sends_away) {
     LogLine(sends_away ? "zone_cut_off" : "zone_reached")
         .Add("zone", this->options.settings.zone)
@@ -361,16 +362,16 @@
   this->last_tick = now;
   this->links.Sweep(now);
   this->Adopt();
-  this->WatchReach(now);
-  this->book.ForgetOldTroubles(now);
+  this->WatchReachability(now);
+  this->balancer.ForgetOldOutliers(now);
   if (!stood_still) {
-    this->book.SuspectSilent(now);
+    this->balancer.EjectSilent(now);
     this->Probe(now);
   }
   if (++this->ticks % kSweepTicks == 0) {
     this->callers->Sweep(now);
     this->links.Prune([this](const TargetId& target) {
-      const TargetRecord* const record = this->book.Find(target);
+      const TargetRecord* const record = this->balancer.Find(target);
       return record != nullptr && record->phase != TargetPhase::kGone &&
              record->phase != TargetPhase::kLeaving;
     });
@@ -399,7 +400,7 @@
       self.runtime,
       CallerServerOptions{
           .endpoint = *settings.caller_address,
-          .dialect = self.options.dialect,
+          .header_names = self.options.header_names,
           .on_request =
               [&self](CallerRequest request,
                       const std::shared_ptr<CallerExchange>& exchange) {
@@ -435,9 +436,9 @@
           .role = FollowerRole::kEntry,
           .seeds = [&self] { return self.seeds; },
           .held_version = [&self] { return self.agreed_version; },
-          .take_evidence =
+          .take_outcomes =
               [&self](const HostId& to) {
-                return self.evidence.Take(to, Runtime::Now());
+                return self.outcomes.Take(to, Runtime::Now());
               },
           .on_reply =
               [&self](const HostId& from, const WatchReply& reply) {
--- a/knapweedroad/edge/entry_host.h
+++ b/knapweedroad/edge/entry_host.h
@@ -1,8 +1,8 @@
 // An entry host that routes callers' requests to targets by numbered
 // configurations, and learns of hosts and targets from control hosts.
 //
-//   EntryHost host(runtime, {.settings = settings, .dialect = dialect, ...});
-//   auto started = host.Start();
+//   EntryHost host(runtime, {.settings = settings, .header_names =
+//   header_names, ...}); auto started = host.Start();
 //   ...
 //   host.Shutdown();   // blocks until callers are served, or time is up
 
@@ -17,7 +17,7 @@
 #include <tl/expected.hpp>
 
 #include "knapweedroad/config/role_settings.h"
-#include "knapweedroad/edge/dialect.h"
+#include "knapweedroad/edge/header_names.h"
 
 namespace knapweedroad {
 
@@ -30,7 +30,7 @@
 
 struct EntryHostOptions {
   RoleSettings settings;
-  Dialect dialect;
+  HeaderNames header_names;
   RoutingReader read_routing;
   // Called every 100 ms, for the log.
   std::function<void()> on_tick;
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -9,19 +9,21 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/attempt_log.h"
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/caller_server.h"
-#include "knapweedroad/edge/dialect.h"
 #include "knapweedroad/edge/entry_metrics.h"
+#include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/header_text.h"
+#include "knapweedroad/edge/parts_answer.h"
 #include "knapweedroad/edge/target_links.h"
+#include "knapweedroad/edge/target_message.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/net/runtime.h"
-#include "knapweedroad/routing/record_merge.h"
+#include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
-#include "knapweedroad/routing/target_book.h"
 
 namespace knapweedroad {
 namespace {
@@ -123,7 +125,6 @@
   void End(RunEnd end);
   // Sends the final answer; its status.
   int AnswerCaller(RunEnd& end);
-  void AnswerParts(const RunEnd& end);
   void RefuseRun(int status, std::optional<Duration> retry_after);
   // Learns how long the host took to send the answer.
   void WatchFinish(TimePoint decided);
@@ -147,8 +148,7 @@
   std::optional<RequestRun> run;
   std::vector<Attempt> attempts;
   std::optional<TimePoint> armed;
-  // What went wrong with attempts, for the log if the request ends badly.
-  std::string story;
+  AttemptLog attempt_log;
   bool is_over = false;
 };
 
@@ -213,16 +213,16 @@
 void EntryRequest::MakeHooks() {
   this->hooks.pick = [this](const ServiceId& service,
                             std::span<const TargetId> tried) {
-    return this->parts.book.Pick(service, tried, Runtime::Now());
+    return this->parts.balancer.Pick(service, tried, Runtime::Now());
   };
   this->hooks.is_served = [this](const ServiceId& service,
                                  std::span<const TargetId> tried) {
-    return this->parts.book.IsServed(service, Runtime::Now(), tried);
+    return this->parts.balancer.IsServed(service, Runtime::Now(), tried);
   };
   this->hooks.spend_extra = [this](const ServiceId& service, bool is_hedge) {
     const TimePoint now = Runtime::Now();
-    const size_t hosts = this->parts.book.entry_hosts();
-    ExtraBudget& budget = this->parts.budgets.at(service);
+    const size_t hosts = this->parts.balancer.entry_hosts();
+    RetryBudget& budget = this->parts.budgets.at(service);
     const bool sent = is_hedge ? budget.SpendHedge(hosts, now)
                                : budget.SpendRetry(hosts, now);
     this->parts.metrics.CountExtra(sent);
@@ -269,40 +269,17 @@
 }
 
 std::string EntryRequest::Bytes(const TargetId& target) const {
-  const Dialect& dialect = this->parts.dialect;
-  std::string bytes;
-  bytes.reserve(this->request.header.size() + this->request.body.size() + 256);
-  bytes += this->request.method;
-  bytes += ' ';
-  bytes += this->request.path;
-  bytes += " HTTP/1.1\r\n";
-  AppendLine(bytes, "Host", this->request.host);
-  bytes += this->request.header;
-  if (!this->request.id.empty()) {
-    AppendLine(bytes, dialect.request_id, this->request.id);
-  }
-  const Duration left = this->deadline - Runtime::Now();
-  AppendLine(bytes, dialect.time_left,
-             std::to_string(std::max<int64_t>(Ms(left), 1)));
-  AppendLine(bytes, dialect.expected_target, target.str());
-  const bool may_have_body =
-      this->request.method != "GET" && this->request.method != "HEAD";
-  if (!this->request.body.empty() || may_have_body) {
-    AppendLine(bytes, "Content-Length",
-               std::to_string(this->request.body.size()));
-  }
-  bytes += "\r\n";
-  bytes += this->request.body;
-  return bytes;
+  return MakeTargetMessage(this->parts.header_names, this->request, target,
+                           this->deadline - Runtime::Now());
 }
 
 void EntryRequest::Send(const AttemptStart& start) {
   if (this->attempts.size() <= start.attempt) {
     this->attempts.resize(start.attempt + 1);
   }
-  const TargetRecord* const record = this->parts.book.Find(start.target);
+  const TargetRecord* const record = this->parts.balancer.Find(start.target);
   const TimePoint now = Runtime::Now();
-  this->parts.book.OnSent(start.target, now);
+  this->parts.balancer.OnSent(start.target, now);
   Attempt& attempt = this->attempts[start.attempt];
   attempt.target = start.target;
   attempt.sent = now;
@@ -317,7 +294,7 @@
                        ? Duration::max()
                        : kFreshIdle,
        .settles = !this->route->idempotent && !this->route->is_scatter,
-       .keep_connection = !this->parts.book.GivesBackConnections(now),
+       .keep_connection = !this->parts.balancer.GivesBackConnections(now),
        .deadline = this->deadline},
       [self, number = start.attempt](TargetReply reply) {
         self->OnReply(number, std::move(reply));
@@ -355,32 +332,24 @@
 void EntryRequest::Note(const Attempt& attempt,
                         std::string_view end,
                         int status) {
-  constexpr size_t kMostStory = 600;
-  if (this->story.size() > kMostStory) {
-    return;
-  }
-  this->story += attempt.target.str();
-  this->story += ':';
-  this->story += end;
-  if (status != 0) {
-    this->story += std::to_string(status);
-  }
-  this->story +=
-      "@" + std::to_string(Ms(Runtime::Now() - attempt.sent)) + "ms ";
+  this->attempt_log.Add({.target = attempt.target,
+                         .end = end,
+                         .status = status,
+                         .took = Runtime::Now() - attempt.sent});
 }
 
 RunStep EntryRequest::TakeAnswer(uint32_t number, TargetReply reply) {
   const TimePoint now = Runtime::Now();
   const Attempt& attempt = this->attempts[number];
-  TargetBook& book = this->parts.book;
+  LoadBalancer& balancer = this->parts.balancer;
   const int status = reply.answer.status;
   if (status == kMisdirected) {
-    book.OnMisdirected(attempt.target, now);
+    balancer.OnMisdirected(attempt.target, now);
     this->Note(attempt, "other_target", 0);
     return this->run->OnEnd(number, AttemptEnd::kDeclined, now);
   }
   if (reply.says_not_run) {
-    book.OnDeclined(attempt.target, reply.load, now);
+    balancer.OnDeclined(attempt.target, reply.load, now);
     this->Note(attempt, "declined", status);
     return this->run->OnEnd(number, AttemptEnd::kDeclined, now);
   }
@@ -388,23 +357,23 @@
   if (reply.answer.seal.empty() || (!is_success && PromisesNotRun(status))) {
     // A success without proof isn't the target's; a refusal without proof
     // may have run, and passed on it would promise the contrary.
-    book.OnFailed(attempt.target, now);
+    balancer.OnFailed(attempt.target, now);
     this->Note(attempt, "unproven", status);
     return this->run->OnEnd(number, AttemptEnd::kBroken, now);
   }
   if (is_success) {
-    book.OnAnswered(attempt.target, now - attempt.sent, reply.load, now);
+    balancer.OnAnswered(attempt.target, now - attempt.sent, reply.load, now);
     this->memory->latency.Add(now - attempt.sent);
     return this->run->OnAnswer(number, std::move(reply.answer), now);
   }
   constexpr int kFirstServerFault = 500;
   if (status >= kFirstServerFault || this->route->is_scatter) {
-    book.OnFailed(attempt.target, now);
+    balancer.OnFailed(attempt.target, now);
     this->Note(attempt, "failed", status);
     return this->run->OnFailure(number, std::move(reply.answer), now);
   }
   // The caller's own fault by the target's word: another target says the same.
-  book.OnAnswered(attempt.target, now - attempt.sent, reply.load, now);
+  balancer.OnAnswered(attempt.target, now - attempt.sent, reply.load, now);
   return this->run->OnAnswer(number, std::move(reply.answer), now);
 }
 
@@ -418,58 +387,40 @@
       this->Do(this->TakeAnswer(number, std::move(reply)));
       return;
     case ReplyKind::kUnreachable:
-      this->parts.book.OnUnreachable(attempt.target, now);
+      this->parts.balancer.OnUnreachable(attempt.target, now);
       this->Note(attempt, "unreachable", 0);
       this->Do(this->run->OnEnd(number, AttemptEnd::kNeverSent, now));
       return;
-    case ReplyKind::kTurnedAway:
-      this->parts.book.OnTurnedAway(attempt.target, now);
-      this->Note(attempt, "turned_away", 0);
+    case ReplyKind::kRejected:
+      this->parts.balancer.OnConnectionRejected(attempt.target, now);
+      this->Note(attempt, "connection_rejected", 0);
       this->Do(this->run->OnEnd(number, AttemptEnd::kNeverSent, now));
       return;
     case ReplyKind::kBroken:
-      this->parts.book.OnBroken(attempt.target, now);
+      this->parts.balancer.OnBroken(attempt.target, now);
       this->Note(attempt, "broken", 0);
       this->Do(this->run->OnEnd(number, AttemptEnd::kBroken, now));
       return;
   }
 }
 
-void EntryRequest::AnswerParts(const RunEnd& end) {
-  const Dialect& dialect = this->parts.dialect;
-  CallerAnswer answer;
-  std::string seals;
-  std::vector<std::string_view> bodies;
-  for (const TargetAnswer& part : end.parts) {
-    if (!seals.empty()) {
-      seals += ", ";
-    }
-    seals += part.seal;
-    bodies.push_back(part.body);
-  }
-  AppendLine(answer.header, dialect.part_seals, seals);
-  AppendLine(answer.header, dialect.missing_parts, std::to_string(end.missing));
-  answer.body = MergeRecords(bodies, this->route->top_records);
-  this->exchange->Answer(std::move(answer));
-}
-
 std::string EntryRequest::DescribeUnserved() const {
   constexpr size_t kMostNamed = 4;
   const TimePoint now = Runtime::Now();
   std::string text;
   size_t named = 0;
   for (const ServiceId& service : this->services) {
-    if (this->parts.book.IsServed(service, now)) {
+    if (this->parts.balancer.IsServed(service, now)) {
       continue;
     }
     if (++named > kMostNamed) {
       return text + "...";
     }
-    const ServiceCount count = this->parts.book.Count(service, now);
+    const ServiceCount count = this->parts.balancer.Count(service, now);
     text += service.str() + "(leaving:" + std::to_string(count.leaving) +
             ",out:" + std::to_string(count.out) +
             ",silent:" + std::to_string(count.silent) +
-            ",suspect:" + std::to_string(count.suspect) +
+            ",ejected:" + std::to_string(count.ejected) +
             ",cold:" + std::to_string(count.cold) +
             ",usable:" + std::to_string(count.usable) + ") ";
   }
@@ -498,7 +449,7 @@
       .Add("attempts", this->run->attempts())
       .Add("extra", this->run->extra_attempts())
       .Add("version", this->table->version())
-      .Add("story", this->story)
+      .Add("attempt_log", this->attempt_log.text())
       .Add("unserved", is_served && end.missing == 0 ? std::string()
                                                      : this->DescribeUnserved())
       .Info();
@@ -514,7 +465,8 @@
       return status;
     }
     case RunEndKind::kParts:
-      this->AnswerParts(end);
+      this->exchange->Answer(MakePartsAnswer(this->parts.header_names, end,
+                                             this->route->top_records));
       return kOk;
     case RunEndKind::kNotRun:
       this->RefuseRun(kUnavailable, end.retry_after);
@@ -531,7 +483,7 @@
 
 void EntryRequest::RefuseRun(int status, std::optional<Duration> retry_after) {
   CallerAnswer answer = Refusal(status, retry_after);
-  answer.closes = this->parts.book.reach().is_sending_away();
+  answer.closes = this->parts.balancer.reachability().is_sending_away();
   this->exchange->Answer(std::move(answer));
 }
 
@@ -541,7 +493,7 @@
   this->is_over = true;
   const int status = this->AnswerCaller(end);
   this->ReleaseAttempts(kStragglerGrace);
-  this->parts.book.reach().OnRequest(
+  this->parts.balancer.reachability().OnRequest(
       /*is_served=*/end.kind == RunEndKind::kParts ||
           end.kind == RunEndKind::kAnswer,
       Runtime::Now());
@@ -573,18 +525,18 @@
       continue;
     }
     this->Note(attempt, "unanswered", 0);
-    TargetBook* const book = &this->parts.book;
+    LoadBalancer* const balancer = &this->parts.balancer;
     attempt.exchange->Abandon(
-        grace, [book, target = attempt.target,
+        grace, [balancer, target = attempt.target,
                 sent = attempt.sent](const TargetReply& reply) {
           const TimePoint now = Runtime::Now();
           const bool is_answer = reply.kind == ReplyKind::kAnswered &&
                                  !reply.answer.seal.empty() &&
                                  !reply.says_not_run;
           if (is_answer) {
-            book->OnAnswered(target, reply.latency, reply.load, now);
+            balancer->OnAnswered(target, reply.latency, reply.load, now);
           } else {
-            book->OnAbandoned(target, now - sent, now);
+            balancer->OnAbandoned(target, now - sent, now);
           }
         });
     attempt.exchange.reset();
@@ -605,7 +557,7 @@
       .Add("took_ms", Ms(took))
       .Add("allowed_ms", Ms(this->deadline - this->request.received))
       .Add("attempts", this->run->attempts())
-      .Add("story", this->story)
+      .Add("attempt_log", this->attempt_log.text())
       .Info();
 }
 
--- a/knapweedroad/edge/entry_request.h
+++ b/knapweedroad/edge/entry_request.h
@@ -15,8 +15,8 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/routing/answer_lead.h"
-#include "knapweedroad/routing/extra_budget.h"
 #include "knapweedroad/routing/latency_window.h"
+#include "knapweedroad/routing/retry_budget.h"
 #include "knapweedroad/routing/shard_shedding.h"
 
 namespace knapweedroad {
@@ -26,10 +26,10 @@
 class RouteTable;
 class Runtime;
 class SplitRotation;
-class TargetBook;
+class LoadBalancer;
 class TargetLinks;
 struct CallerRequest;
-struct Dialect;
+struct HeaderNames;
 
 // What an entry host keeps for each route, over versions.
 struct RouteMemory {
@@ -43,16 +43,16 @@
 // The parts of an entry host that its requests work with; all outlive them.
 struct EntryParts {
   Runtime& runtime;
-  const Dialect& dialect;
-  TargetBook& book;
+  const HeaderNames& header_names;
+  LoadBalancer& balancer;
   TargetLinks& links;
   EntryMetrics& metrics;
   SplitRotation& rotation;
-  ExtraBudgetLimits budget_limits;
+  RetryBudgetLimits budget_limits;
   TimePoint started;
   ShardShedding shedding;
   AnswerLead lead{{}};
-  std::unordered_map<ServiceId, ExtraBudget> budgets;
+  std::unordered_map<ServiceId, RetryBudget> budgets;
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
   std::shared_ptr<const RouteTable> table;
--- a/knapweedroad/edge/dialect.h
+++ b/knapweedroad/edge/header_names.h
@@ -3,8 +3,8 @@
 // An entry host reads and writes these headers itself and passes all others
 // on. The defaults are the project's own; an adapter gives others.
 
-#ifndef KNAPWEEDROAD_EDGE_DIALECT_H_
-#define KNAPWEEDROAD_EDGE_DIALECT_H_
+#ifndef KNAPWEEDROAD_EDGE_HEADER_NAMES_H_
+#define KNAPWEEDROAD_EDGE_HEADER_NAMES_H_
 
 #include <functional>
 #include <optional>
@@ -16,7 +16,7 @@
 
 namespace knapweedroad {
 
-struct Dialect {
+struct HeaderNames {
   // From the caller, echoed by targets and to the caller.
   std::string request_id = "Knapweed-Request-Id";
   // Milliseconds that the sender goes on waiting.
@@ -46,4 +46,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_EDGE_DIALECT_H_
+#endif  // KNAPWEEDROAD_EDGE_HEADER_NAMES_H_
--- a/knapweedroad/edge/reply_cache.h
+++ b/knapweedroad/edge/reply_cache.h
@@ -24,13 +24,13 @@
   struct Revisions {
     uint64_t targets = 0;
     uint64_t hosts = 0;
-    uint64_t troubles = 0;
+    uint64_t outliers = 0;
 
     friend bool operator==(const Revisions&, const Revisions&) = default;
   };
 
   FollowerRole role = FollowerRole::kEntry;
-  bool shares_evidence = false;
+  bool shares_outcomes = false;
   bool is_cut_off = false;
   bool hears_all = false;
   // What the follower has, and what it gets.
--- a/knapweedroad/edge/reply_cache_test.cc
+++ b/knapweedroad/edge/reply_cache_test.cc
@@ -14,7 +14,7 @@
 Test(reply_cache, hosts_that_start_together_share_one_reply) {
   ReplyCache replies;
   int made = 0;
-  const ReplyKey first{.to = {.targets = 500, .hosts = 9, .troubles = 1},
+  const ReplyKey first{.to = {.targets = 500, .hosts = 9, .outliers = 1},
                        .agreed_version = 16};
   for (int host = 0; host < 97; ++host) {
     const TimePoint now = kStart + host * 100us;
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
-#include "knapweedroad/edge/dialect.h"
+#include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/message_reader.h"
 #include "knapweedroad/edge/socket_options.h"
@@ -31,8 +31,8 @@
       return "answered";
     case ReplyKind::kUnreachable:
       return "unreachable";
-    case ReplyKind::kTurnedAway:
-      return "turned_away";
+    case ReplyKind::kRejected:
+      return "connection_rejected";
     case ReplyKind::kBroken:
       return "broken";
   }
@@ -40,18 +40,18 @@
 }
 
 TargetConnection::TargetConnection(asio::io_context& io,
-                                   const Dialect& dialect,
+                                   const HeaderNames& header_names,
                                    std::span<char> scratch)
-    : socket(io), dialect(dialect), scratch(scratch) {}
+    : socket(io), header_names(header_names), scratch(scratch) {}
 
 TargetConnection::~TargetConnection() = default;
 
 std::shared_ptr<TargetConnection> TargetConnection::Make(
     asio::io_context& io,
-    const Dialect& dialect,
+    const HeaderNames& header_names,
     std::span<char> scratch) {
   return std::shared_ptr<TargetConnection>(
-      new TargetConnection(io, dialect, scratch));
+      new TargetConnection(io, header_names, scratch));
 }
 
 void TargetConnection::Connect(const Endpoint& endpoint,
@@ -74,7 +74,7 @@
           // A host without a listener refuses; a reset comes from one that
           // has taken the connection and dropped it.
           const bool is_reset = result == asio::error::connection_reset;
-          done(is_reset ? ConnectEnd::kTurnedAway : ConnectEnd::kFailed);
+          done(is_reset ? ConnectEnd::kRejected : ConnectEnd::kFailed);
           return;
         }
         SetTargetSocketOptions(self->socket);
@@ -206,7 +206,7 @@
 
 bool TargetConnection::IsLeftOver() const {
   for (size_t i = 0; i < this->reader->lines(); ++i) {
-    if (IsSameName(this->reader->name(i), this->dialect.request_id)) {
+    if (IsSameName(this->reader->name(i), this->header_names.request_id)) {
       return this->reader->value(i) != this->question.request_id;
     }
   }
@@ -216,16 +216,16 @@
 void TargetConnection::ReadLine(std::string_view name,
                                 std::string_view value,
                                 TargetReply& reply) {
-  if (IsSameName(name, this->dialect.seal)) {
+  if (IsSameName(name, this->header_names.seal)) {
     reply.answer.seal = value;
-  } else if (IsSameName(name, this->dialect.not_run)) {
+  } else if (IsSameName(name, this->header_names.not_run)) {
     reply.says_not_run = true;
-  } else if (IsSameName(name, this->dialect.load)) {
-    reply.load = this->dialect.parse_load(value);
-  } else if (IsSameName(name, this->dialect.target)) {
+  } else if (IsSameName(name, this->header_names.load)) {
+    reply.load = this->header_names.parse_load(value);
+  } else if (IsSameName(name, this->header_names.target)) {
     reply.target = value;
-  } else if (IsSameName(name, this->dialect.cold_left)) {
-    reply.cold_left = this->dialect.parse_cold_left(value);
+  } else if (IsSameName(name, this->header_names.cold_left)) {
+    reply.cold_left = this->header_names.parse_cold_left(value);
   } else if (IsSameName(name, "Keep-Alive")) {
     if (const auto seconds = KeepAliveSeconds(value)) {
       this->keep_alive = std::chrono::seconds(*seconds);
@@ -241,7 +241,7 @@
       connection = from.value(i);
     }
   }
-  const Dialect& own = this->dialect;
+  const HeaderNames& own = this->header_names;
   std::string header;
   for (size_t i = 0; i < from.lines(); ++i) {
     const std::string_view name = from.name(i);
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -1,6 +1,6 @@
 // One connection to a target: one exchange at a time.
 //
-//   auto connection = TargetConnection::Make(io, dialect, scratch);
+//   auto connection = TargetConnection::Make(io, header_names, scratch);
 //   connection->Connect(endpoint, [](ConnectEnd end) { ... });
 //   connection->Exchange({.bytes = bytes, .request_id = id},
 //                        [](TargetReply reply) { ... });
@@ -28,7 +28,7 @@
 class MessageReader;
 }  // namespace internal
 
-struct Dialect;
+struct HeaderNames;
 struct TargetReply;
 
 // How an attempt to connect ended.
@@ -36,7 +36,7 @@
   kConnected,
   kFailed,  // nobody listens, or nothing answers
   // Somebody listens, and ended the connection at once: it has too many.
-  kTurnedAway,
+  kRejected,
 };
 
 using ReplyHandler = std::function<void(TargetReply reply)>;
@@ -51,9 +51,9 @@
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
   // `scratch` is a read buffer that all connections of a thread share; it and
-  // `dialect` outlive the connection.
+  // `header_names` outlive the connection.
   static std::shared_ptr<TargetConnection> Make(boost::asio::io_context& io,
-                                                const Dialect& dialect,
+                                                const HeaderNames& header_names,
                                                 std::span<char> scratch);
   ~TargetConnection();
 
@@ -87,7 +87,7 @@
   using Reader = internal::MessageReader<false>;
 
   TargetConnection(boost::asio::io_context& io,
-                   const Dialect& dialect,
+                   const HeaderNames& header_names,
                    std::span<char> scratch);
   void Write();
   void AwaitBytes();
@@ -107,7 +107,7 @@
   void NewReader();
 
   boost::asio::ip::tcp::socket socket;
-  const Dialect& dialect;
+  const HeaderNames& header_names;
   std::span<char> scratch;
   std::unique_ptr<Reader> reader;
   TargetQuestion question;
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "knapweedroad/edge/dialect.h"
+#include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_connection.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/net/runtime.h"
@@ -29,7 +29,7 @@
 constexpr Duration kMostIdle = std::chrono::seconds(20);
 
 // A target that has turned a connection away may do so again for this long.
-constexpr Duration kTurnsAwayMemory = std::chrono::seconds(10);
+constexpr Duration kRejectionMemory = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -53,7 +53,7 @@
   std::vector<std::pair<TargetId, std::weak_ptr<TargetConnection>>> kept;
   std::unordered_set<std::shared_ptr<Exchange>> running;
   // Targets that have turned a new connection away, and until when it counts.
-  std::unordered_map<TargetId, TimePoint> turns_away;
+  std::unordered_map<TargetId, TimePoint> rejects_connections;
   size_t opened = 0;
 };
 
@@ -79,13 +79,13 @@
     this->connect_by = Runtime::Now() + kConnectTimeout;
     this->is_connecting = true;
     this->connection = TargetConnection::Make(this->links->runtime.io(),
-                                              this->links->options.dialect,
+                                              this->links->options.header_names,
                                               this->links->scratch);
     this->connection->Connect(
         this->send.address, [self = this->shared_from_this()](ConnectEnd end) {
           self->is_connecting = false;
-          if (end == ConnectEnd::kTurnedAway) {
-            self->TurnedAway();
+          if (end == ConnectEnd::kRejected) {
+            self->ConnectionRejected();
           } else if (end == ConnectEnd::kFailed) {
             self->Done({.kind = ReplyKind::kUnreachable});
           } else if (self->is_abandoned) {
@@ -125,9 +125,10 @@
 
  private:
   bool MustSettle() const {
-    const auto found = this->links->turns_away.find(this->send.target);
-    return this->send.settles || (found != this->links->turns_away.end() &&
-                                  Runtime::Now() < found->second);
+    const auto found = this->links->rejects_connections.find(this->send.target);
+    return this->send.settles ||
+           (found != this->links->rejects_connections.end() &&
+            Runtime::Now() < found->second);
   }
 
   // Failure: a target is at its cap and resets a connection after the request
@@ -136,7 +137,7 @@
   void Settle() {
     this->connection->WatchIdle([self = this->shared_from_this()] {
       self->settle_timer.reset();
-      self->TurnedAway();
+      self->ConnectionRejected();
     });
     this->settle_timer.emplace(this->links->runtime.io(),
                                this->links->options.settle);
@@ -154,14 +155,14 @@
         });
   }
 
-  void RememberTurnedAway() {
-    this->links->turns_away[this->send.target] =
-        Runtime::Now() + kTurnsAwayMemory;
+  void RememberRejected() {
+    this->links->rejects_connections[this->send.target] =
+        Runtime::Now() + kRejectionMemory;
   }
 
-  void TurnedAway() {
-    this->RememberTurnedAway();
-    this->Done({.kind = ReplyKind::kTurnedAway});
+  void ConnectionRejected() {
+    this->RememberRejected();
+    this->Done({.kind = ReplyKind::kRejected});
   }
 
   void Write() {
@@ -172,7 +173,7 @@
          .wants_header = this->send.wants_header},
         [self = this->shared_from_this()](TargetReply reply) {
           if (self->is_fresh && reply.kind == ReplyKind::kBroken) {
-            self->RememberTurnedAway();
+            self->RememberRejected();
           }
           if (self->connection->reusable()) {
             if (self->send.keep_connection) {
@@ -302,7 +303,7 @@
   }
   std::erase_if(this->state->idle,
                 [](const auto& entry) { return entry.second.empty(); });
-  std::erase_if(this->state->turns_away,
+  std::erase_if(this->state->rejects_connections,
                 [now](const auto& entry) { return now >= entry.second; });
 }
 
--- a/knapweedroad/edge/target_links.h
+++ b/knapweedroad/edge/target_links.h
@@ -1,6 +1,6 @@
 // All connections of an entry host to targets, and one exchange on them.
 //
-//   TargetLinks links(runtime, {.dialect = dialect, ...});
+//   TargetLinks links(runtime, {.header_names = header_names, ...});
 //   auto exchange = links.Send({.target = id, .address = address, ...}, done);
 //   exchange->Abandon(grace);
 
@@ -19,11 +19,11 @@
 namespace knapweedroad {
 
 class Runtime;
-struct Dialect;
+struct HeaderNames;
 struct TargetReply;
 
 struct TargetLinksOptions {
-  const Dialect& dialect;
+  const HeaderNames& header_names;
   // A target closed an idle connection that it had not said it would close.
   std::function<void(const TargetId&)> on_idle_closed;
   // How long a new connection is watched before it is written to, where it may
--- a/knapweedroad/edge/target_links_test.cc
+++ b/knapweedroad/edge/target_links_test.cc
@@ -8,7 +8,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include "knapweedroad/edge/dialect.h"
+#include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
@@ -60,8 +60,8 @@
                  const Endpoint& address,
                  bool settles,
                  Duration settle) {
-  const Dialect dialect;
-  TargetLinks links(runtime, {.dialect = dialect, .settle = settle});
+  const HeaderNames header_names;
+  TargetLinks links(runtime, {.header_names = header_names, .settle = settle});
   Outcome outcome;
   std::optional<ReplyKind> kind;
   const auto exchange =
@@ -86,12 +86,13 @@
 // is at its cap. The connection is accepted, then reset: once anything is
 // written nobody can say whether it ran, and the caller gets a 502. So the
 // connection is watched first, and the lookup goes elsewhere.
-Test(target_links, a_connection_that_is_turned_away_was_never_written_to) {
+Test(target_links,
+     a_connection_that_is_connection_rejected_was_never_written_to) {
   Runtime runtime;
   FullTarget target(runtime);
   const Outcome outcome =
       SendOnce(runtime, target.address(), /*settles=*/true, kLongSettle);
-  cr_expect(outcome.kind == ReplyKind::kTurnedAway);
+  cr_expect(outcome.kind == ReplyKind::kRejected);
   cr_expect_not(outcome.was_written);
 }
 
--- a/knapweedroad/edge/target_reply.h
+++ b/knapweedroad/edge/target_reply.h
@@ -17,7 +17,7 @@
 enum class ReplyKind : uint8_t {
   kAnswered,     // a whole answer for this request
   kUnreachable,  // no connection: nothing was sent
-  kTurnedAway,   // a new connection was closed before anything was sent
+  kRejected,     // a new connection was closed before anything was sent
   kBroken,       // the connection ended, or the bytes are no answer
 };
 
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -11,7 +11,7 @@
 #include "knapweedroad/edge/reply_cache.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
-#include "knapweedroad/registry/evidence_board.h"
+#include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/registry/target_registry.h"
 #include "knapweedroad/wire/codec.h"
 
@@ -77,8 +77,8 @@
   return call.epoch != this->epoch ||
          call.revision < this->options.registry.revision() ||
          call.hosts_revision < this->hosts_revision ||
-         (call.shares_evidence &&
-          (call.troubles_revision != this->options.evidence.revision() ||
+         (call.shares_outcomes &&
+          (call.outliers_revision != this->options.detector.revision() ||
            call.knows_cut_off != this->options.is_cut_off())) ||
          (call.role == FollowerRole::kEntry &&
           call.knows_hears_all != this->options.hears_all()) ||
@@ -144,34 +144,34 @@
   }
   reply.is_cut_off = this->options.is_cut_off();
   reply.hears_all = this->options.hears_all();
-  const EvidenceBoard& evidence = this->options.evidence;
+  const OutlierDetector& detector = this->options.detector;
   const bool is_control = call.role == FollowerRole::kControl;
-  reply.troubles_revision =
-      is_control ? evidence.own_revision() : evidence.revision();
-  reply.has_troubles =
-      (call.shares_evidence || is_control) &&
-      (!is_same || call.troubles_revision != reply.troubles_revision);
-  if (reply.has_troubles) {
-    reply.troubles = is_control ? evidence.own_troubles() : evidence.troubles();
+  reply.outliers_revision =
+      is_control ? detector.own_revision() : detector.revision();
+  reply.has_outliers =
+      (call.shares_outcomes || is_control) &&
+      (!is_same || call.outliers_revision != reply.outliers_revision);
+  if (reply.has_outliers) {
+    reply.outliers = is_control ? detector.own_outliers() : detector.outliers();
   }
   return reply;
 }
 
 ReplyKey WatchHub::State::KeyOf(const WatchCall& call) const {
   const bool is_same = call.epoch == this->epoch;
-  const EvidenceBoard& evidence = this->options.evidence;
+  const OutlierDetector& detector = this->options.detector;
   const bool is_control = call.role == FollowerRole::kControl;
   return {.role = call.role,
-          .shares_evidence = call.shares_evidence,
+          .shares_outcomes = call.shares_outcomes,
           .is_cut_off = this->options.is_cut_off(),
           .hears_all = this->options.hears_all(),
           .from = {.targets = is_same ? call.revision : 0,
                    .hosts = is_same ? call.hosts_revision : 0,
-                   .troubles = is_same ? call.troubles_revision : 0},
+                   .outliers = is_same ? call.outliers_revision : 0},
           .to = {.targets = this->options.registry.revision(),
                  .hosts = this->hosts_revision,
-                 .troubles = is_control ? evidence.own_revision()
-                                        : evidence.revision()},
+                 .outliers = is_control ? detector.own_revision()
+                                        : detector.revision()},
           .agreed_version = this->options.agreed_version()};
 }
 
@@ -195,7 +195,7 @@
                   .count()) {
     LogLine("entry_host_found").Add("host", call.follower).Info();
   }
-  self->options.evidence.Add(call.evidence, now);
+  self->options.detector.Add(call.outcomes, now);
   const TimePoint until =
       now + (call.role == FollowerRole::kControl ? kControlHold : kHold);
   if (!self->HasNews(call)) {
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -19,7 +19,7 @@
 
 namespace knapweedroad {
 
-class EvidenceBoard;
+class OutlierDetector;
 class Runtime;
 class TargetRegistry;
 
@@ -27,7 +27,7 @@
   HostId self;
   ZoneId zone;
   TargetRegistry& registry;
-  EvidenceBoard& evidence;
+  OutlierDetector& detector;
   std::function<uint64_t()> agreed_version;
   // Control hosts that this one knows.
   std::function<std::vector<ControlHostRecord>()> control_hosts;
--- a/knapweedroad/registry/evidence_board.cc
+++ b/knapweedroad/registry/outlier_detector.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/registry/evidence_board.h"
+#include "knapweedroad/registry/outlier_detector.h"
 
 #include <algorithm>
 #include <cmath>
@@ -43,14 +43,14 @@
 // What this zone has judged itself within this goes before other zones' lists.
 constexpr Duration kOwnJudgement = std::chrono::seconds(2);
 
-int Badness(const TargetTrouble& trouble) {
-  return int{trouble.failed} * int{TargetTrouble::kFailedUnits} +
-         int{trouble.slowdown};
+int Badness(const TargetOutlier& outlier) {
+  return int{outlier.failed} * int{TargetOutlier::kFailedUnits} +
+         int{outlier.slowdown};
 }
 
-void SortAndBound(std::vector<TargetTrouble>& list) {
+void SortAndBound(std::vector<TargetOutlier>& list) {
   std::ranges::sort(list,
-                    [](const TargetTrouble& left, const TargetTrouble& right) {
+                    [](const TargetOutlier& left, const TargetOutlier& right) {
                       return std::pair(-Badness(left), left.target) <
                              std::pair(-Badness(right), right.target);
                     });
@@ -59,7 +59,7 @@
 
 }  // namespace
 
-void EvidenceBoard::Fade(Entry& entry, TimePoint now) {
+void OutlierDetector::Fade(Entry& entry, TimePoint now) {
   const auto age = static_cast<double>((now - entry.faded).count());
   const Duration half_life = entry.is_listed() ? kListedHalfLife : kHalfLife;
   const double kept = std::exp2(-age / static_cast<double>(half_life.count()));
@@ -70,8 +70,9 @@
   entry.faded = now;
 }
 
-void EvidenceBoard::Add(std::span<const TargetEvidence> report, TimePoint now) {
-  for (const TargetEvidence& seen : report) {
+void OutlierDetector::Add(std::span<const TargetOutcomes> report,
+                          TimePoint now) {
+  for (const TargetOutcomes& seen : report) {
     const auto found = this->targets.find(seen.target);
     if (found == this->targets.end() && this->targets.size() >= kMostTargets) {
       continue;
@@ -86,31 +87,33 @@
   }
 }
 
-void EvidenceBoard::Judge(Entry& entry, double best_latency_us, TimePoint now) {
+void OutlierDetector::Judge(Entry& entry,
+                            double best_latency_us,
+                            TimePoint now) {
   const double attempts = entry.answered + entry.failed;
   const double least =
       entry.is_listed() ? kLeastListedAttempts : kLeastAttempts;
   if (attempts < least) {
     if (now - entry.judged > kListedMemory) {
-      entry.trouble.failed = 0;
-      entry.trouble.slowdown = 1;
+      entry.outlier.failed = 0;
+      entry.outlier.slowdown = 1;
     }
     return;
   }
   entry.judged = now;
   const double share = entry.failed / attempts;
-  entry.trouble.failed = 0;
+  entry.outlier.failed = 0;
   if (share >= kLeastFailedShare) {
-    const double units = std::ceil(share * TargetTrouble::kFailedUnits);
-    entry.trouble.failed = static_cast<uint8_t>(units);
+    const double units = std::ceil(share * TargetOutlier::kFailedUnits);
+    entry.outlier.failed = static_cast<uint8_t>(units);
   }
   const double slowdown =
       entry.timed < least || best_latency_us <= 0
           ? 1
           : entry.latency_us / entry.timed / best_latency_us;
-  entry.trouble.slowdown = 1;
+  entry.outlier.slowdown = 1;
   if (slowdown >= kLeastSlowdown) {
-    entry.trouble.slowdown =
+    entry.outlier.slowdown =
         static_cast<uint8_t>(std::lround(std::min(slowdown, kMostSlowdown)));
   }
 }
@@ -119,9 +122,9 @@
 // in their own zone. It turns slow, the others give too little evidence to
 // compare it with, and it passes for the best there is. So it is compared with
 // what the service's targets did before, too.
-void EvidenceBoard::RememberBest(const ServiceId& service,
-                                 double latency_us,
-                                 TimePoint now) {
+void OutlierDetector::RememberBest(const ServiceId& service,
+                                   double latency_us,
+                                   TimePoint now) {
   BestLatency& known = this->best[service];
   const double age = std::chrono::duration<double>(now - known.at).count();
   const double remembered = known.us * std::pow(kBestGrowthPerSecond, age);
@@ -130,7 +133,7 @@
   }
 }
 
-bool EvidenceBoard::Refresh(const ServiceOf& service_of, TimePoint now) {
+bool OutlierDetector::Refresh(const ServiceOf& service_of, TimePoint now) {
   std::map<TargetId, ServiceId> services;
   for (auto at = this->targets.begin(); at != this->targets.end();) {
     Entry& entry = at->second;
@@ -151,13 +154,13 @@
     }
     ++at;
   }
-  std::vector<TargetTrouble> next;
+  std::vector<TargetOutlier> next;
   for (auto& [target, entry] : this->targets) {
-    entry.trouble.target = target;
+    entry.outlier.target = target;
     const auto found = this->best.find(services.at(target));
     Judge(entry, found == this->best.end() ? 0 : found->second.us, now);
     if (entry.is_listed()) {
-      next.push_back(entry.trouble);
+      next.push_back(entry.outlier);
     }
   }
   SortAndBound(next);
@@ -175,13 +178,13 @@
   return true;
 }
 
-void EvidenceBoard::LearnOthers(const HostId& control_host,
-                                std::vector<TargetTrouble> troubles,
-                                TimePoint now) {
-  this->others[control_host] = {.troubles = std::move(troubles), .heard = now};
+void OutlierDetector::LearnOthers(const HostId& control_host,
+                                  std::vector<TargetOutlier> outliers,
+                                  TimePoint now) {
+  this->others[control_host] = {.outliers = std::move(outliers), .heard = now};
 }
 
-void EvidenceBoard::HearOthers(const HostId& control_host, TimePoint now) {
+void OutlierDetector::HearOthers(const HostId& control_host, TimePoint now) {
   const auto found = this->others.find(control_host);
   if (found != this->others.end()) {
     found->second.heard = now;
@@ -194,27 +197,28 @@
 //
 // What this zone has seen itself goes before: a target may fail for the callers
 // of one zone alone.
-void EvidenceBoard::AddOthers(std::vector<TargetTrouble>& list, TimePoint now) {
+void OutlierDetector::AddOthers(std::vector<TargetOutlier>& list,
+                                TimePoint now) {
   std::erase_if(this->others, [now](const auto& entry) {
     return now - entry.second.heard > kOthersMemory;
   });
-  std::map<TargetId, TargetTrouble> worst;
+  std::map<TargetId, TargetOutlier> worst;
   for (const auto& [host, told] : this->others) {
-    for (const TargetTrouble& trouble : told.troubles) {
-      const auto own = this->targets.find(trouble.target);
+    for (const TargetOutlier& outlier : told.outliers) {
+      const auto own = this->targets.find(outlier.target);
       if (own != this->targets.end() &&
           now - own->second.judged < kOwnJudgement) {
         continue;
       }
-      const auto [known, is_first] = worst.emplace(trouble.target, trouble);
-      if (Badness(known->second) < Badness(trouble)) {
-        known->second = trouble;
+      const auto [known, is_first] = worst.emplace(outlier.target, outlier);
+      if (Badness(known->second) < Badness(outlier)) {
+        known->second = outlier;
       }
     }
   }
-  for (const auto& [target, trouble] : worst) {
-    if (std::ranges::find(list, target, &TargetTrouble::target) == list.end()) {
-      list.push_back(trouble);
+  for (const auto& [target, outlier] : worst) {
+    if (std::ranges::find(list, target, &TargetOutlier::target) == list.end()) {
+      list.push_back(outlier);
     }
   }
 }
--- a/knapweedroad/registry/evidence_board.h
+++ b/knapweedroad/registry/outlier_detector.h
@@ -1,17 +1,17 @@
 // A control host's view of how targets do, from what the entry hosts that
-// follow it report, and the list of those in trouble.
+// follow it report, and the list of those in outlier.
 //
-//   EvidenceBoard board;
+//   OutlierDetector board;
 //   board.Add(report, now);
-//   if (board.Refresh(service_of, now)) TellFollowers(board.troubles());
+//   if (board.Refresh(service_of, now)) TellFollowers(board.outliers());
 //
 // Answers the pattern of many hosts over few targets: with 83 hosts a host asks
 // a given target about once in two seconds, so a target that turns slow or
 // refuses costs every host several requests before it notices. Together they
 // ask it forty times a second and know within one.
 
-#ifndef KNAPWEEDROAD_REGISTRY_EVIDENCE_BOARD_H_
-#define KNAPWEEDROAD_REGISTRY_EVIDENCE_BOARD_H_
+#ifndef KNAPWEEDROAD_REGISTRY_OUTLIER_DETECTOR_H_
+#define KNAPWEEDROAD_REGISTRY_OUTLIER_DETECTOR_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -23,22 +23,22 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/registry/target_evidence.h"
+#include "knapweedroad/registry/target_outcomes.h"
 
 namespace knapweedroad {
 
-class EvidenceBoard {
+class OutlierDetector {
  public:
   // The service of a target; empty for one that is unknown or gone.
   using ServiceOf = std::function<ServiceId(const TargetId&)>;
 
   // One host's report; entries beyond the bound on targets are left out.
-  void Add(std::span<const TargetEvidence> report, TimePoint now);
+  void Add(std::span<const TargetOutcomes> report, TimePoint now);
 
   // What a control host of another zone has listed by its own zone's reports;
   // replaces what it said before.
   void LearnOthers(const HostId& control_host,
-                   std::vector<TargetTrouble> troubles,
+                   std::vector<TargetOutlier> outliers,
                    TimePoint now);
   // That control host has replied without news: its list still holds.
   void HearOthers(const HostId& control_host, TimePoint now);
@@ -48,11 +48,11 @@
 
   // As of the last Refresh(), worst first: by this zone's reports and, for
   // targets of which those say too little, by what other zones listed.
-  const std::vector<TargetTrouble>& troubles() const { return this->listed; }
+  const std::vector<TargetOutlier>& outliers() const { return this->listed; }
   // Rises with each change of the list.
   uint64_t revision() const { return this->changes; }
   // The same by this zone's reports alone, to be told to other zones.
-  const std::vector<TargetTrouble>& own_troubles() const {
+  const std::vector<TargetOutlier>& own_outliers() const {
     return this->own_listed;
   }
   uint64_t own_revision() const { return this->own_changes; }
@@ -68,11 +68,11 @@
     TimePoint faded;
     TimePoint heard;
     // As last listed, and when there was last evidence enough to say so.
-    TargetTrouble trouble;
+    TargetOutlier outlier;
     TimePoint judged;
 
     bool is_listed() const {
-      return this->trouble.failed > 0 || this->trouble.slowdown > 1;
+      return this->outlier.failed > 0 || this->outlier.slowdown > 1;
     }
   };
 
@@ -83,12 +83,12 @@
   };
 
   struct OthersList {
-    std::vector<TargetTrouble> troubles;
+    std::vector<TargetOutlier> outliers;
     TimePoint heard;
   };
 
   // Adds what other zones listed and this one knows too little of.
-  void AddOthers(std::vector<TargetTrouble>& list, TimePoint now);
+  void AddOthers(std::vector<TargetOutlier>& list, TimePoint now);
 
   static void Fade(Entry& entry, TimePoint now);
   static void Judge(Entry& entry, double best_latency_us, TimePoint now);
@@ -97,12 +97,12 @@
   std::unordered_map<TargetId, Entry> targets;
   std::map<ServiceId, BestLatency> best;
   std::map<HostId, OthersList> others;
-  std::vector<TargetTrouble> own_listed;
+  std::vector<TargetOutlier> own_listed;
   uint64_t own_changes = 0;
-  std::vector<TargetTrouble> listed;
+  std::vector<TargetOutlier> listed;
   uint64_t changes = 0;
 };
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_REGISTRY_EVIDENCE_BOARD_H_
+#endif  // KNAPWEEDROAD_REGISTRY_OUTLIER_DETECTOR_H_
--- a/knapweedroad/registry/evidence_board_test.cc
+++ b/knapweedroad/registry/outlier_detector_test.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/registry/evidence_board.h"
+#include "knapweedroad/registry/outlier_detector.h"
 
 #include <criterion/criterion.h>
 
@@ -17,15 +17,15 @@
   return ServiceId("s");
 }
 
-TargetEvidence Answers(const char* target, uint32_t count, uint64_t each_us) {
+TargetOutcomes Answers(const char* target, uint32_t count, uint64_t each_us) {
   return {.target = TargetId(target),
           .answered = count,
           .timed = count,
           .latency_us = count * each_us};
 }
 
-void AddAll(EvidenceBoard& board,
-            const std::vector<TargetEvidence>& report,
+void AddAll(OutlierDetector& board,
+            const std::vector<TargetOutcomes>& report,
             TimePoint now) {
   board.Add(report, now);
 }
@@ -33,8 +33,8 @@
 // Dozens of hosts ask a target once in two seconds each. It refuses every
 // second request; each host sees one or two of the refusals, too few to avoid
 // it. Together they show it at once.
-Test(evidence_board, a_target_that_many_hosts_see_refuse_is_listed) {
-  EvidenceBoard board;
+Test(outlier_detector, a_target_that_many_hosts_see_refuse_is_listed) {
+  OutlierDetector board;
   for (int host = 0; host < 8; ++host) {
     AddAll(board,
            {{.target = TargetId("bad"), .answered = 1, .failed = 1},
@@ -42,46 +42,46 @@
            kStart);
   }
   cr_assert(board.Refresh(OneService, kStart));
-  cr_assert_eq(board.troubles().size(), 1);
-  cr_expect_eq(board.troubles()[0].target, TargetId("bad"));
-  cr_expect_eq(board.troubles()[0].failed, 4);
+  cr_assert_eq(board.outliers().size(), 1);
+  cr_expect_eq(board.outliers()[0].target, TargetId("bad"));
+  cr_expect_eq(board.outliers()[0].failed, 4);
 }
 
 // A target turns seven times as slow; answers of its shard come late until
 // every host has noticed by itself.
-Test(evidence_board, a_slow_target_is_listed_with_its_slowdown) {
-  EvidenceBoard board;
+Test(outlier_detector, a_slow_target_is_listed_with_its_slowdown) {
+  OutlierDetector board;
   AddAll(board,
          {Answers("slow", 10, 70'000), Answers("a", 10, 10'000),
           Answers("b", 10, 15'000)},
          kStart);
   cr_assert(board.Refresh(OneService, kStart));
-  cr_assert_eq(board.troubles().size(), 1);
-  cr_expect_eq(board.troubles()[0].target, TargetId("slow"));
-  cr_expect_eq(board.troubles()[0].slowdown, 7);
+  cr_assert_eq(board.outliers().size(), 1);
+  cr_expect_eq(board.outliers()[0].target, TargetId("slow"));
+  cr_expect_eq(board.outliers()[0].slowdown, 7);
 }
 
 // A zone's hosts ask their own zone's target nearly always. It turns eight
 // times as slow; the two others were asked too seldom to compare it with, and
 // callers of the zone wait for it until each host has noticed alone.
-Test(evidence_board, a_target_that_is_asked_alone_is_compared_with_before) {
-  EvidenceBoard board;
+Test(outlier_detector, a_target_that_is_asked_alone_is_compared_with_before) {
+  OutlierDetector board;
   AddAll(board, {Answers("near", 30, 12'000), Answers("far", 2, 12'000)},
          kStart);
   board.Refresh(OneService, kStart);
-  cr_assert(board.troubles().empty());
+  cr_assert(board.outliers().empty());
   const TimePoint later = kStart + seconds(8);
   AddAll(board, {Answers("near", 30, 96'000), Answers("far", 2, 12'000)},
          later);
   cr_assert(board.Refresh(OneService, later));
-  cr_assert_eq(board.troubles().size(), 1);
-  cr_expect_eq(board.troubles()[0].target, TargetId("near"));
+  cr_assert_eq(board.outliers().size(), 1);
+  cr_expect_eq(board.outliers()[0].target, TargetId("near"));
 }
 
 // All targets of a service have twice the work for a minute. They are compared
-// with each other again, and none is in trouble.
-Test(evidence_board, a_service_with_more_to_do_is_not_in_trouble) {
-  EvidenceBoard board;
+// with each other again, and none is in outlier.
+Test(outlier_detector, a_service_with_more_to_do_is_not_in_trouble) {
+  OutlierDetector board;
   for (int second = 0; second < 60; ++second) {
     const TimePoint now = kStart + seconds(second);
     const uint64_t latency_us = second < 20 ? 10'000 : 20'000;
@@ -89,11 +89,11 @@
            now);
     board.Refresh(OneService, now);
   }
-  cr_expect(board.troubles().empty());
+  cr_expect(board.outliers().empty());
 }
 
-Test(evidence_board, few_attempts_tell_nothing) {
-  EvidenceBoard board;
+Test(outlier_detector, few_attempts_tell_nothing) {
+  OutlierDetector board;
   AddAll(board,
          {{.target = TargetId("t"), .answered = 1, .failed = 3},
           Answers("u", 5, 70'000),
@@ -105,37 +105,37 @@
 // A listed target is hardly asked any more. Without evidence it must neither
 // come off the list within moments, or all hosts fall for it again, nor stay
 // there for ever.
-Test(evidence_board, a_listed_target_is_kept_for_a_while_without_evidence) {
-  EvidenceBoard board;
+Test(outlier_detector, a_listed_target_is_kept_for_a_while_without_evidence) {
+  OutlierDetector board;
   AddAll(board, {{.target = TargetId("bad"), .failed = 10}}, kStart);
   cr_assert(board.Refresh(OneService, kStart));
   cr_expect_not(board.Refresh(OneService, kStart + seconds(10)));
-  cr_expect_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.outliers().size(), 1);
   cr_expect(board.Refresh(OneService, kStart + seconds(24)));
-  cr_expect(board.troubles().empty());
+  cr_expect(board.outliers().empty());
 }
 
-Test(evidence_board, a_target_that_is_well_again_comes_off_at_once) {
-  EvidenceBoard board;
+Test(outlier_detector, a_target_that_is_well_again_comes_off_at_once) {
+  OutlierDetector board;
   AddAll(board, {{.target = TargetId("t"), .failed = 10}}, kStart);
   cr_assert(board.Refresh(OneService, kStart));
   const TimePoint later = kStart + seconds(8);
   AddAll(board, {Answers("t", 20, 10'000)}, later);
   cr_assert(board.Refresh(OneService, later));
-  cr_expect(board.troubles().empty());
+  cr_expect(board.outliers().empty());
 }
 
 // Answers lost now and then on half of the targets are no reason to avoid half
 // of the targets: the other half would get all the load.
-Test(evidence_board, a_small_share_of_failures_is_no_trouble) {
-  EvidenceBoard board;
+Test(outlier_detector, a_small_share_of_failures_is_no_trouble) {
+  OutlierDetector board;
   AddAll(board, {{.target = TargetId("t"), .answered = 95, .failed = 5}},
          kStart);
   cr_expect_not(board.Refresh(OneService, kStart));
 }
 
-Test(evidence_board, targets_that_are_gone_are_dropped) {
-  EvidenceBoard board;
+Test(outlier_detector, targets_that_are_gone_are_dropped) {
+  OutlierDetector board;
   AddAll(board, {{.target = TargetId("t"), .failed = 10}}, kStart);
   cr_assert(board.Refresh(OneService, kStart));
   cr_expect(board.Refresh([](const TargetId&) { return ServiceId(); }, kStart));
@@ -143,21 +143,21 @@
   cr_expect_eq(board.revision(), 2);
 }
 
-Test(evidence_board, the_list_is_bounded) {
-  EvidenceBoard board;
+Test(outlier_detector, the_list_is_bounded) {
+  OutlierDetector board;
   for (int i = 0; i < 1000; ++i) {
     const std::string name = "t" + std::to_string(i);
     AddAll(board, {{.target = TargetId(name), .failed = 10}}, kStart);
   }
   cr_assert(board.Refresh(OneService, kStart));
-  cr_expect_eq(board.troubles().size(), 256);
+  cr_expect_eq(board.outliers().size(), 256);
 }
 
 // Two of three targets refuse half of their requests and, with little to do,
 // answer the others fast. The third has the rest of the work; listed as slow it
 // would be avoided for those that refuse.
-Test(evidence_board, a_busy_target_is_not_compared_with_one_that_refuses) {
-  EvidenceBoard board;
+Test(outlier_detector, a_busy_target_is_not_compared_with_one_that_refuses) {
+  OutlierDetector board;
   AddAll(board,
          {{.target = TargetId("refuses"),
            .answered = 10,
@@ -167,11 +167,11 @@
           Answers("busy", 20, 40'000)},
          kStart);
   board.Refresh(OneService, kStart);
-  cr_assert_eq(board.troubles().size(), 1);
-  cr_expect_eq(board.troubles()[0].target, TargetId("refuses"));
+  cr_assert_eq(board.outliers().size(), 1);
+  cr_expect_eq(board.outliers()[0].target, TargetId("refuses"));
 }
 
-TargetTrouble Slow(const char* target, uint8_t slowdown) {
+TargetOutlier Slow(const char* target, uint8_t slowdown) {
   return {.target = TargetId(target), .slowdown = slowdown};
 }
 
@@ -180,38 +180,38 @@
 // A target of another zone turns slow. This zone's hosts ask it once a second
 // together, too seldom to see it; with dozens of shards nearly every scatter
 // waits for one such target until its own zone has told.
-Test(evidence_board, what_another_zone_has_listed_is_listed_here) {
-  EvidenceBoard board;
+Test(outlier_detector, what_another_zone_has_listed_is_listed_here) {
+  OutlierDetector board;
   AddAll(board, {Answers("far", 2, 90'000)}, kStart);
   board.LearnOthers(kOther, {Slow("far", 8)}, kStart);
   cr_assert(board.Refresh(OneService, kStart));
-  cr_assert_eq(board.troubles().size(), 1);
-  cr_expect_eq(board.troubles()[0].slowdown, 8);
+  cr_assert_eq(board.outliers().size(), 1);
+  cr_expect_eq(board.outliers()[0].slowdown, 8);
   // It isn't passed on as seen here: it would never be forgotten.
-  cr_expect(board.own_troubles().empty());
+  cr_expect(board.own_outliers().empty());
 }
 
 // A target fails for the callers of one zone alone. The others' hosts, which
 // ask it often and are served, go on using it.
-Test(evidence_board, what_this_zone_sees_goes_before_what_others_listed) {
-  EvidenceBoard board;
+Test(outlier_detector, what_this_zone_sees_goes_before_what_others_listed) {
+  OutlierDetector board;
   AddAll(board, {Answers("near", 20, 10'000)}, kStart);
   board.LearnOthers(kOther, {Slow("near", 8)}, kStart);
   board.Refresh(OneService, kStart);
-  cr_expect(board.troubles().empty());
+  cr_expect(board.outliers().empty());
 }
 
 // The zone that listed a target is cut off. What it said is forgotten, as
 // nobody there can say any more that the target is well.
-Test(evidence_board, the_list_of_a_zone_that_fell_silent_is_dropped) {
-  EvidenceBoard board;
+Test(outlier_detector, the_list_of_a_zone_that_fell_silent_is_dropped) {
+  OutlierDetector board;
   board.LearnOthers(kOther, {Slow("far", 8)}, kStart);
   board.Refresh(OneService, kStart);
   board.HearOthers(kOther, kStart + seconds(3));
   board.Refresh(OneService, kStart + seconds(6));
-  cr_expect_eq(board.troubles().size(), 1);
+  cr_expect_eq(board.outliers().size(), 1);
   board.Refresh(OneService, kStart + seconds(8));
-  cr_expect(board.troubles().empty());
+  cr_expect(board.outliers().empty());
 }
 
 }  // namespace
--- a/knapweedroad/registry/target_evidence.h
+++ b/knapweedroad/registry/target_outcomes.h
@@ -1,9 +1,9 @@
 // What entry hosts see of targets, shared through the control hosts that they
-// follow: outcomes go up with each watch call, targets in trouble come down
+// follow: outcomes go up with each watch call, outliers come down
 // with the reply.
 
-#ifndef KNAPWEEDROAD_REGISTRY_TARGET_EVIDENCE_H_
-#define KNAPWEEDROAD_REGISTRY_TARGET_EVIDENCE_H_
+#ifndef KNAPWEEDROAD_REGISTRY_TARGET_OUTCOMES_H_
+#define KNAPWEEDROAD_REGISTRY_TARGET_OUTCOMES_H_
 
 #include <cstdint>
 
@@ -12,7 +12,7 @@
 namespace knapweedroad {
 
 // Outcomes of one host's attempts on one target since its last report.
-struct TargetEvidence {
+struct TargetOutcomes {
   TargetId target;
   // Attempts that were answered, and all that failed or were refused.
   uint32_t answered = 0;
@@ -22,8 +22,8 @@
   uint32_t timed = 0;
   uint64_t latency_us = 0;
 
-  friend bool operator==(const TargetEvidence&,
-                         const TargetEvidence&) = default;
+  friend bool operator==(const TargetOutcomes&,
+                         const TargetOutcomes&) = default;
 
   // For cereal.
   template <typename Archive>
@@ -35,7 +35,7 @@
 
 // A target that does worse than the others of its service, as told to entry
 // hosts. Coarse figures, so that the list changes seldom.
-struct TargetTrouble {
+struct TargetOutlier {
   // Units of `failed` in a whole.
   static constexpr uint8_t kFailedUnits = 8;
 
@@ -45,7 +45,7 @@
   // Latency over the service's best target's, whole; 1: as usual.
   uint8_t slowdown = 1;
 
-  friend bool operator==(const TargetTrouble&, const TargetTrouble&) = default;
+  friend bool operator==(const TargetOutlier&, const TargetOutlier&) = default;
 
   // For cereal.
   template <typename Archive>
@@ -56,4 +56,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_REGISTRY_TARGET_EVIDENCE_H_
+#endif  // KNAPWEEDROAD_REGISTRY_TARGET_OUTCOMES_H_
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
-#include "knapweedroad/registry/target_evidence.h"
+#include "knapweedroad/registry/target_outcomes.h"
 #include "knapweedroad/registry/target_record.h"
 
 namespace knapweedroad {
@@ -30,22 +30,22 @@
   uint64_t agreed_version = 0;
   // Whether the follower is an entry host of the same zone: only those share
   // what they see, as a target may do well for one zone and not for another.
-  bool shares_evidence = false;
-  // What the follower has of the list of targets in trouble, and whether it was
+  bool shares_outcomes = false;
+  // What the follower has of the list of outliers, and whether it was
   // told that the zone is cut off.
-  uint64_t troubles_revision = 0;
+  uint64_t outliers_revision = 0;
   bool knows_cut_off = false;
   bool knows_hears_all = false;
   // What it has seen since its last call.
-  std::vector<TargetEvidence> evidence;
+  std::vector<TargetOutcomes> outcomes;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->follower, this->role, this->epoch, this->revision,
-            this->hosts_revision, this->agreed_version, this->shares_evidence,
-            this->troubles_revision, this->knows_cut_off, this->knows_hears_all,
-            this->evidence);
+            this->hosts_revision, this->agreed_version, this->shares_outcomes,
+            this->outliers_revision, this->knows_cut_off, this->knows_hears_all,
+            this->outcomes);
   }
 };
 
@@ -85,9 +85,9 @@
   bool hears_all = false;
   // Absent where the follower has this list, or doesn't share evidence. For
   // entry hosts the whole list; for control hosts what this zone has seen.
-  bool has_troubles = false;
-  uint64_t troubles_revision = 0;
-  std::vector<TargetTrouble> troubles;
+  bool has_outliers = false;
+  uint64_t outliers_revision = 0;
+  std::vector<TargetOutlier> outliers;
 
   // For cereal.
   template <typename Archive>
@@ -95,8 +95,8 @@
     archive(this->zone, this->epoch, this->revision, this->hosts_revision,
             this->agreed_version, this->targets, this->has_hosts,
             this->control_hosts, this->own_entry_hosts, this->entry_hosts,
-            this->is_cut_off, this->hears_all, this->has_troubles,
-            this->troubles_revision, this->troubles);
+            this->is_cut_off, this->hears_all, this->has_outliers,
+            this->outliers_revision, this->outliers);
   }
 };
 
--- a/knapweedroad/routing/booked_target.h
+++ b/knapweedroad/routing/balanced_target.h
@@ -1,8 +1,8 @@
 // What an entry host knows of one target, its record and the evidence, and of
 // a service.
 
-#ifndef KNAPWEEDROAD_ROUTING_BOOKED_TARGET_H_
-#define KNAPWEEDROAD_ROUTING_BOOKED_TARGET_H_
+#ifndef KNAPWEEDROAD_ROUTING_BALANCED_TARGET_H_
+#define KNAPWEEDROAD_ROUTING_BALANCED_TARGET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -15,10 +15,10 @@
 
 namespace knapweedroad {
 
-struct BookedTarget;
+struct BalancedTarget;
 
-struct BookedService {
-  std::vector<BookedTarget*> targets;
+struct BalancedService {
+  std::vector<BalancedTarget*> targets;
   // Smoothed over its targets, in ns.
   double latency = 0;
   // As configured, for each target, from all hosts together; zero: unknown.
@@ -27,10 +27,10 @@
   double cold_rate = 0;
 };
 
-struct BookedTarget {
+struct BalancedTarget {
   TargetRecord record;
   // Null only before its first record.
-  BookedService* service = nullptr;
+  BalancedService* service = nullptr;
   TimePoint cold_until;
   size_t in_flight = 0;
   // When the attempts that are still unanswered were sent, oldest first.
@@ -50,11 +50,11 @@
   // Orders a service's targets differently on each entry host.
   uint64_t rank = 0;
   // Not used until a health question is answered well.
-  bool is_suspect = false;
+  bool is_ejected = false;
   // Suspected for its silence only: connections to it could be had.
   bool is_only_silent = false;
   // A health question is wanted.
-  bool is_doubted = false;
+  bool needs_probe = false;
   TimePoint next_probe;
   size_t failed_probes = 0;
   // Health answers "unhealthy" although it can be reached.
@@ -66,4 +66,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_ROUTING_BOOKED_TARGET_H_
+#endif  // KNAPWEEDROAD_ROUTING_BALANCED_TARGET_H_
--- a/knapweedroad/routing/target_book.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/target_book.h"
+#include "knapweedroad/routing/load_balancer.h"
 
 #include <algorithm>
 #include <cmath>
@@ -55,7 +55,7 @@
 // One pick in so many passes over what others say of a target: somebody has to
 // find out that it is well again. A hundred requests a second do so once in
 // three seconds; more would cost each scatter over many shards a retry.
-constexpr unsigned kDoubtOneIn = 300;
+constexpr unsigned kIgnoreOutliersOneIn = 300;
 
 uint64_t HashOf(const HostId& host, const TargetId& target) {
   return XXH64(target.str().data(), target.str().size(),
@@ -64,19 +64,19 @@
 
 }  // namespace
 
-TargetBook::TargetBook(TargetBookOptions options)
+LoadBalancer::LoadBalancer(LoadBalancerOptions options)
     : options(std::move(options)),
       random(static_cast<std::minstd_rand::result_type>(this->options.seed)) {}
 
-void TargetBook::SetRouting(std::shared_ptr<const RouteTable> next) {
+void LoadBalancer::SetRouting(std::shared_ptr<const RouteTable> next) {
   this->routing = std::move(next);
   for (auto& [id, service] : this->services) {
     this->TakeConfigured(id, service);
   }
 }
 
-void TargetBook::TakeConfigured(const ServiceId& id,
-                                BookedService& service) const {
+void LoadBalancer::TakeConfigured(const ServiceId& id,
+                                  BalancedService& service) const {
   const RoutedService* const configured =
       this->routing == nullptr ? nullptr : this->routing->FindService(id);
   service.max_connections =
@@ -84,7 +84,7 @@
   service.cold_rate = configured == nullptr ? 0 : configured->cold_rate;
 }
 
-BookedService& TargetBook::ServiceOf(const ServiceId& id) {
+BalancedService& LoadBalancer::ServiceOf(const ServiceId& id) {
   const auto [place, is_new] = this->services.try_emplace(id);
   if (is_new) {
     this->TakeConfigured(id, place->second);
@@ -92,26 +92,26 @@
   return place->second;
 }
 
-void TargetBook::SetZonesOut(const std::vector<ZoneId>& zones) {
+void LoadBalancer::SetZonesOut(const std::vector<ZoneId>& zones) {
   this->zones_out = {zones.begin(), zones.end()};
 }
 
-BookedTarget* TargetBook::Get(const TargetId& id) {
+BalancedTarget* LoadBalancer::Get(const TargetId& id) {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : &found->second;
 }
 
-const BookedTarget* TargetBook::Get(const TargetId& id) const {
+const BalancedTarget* LoadBalancer::Get(const TargetId& id) const {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : &found->second;
 }
 
-const TargetRecord* TargetBook::Find(const TargetId& id) const {
-  const BookedTarget* const target = this->Get(id);
+const TargetRecord* LoadBalancer::Find(const TargetId& id) const {
+  const BalancedTarget* const target = this->Get(id);
   return target == nullptr ? nullptr : &target->record;
 }
 
-void TargetBook::Drop(const TargetId& id) {
+void LoadBalancer::Drop(const TargetId& id) {
   const auto found = this->targets.find(id);
   if (found == this->targets.end()) {
     return;
@@ -120,8 +120,8 @@
   this->targets.erase(found);
 }
 
-void TargetBook::Learn(const TargetRecord& record, TimePoint now) {
-  BookedTarget* known = this->Get(record.id);
+void LoadBalancer::Learn(const TargetRecord& record, TimePoint now) {
+  BalancedTarget* known = this->Get(record.id);
   if (known != nullptr && !Supersedes(record, known->record)) {
     return;
   }
@@ -142,14 +142,15 @@
   known->cold_until = now + record.cold_left;
 }
 
-bool TargetBook::IsCold(const BookedTarget& target, TimePoint now) const {
+bool LoadBalancer::IsCold(const BalancedTarget& target, TimePoint now) const {
   return target.cold_until > now;
 }
 
 // Failure: a cold target crashes under what all hosts together send it, while
 // each of them alone was polite. So only a few hosts, the same ones in every
 // host's reckoning, send to it at all.
-bool TargetBook::MaySendCold(const BookedTarget& target, TimePoint now) const {
+bool LoadBalancer::MaySendCold(const BalancedTarget& target,
+                               TimePoint now) const {
   if (now < target.next_cold_send) {
     return false;
   }
@@ -168,7 +169,7 @@
   return before < senders;
 }
 
-bool TargetBook::IsUsable(const BookedTarget& target, TimePoint now) const {
+bool LoadBalancer::IsUsable(const BalancedTarget& target, TimePoint now) const {
   const TargetPhase phase = target.record.phase;
   const bool is_trusted_silent =
       phase == TargetPhase::kSilent && now - target.last_success < kSilentTrust;
@@ -176,7 +177,7 @@
          !this->zones_out.contains(target.record.zone);
 }
 
-size_t TargetBook::CapOf(const BookedTarget& target, TimePoint now) const {
+size_t LoadBalancer::CapOf(const BalancedTarget& target, TimePoint now) const {
   const size_t most = target.service->max_connections;
   return most == 0 ? 1 : this->share.CapOf(most, now);
 }
@@ -185,21 +186,21 @@
 // connection is one too many, and targets reset what is over their cap. Each
 // host then keeps to a part of the targets, its own zone's first; every host
 // draws another part.
-bool TargetBook::IsInSubset(const BookedTarget& target) const {
-  const BookedService& service = *target.service;
+bool LoadBalancer::IsInSubset(const BalancedTarget& target) const {
+  const BalancedService& service = *target.service;
   const size_t most = service.max_connections;
   const size_t all = service.targets.size();
   const size_t size = most == 0 ? all : this->share.SubsetSize(all, most);
   if (size >= all) {
     return true;
   }
-  const auto key = [this](const BookedTarget& of) {
+  const auto key = [this](const BalancedTarget& of) {
     return std::pair(this->IsOutside(of), of.rank);
   };
   size_t before = 0;
-  for (const BookedTarget* const other : service.targets) {
+  for (const BalancedTarget* const other : service.targets) {
     const bool counts =
-        other->record.phase == TargetPhase::kServing && !other->is_suspect;
+        other->record.phase == TargetPhase::kServing && !other->is_ejected;
     if (other != &target && counts && key(*other) < key(target)) {
       ++before;
     }
@@ -207,12 +208,12 @@
   return before < size;
 }
 
-bool TargetBook::MayTry(const BookedTarget& target, TimePoint now) const {
+bool LoadBalancer::MayTry(const BalancedTarget& target, TimePoint now) const {
   if (!this->IsUsable(target, now) ||
       target.in_flight >= target.limit.Allowed(this->CapOf(target, now))) {
     return false;
   }
-  if (!target.is_suspect) {
+  if (!target.is_ejected) {
     return true;
   }
   if (target.is_only_silent) {
@@ -222,47 +223,47 @@
          now >= target.next_trial;
 }
 
-void TargetBook::LearnTroubles(const HostId& control_host,
-                               std::optional<std::vector<TargetTrouble>> told,
-                               TimePoint now) {
+void LoadBalancer::LearnOutliers(const HostId& control_host,
+                                 std::optional<std::vector<TargetOutlier>> told,
+                                 TimePoint now) {
   if (this->outliers.Learn(control_host, std::move(told), now)) {
     this->ApplyOutliers();
   }
 }
 
-void TargetBook::ForgetOldTroubles(TimePoint now) {
+void LoadBalancer::ForgetOldOutliers(TimePoint now) {
   if (this->outliers.ForgetOld(now)) {
     this->ApplyOutliers();
   }
 }
 
-void TargetBook::ApplyOutliers() {
+void LoadBalancer::ApplyOutliers() {
   for (auto& [id, target] : this->targets) {
     target.shared_failures = 0;
     target.shared_slowdown = 1;
   }
-  for (const auto& [id, trouble] : this->outliers.Worst()) {
-    if (BookedTarget* const target = this->Get(id)) {
+  for (const auto& [id, outlier] : this->outliers.Worst()) {
+    if (BalancedTarget* const target = this->Get(id)) {
       target->shared_failures =
-          static_cast<double>(trouble.failed) / TargetTrouble::kFailedUnits;
-      target->shared_slowdown = static_cast<double>(trouble.slowdown);
+          static_cast<double>(outlier.failed) / TargetOutlier::kFailedUnits;
+      target->shared_slowdown = static_cast<double>(outlier.slowdown);
     }
   }
 }
 
-bool TargetBook::IsOutside(const BookedTarget& target) const {
+bool LoadBalancer::IsOutside(const BalancedTarget& target) const {
   return target.record.zone != this->options.zone;
 }
 
 // Failure: a cut between zones has healed, but the targets beyond it stay under
 // suspicion until their next health question, seconds later where many hosts
 // share the asking, and callers are refused as long.
-void TargetBook::OnOutsideAnswer(TimePoint now) {
-  if (!this->reach_watch.OnAnswered(now)) {
+void LoadBalancer::OnOutsideAnswer(TimePoint now) {
+  if (!this->zone_reachability.OnAnswered(now)) {
     return;
   }
   for (auto& [id, target] : this->targets) {
-    if (target.is_suspect && this->IsOutside(target)) {
+    if (target.is_ejected && this->IsOutside(target)) {
       target.next_probe = now;
       target.failed_probes = 0;
     }
@@ -274,18 +275,19 @@
 // well and crowd their own. So only what a target itself has done is shared:
 // answers, refusals, broken answers and late ones, never that it can't be
 // reached.
-void TargetBook::ShareOutcome(const BookedTarget& target, TargetEvidence seen) {
-  if (this->options.on_evidence) {
+void LoadBalancer::ShareOutcome(const BalancedTarget& target,
+                                TargetOutcomes seen) {
+  if (this->options.on_outcomes) {
     seen.target = target.record.id;
-    this->options.on_evidence(seen);
+    this->options.on_outcomes(seen);
   }
 }
 
-double TargetBook::Cost(const BookedTarget& target, TimePoint now) {
+double LoadBalancer::Cost(const BalancedTarget& target, TimePoint now) {
   const bool is_scarce = now < this->connections_scarce_until;
   const CostContext context{
       .usual_latency = target.service->latency,
-      .believes_others = this->random() % kDoubtOneIn != 0,
+      .believes_others = this->random() % kIgnoreOutliersOneIn != 0,
       .is_other_zone = this->IsOutside(target),
       .is_other_part = !this->IsInSubset(target),
       .takes_scarce_connection = is_scarce && this->options.is_connected &&
@@ -296,20 +298,20 @@
                   static_cast<double>(std::minstd_rand::max()));
 }
 
-std::optional<TargetId> TargetBook::Pick(const ServiceId& service_id,
-                                         std::span<const TargetId> tried,
-                                         TimePoint now) {
+std::optional<TargetId> LoadBalancer::Pick(const ServiceId& service_id,
+                                           std::span<const TargetId> tried,
+                                           TimePoint now) {
   const auto found = this->services.find(service_id);
   if (found == this->services.end()) {
     return std::nullopt;
   }
-  // Warm ones first, then trials of suspects; a cold one last.
+  // Warm ones first, then trials of ejected ones; a cold one last.
   enum Rank { kWarm, kTrial, kCold, kNone };
   Rank best_rank = kNone;
   double best_cost = std::numeric_limits<double>::max();
-  BookedTarget* best = nullptr;
-  for (BookedTarget* const candidate : found->second.targets) {
-    BookedTarget& target = *candidate;
+  BalancedTarget* best = nullptr;
+  for (BalancedTarget* const candidate : found->second.targets) {
+    BalancedTarget& target = *candidate;
     if (!this->MayTry(target, now) ||
         std::ranges::find(tried, target.record.id) != tried.end()) {
       continue;
@@ -317,7 +319,7 @@
     Rank rank = kWarm;
     if (this->IsCold(target, now)) {
       rank = this->MaySendCold(target, now) ? kCold : kNone;
-    } else if (target.is_suspect) {
+    } else if (target.is_ejected) {
       rank = kTrial;
     }
     if (rank == kNone || rank > best_rank) {
@@ -343,44 +345,46 @@
   return best->record.id;
 }
 
-bool TargetBook::IsServed(const ServiceId& service,
-                          TimePoint now,
-                          std::span<const TargetId> tried) const {
+bool LoadBalancer::IsServed(const ServiceId& service,
+                            TimePoint now,
+                            std::span<const TargetId> tried) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return false;
   }
   return std::ranges::any_of(
-      found->second.targets, [&](const BookedTarget* target) {
+      found->second.targets, [&](const BalancedTarget* target) {
         return this->IsWell(*target, now) &&
                std::ranges::find(tried, target->record.id) == tried.end();
       });
 }
 
-bool TargetBook::IsServedInZone(const ServiceId& service, TimePoint now) const {
+bool LoadBalancer::IsServedInZone(const ServiceId& service,
+                                  TimePoint now) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return false;
   }
   return std::ranges::any_of(
-      found->second.targets, [&](const BookedTarget* target) {
+      found->second.targets, [&](const BalancedTarget* target) {
         return !this->IsOutside(*target) && this->IsWell(*target, now);
       });
 }
 
-bool TargetBook::IsWell(const BookedTarget& target, TimePoint now) const {
-  return this->IsUsable(target, now) && !target.is_suspect &&
+bool LoadBalancer::IsWell(const BalancedTarget& target, TimePoint now) const {
+  return this->IsUsable(target, now) && !target.is_ejected &&
          !this->IsCold(target, now);
 }
 
-ServiceCount TargetBook::Count(const ServiceId& service, TimePoint now) const {
+ServiceCount LoadBalancer::Count(const ServiceId& service,
+                                 TimePoint now) const {
   ServiceCount count;
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return count;
   }
-  for (const BookedTarget* const counted : found->second.targets) {
-    const BookedTarget& target = *counted;
+  for (const BalancedTarget* const counted : found->second.targets) {
+    const BalancedTarget& target = *counted;
     const TargetPhase phase = target.record.phase;
     if (phase == TargetPhase::kLeaving || phase == TargetPhase::kGone) {
       ++count.leaving;
@@ -388,8 +392,8 @@
       ++count.out;
     } else if (!this->IsUsable(target, now)) {
       ++count.silent;
-    } else if (target.is_suspect) {
-      ++count.suspect;
+    } else if (target.is_ejected) {
+      ++count.ejected;
     } else if (this->IsCold(target, now)) {
       ++count.cold;
     } else {
@@ -399,14 +403,14 @@
   return count;
 }
 
-void TargetBook::OnSent(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
+void LoadBalancer::OnSent(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
     ++target->in_flight;
     target->sent.push_back(now);
   }
 }
 
-void TargetBook::EndAttempt(BookedTarget& target) {
+void LoadBalancer::EndAttempt(BalancedTarget& target) {
   if (target.in_flight > 0) {
     --target.in_flight;
   }
@@ -417,33 +421,33 @@
   }
 }
 
-void TargetBook::Tell(const BookedTarget& target,
-                      std::string_view belief,
-                      std::string_view cause,
-                      Duration span) const {
-  if (this->options.on_belief) {
-    this->options.on_belief({.target = target.record.id,
-                             .belief = belief,
-                             .cause = cause,
-                             .span = span});
+void LoadBalancer::ReportHealth(const BalancedTarget& target,
+                                std::string_view health,
+                                std::string_view cause,
+                                Duration span) const {
+  if (this->options.on_health_change) {
+    this->options.on_health_change({.target = target.record.id,
+                                    .health = health,
+                                    .cause = cause,
+                                    .span = span});
   }
 }
 
-void TargetBook::Trust(BookedTarget& target, std::string_view cause) {
-  if (std::exchange(target.is_suspect, false)) {
-    this->Tell(target, "trusted", cause);
+void LoadBalancer::Restore(BalancedTarget& target, std::string_view cause) {
+  if (std::exchange(target.is_ejected, false)) {
+    this->ReportHealth(target, "restored", cause);
   }
   target.is_only_silent = false;
-  target.is_doubted = false;
+  target.needs_probe = false;
   target.failed_probes = 0;
   target.unhealthy_probes = 0;
 }
 
-void TargetBook::CountLatency(BookedTarget& target,
-                              double taken,
-                              double weight,
-                              TargetEvidence seen,
-                              TimePoint now) {
+void LoadBalancer::CountLatency(BalancedTarget& target,
+                                double taken,
+                                double weight,
+                                TargetOutcomes seen,
+                                TimePoint now) {
   target.latency = target.latency <= 0
                        ? taken
                        : target.latency * (1 - weight) + taken * weight;
@@ -452,16 +456,16 @@
   seen.timed = 1;
   seen.latency_us = static_cast<uint64_t>(taken / kNsInUs);
   this->ShareOutcome(target, std::move(seen));
-  BookedService& service = *target.service;
+  BalancedService& service = *target.service;
   service.latency = service.latency <= 0
                         ? taken
                         : service.latency * (1 - kServiceLatencyWeight) +
                               taken * kServiceLatencyWeight;
 }
 
-void TargetBook::TakeLoad(BookedTarget& target,
-                          const std::optional<TargetLoad>& load,
-                          TimePoint now) {
+void LoadBalancer::TakeLoad(BalancedTarget& target,
+                            const std::optional<TargetLoad>& load,
+                            TimePoint now) {
   if (!load) {
     return;
   }
@@ -470,11 +474,11 @@
   target.limit.OnLoad(*load, target.record.slots, this->CapOf(target, now));
 }
 
-void TargetBook::OnAnswered(const TargetId& id,
-                            Duration latency,
-                            const std::optional<TargetLoad>& load,
-                            TimePoint now) {
-  BookedTarget* const target = this->Get(id);
+void LoadBalancer::OnAnswered(const TargetId& id,
+                              Duration latency,
+                              const std::optional<TargetLoad>& load,
+                              TimePoint now) {
+  BalancedTarget* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
@@ -487,13 +491,13 @@
   if (this->IsOutside(*target)) {
     this->OnOutsideAnswer(now);
   }
-  this->Trust(*target, "answered");
+  this->Restore(*target, "answered");
 }
 
-void TargetBook::OnDeclined(const TargetId& id,
-                            const std::optional<TargetLoad>& load,
-                            TimePoint now) {
-  BookedTarget* const target = this->Get(id);
+void LoadBalancer::OnDeclined(const TargetId& id,
+                              const std::optional<TargetLoad>& load,
+                              TimePoint now) {
+  BalancedTarget* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
@@ -503,20 +507,20 @@
   this->ShareOutcome(*target, {.failed = 1});
 }
 
-void TargetBook::OnFailed(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
+void LoadBalancer::OnFailed(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
     this->EndAttempt(*target);
     CountOutcome(*target, 1, kFailureWeight, now);
     this->ShareOutcome(*target, {.failed = 1});
   }
 }
 
-void TargetBook::OnBroken(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
+void LoadBalancer::OnBroken(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
     this->EndAttempt(*target);
     CountOutcome(*target, 1, kFailureWeight, now);
     this->ShareOutcome(*target, {.failed = 1});
-    target->is_doubted = true;
+    target->needs_probe = true;
   }
 }
 
@@ -524,55 +528,55 @@
 // connections of before. The first hosts take the few places left and keep
 // them; the others can't ask those targets for seconds. Later, hosts that are
 // turned away are simply many, and each new connection costs its target time.
-bool TargetBook::GivesBackConnections(TimePoint now) const {
+bool LoadBalancer::GivesBackConnections(TimePoint now) const {
   return now < this->connections_scarce_until &&
          now - this->options.started < kOldConnectionsHeld;
 }
 
 // The next attempts go elsewhere, but it is sound: no health question, which
 // would need a connection as well.
-void TargetBook::OnTurnedAway(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
+void LoadBalancer::OnConnectionRejected(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
     this->EndAttempt(*target);
     CountOutcome(*target, 1, kFailureWeight, now);
     this->connections_scarce_until = now + kScarceMemory;
   }
 }
 
-void TargetBook::Suspect(BookedTarget& target,
+void LoadBalancer::Eject(BalancedTarget& target,
                          std::string_view cause,
                          TimePoint now) {
   CountOutcome(target, 1, 1, now);
-  if (!std::exchange(target.is_suspect, true)) {
+  if (!std::exchange(target.is_ejected, true)) {
     const TimePoint since = target.sent.empty() ? now : target.sent.front();
-    this->Tell(target, "suspected", cause, now - since);
+    this->ReportHealth(target, "ejected", cause, now - since);
   }
-  target.is_doubted = true;
+  target.needs_probe = true;
   if (this->IsOutside(target)) {
-    this->reach_watch.OnUnanswered(target.record.id);
+    this->zone_reachability.OnUnanswered(target.record.id);
   }
   target.sent.clear();
 }
 
-void TargetBook::OnUnreachable(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
+void LoadBalancer::OnUnreachable(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
     this->EndAttempt(*target);
-    this->Suspect(*target, "unreachable", now);
+    this->Eject(*target, "unreachable", now);
     target->is_only_silent = false;
   }
 }
 
-void TargetBook::OnSilent(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
-    const bool was_suspect = target->is_suspect;
-    this->Suspect(*target, "silent", now);
-    target->is_only_silent = !was_suspect || target->is_only_silent;
+void LoadBalancer::OnSilent(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
+    const bool was_ejected = target->is_ejected;
+    this->Eject(*target, "silent", now);
+    target->is_only_silent = !was_ejected || target->is_only_silent;
   }
 }
 
-void TargetBook::SuspectSilent(TimePoint now) {
+void LoadBalancer::EjectSilent(TimePoint now) {
   for (auto& [id, target] : this->targets) {
-    if (target.sent.empty() || target.is_suspect) {
+    if (target.sent.empty() || target.is_ejected) {
       continue;
     }
     const double usual = std::max(target.latency, target.service->latency);
@@ -585,21 +589,21 @@
   }
 }
 
-void TargetBook::OnMisdirected(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
+void LoadBalancer::OnMisdirected(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
     this->EndAttempt(*target);
     target->record.phase = TargetPhase::kGone;
     CountOutcome(*target, 1, 1, now);
-    this->Tell(*target, "gone", "another_at_its_address");
+    this->ReportHealth(*target, "gone", "another_at_its_address");
   }
 }
 
 // Failure: a target that never answers looks idle and fast as soon as the
 // attempts on it are given up, and gets the next ones.
-void TargetBook::OnAbandoned(const TargetId& id,
-                             Duration waited,
-                             TimePoint now) {
-  BookedTarget* const target = this->Get(id);
+void LoadBalancer::OnAbandoned(const TargetId& id,
+                               Duration waited,
+                               TimePoint now) {
+  BalancedTarget* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
@@ -614,24 +618,24 @@
 // Failure: a target crashes, is back within a second under its old id, and is
 // cold; what is sent in good faith crashes it again. Its closed idle
 // connections are the first sign, so a health question goes first.
-void TargetBook::OnIdleClosed(const TargetId& id, TimePoint now) {
-  if (BookedTarget* const target = this->Get(id)) {
-    target->is_doubted = true;
+void LoadBalancer::OnIdleClosed(const TargetId& id, TimePoint now) {
+  if (BalancedTarget* const target = this->Get(id)) {
+    target->needs_probe = true;
     target->next_probe = std::min(target->next_probe, now);
   }
 }
 
-Duration TargetBook::ProbeInterval(const BookedTarget& target) const {
+Duration LoadBalancer::ProbeInterval(const BalancedTarget& target) const {
   const auto hosts = static_cast<int64_t>(this->share.host_count());
   const Duration least = std::max(kProbeInterval, kProbeIntervalAHost * hosts);
   const auto steps = std::min(target.failed_probes, kProbeBackoffSteps);
   return least + least * static_cast<int64_t>(steps) / 2;
 }
 
-std::vector<DueProbe> TargetBook::DueProbes(TimePoint now) {
+std::vector<DueProbe> LoadBalancer::DueProbes(TimePoint now) {
   std::vector<DueProbe> due;
   for (auto& [id, target] : this->targets) {
-    const bool wanted = (target.is_suspect || target.is_doubted) &&
+    const bool wanted = (target.is_ejected || target.needs_probe) &&
                         target.record.phase != TargetPhase::kGone &&
                         target.record.phase != TargetPhase::kLeaving &&
                         !this->zones_out.contains(target.record.zone);
@@ -648,16 +652,16 @@
   return due;
 }
 
-void TargetBook::OnProbe(const TargetId& id,
-                         const ProbeResult& result,
-                         TimePoint now) {
-  BookedTarget* const target = this->Get(id);
+void LoadBalancer::OnProbe(const TargetId& id,
+                           const ProbeResult& result,
+                           TimePoint now) {
+  BalancedTarget* const target = this->Get(id);
   if (target == nullptr) {
     return;
   }
   if (result.is_other_target) {
     target->record.phase = TargetPhase::kGone;
-    this->Tell(*target, "gone", "another_at_its_address");
+    this->ReportHealth(*target, "gone", "another_at_its_address");
     return;
   }
   const bool is_colder = result.cold_left > Duration::zero() &&
@@ -667,10 +671,10 @@
   }
   if (result.is_reachable && is_colder) {
     target->cold_until = now + result.cold_left;
-    this->Tell(*target, "cold", "health_answer", result.cold_left);
+    this->ReportHealth(*target, "cold", "health_answer", result.cold_left);
   }
   if (result.is_healthy) {
-    this->Trust(*target, "health_answer");
+    this->Restore(*target, "health_answer");
     return;
   }
   ++target->failed_probes;
@@ -678,7 +682,7 @@
     ++target->unhealthy_probes;
   } else if (!result.is_unclear) {
     target->unhealthy_probes = 0;
-    this->Suspect(*target, "no_health_answer", now);
+    this->Eject(*target, "no_health_answer", now);
     target->is_only_silent = false;
   }
   // A target that only ever was in doubt and can be reached stays in use.
--- a/knapweedroad/routing/target_book.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -1,14 +1,14 @@
 // An entry host's knowledge of targets: what control hosts tell, what it has
 // seen itself, and from both the choice of one for an attempt.
 //
-//   TargetBook book({.zone = zone});
+//   LoadBalancer book({.zone = zone});
 //   book.Learn(record, now);
 //   auto target = book.Pick(service, tried, now);
 //   book.OnSent(*target, now);
 //   book.OnAnswered(*target, latency, load, now);
 
-#ifndef KNAPWEEDROAD_ROUTING_TARGET_BOOK_H_
-#define KNAPWEEDROAD_ROUTING_TARGET_BOOK_H_
+#ifndef KNAPWEEDROAD_ROUTING_LOAD_BALANCER_H_
+#define KNAPWEEDROAD_ROUTING_LOAD_BALANCER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -24,30 +24,30 @@
 #include <vector>
 
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/registry/target_evidence.h"
+#include "knapweedroad/registry/target_outcomes.h"
 #include "knapweedroad/registry/target_record.h"
-#include "knapweedroad/routing/booked_target.h"
+#include "knapweedroad/routing/balanced_target.h"
 #include "knapweedroad/routing/connection_share.h"
 #include "knapweedroad/routing/outlier_lists.h"
-#include "knapweedroad/routing/reach_watch.h"
 #include "knapweedroad/routing/service_count.h"
 #include "knapweedroad/routing/target_load.h"
+#include "knapweedroad/routing/zone_reachability.h"
 
 namespace knapweedroad {
 
 class RouteTable;
 
 // A change of what this host believes of a target, for the log.
-struct TargetBelief {
+struct TargetHealthChange {
   TargetId target;
-  // "suspected", "trusted", "gone" or "cold".
-  std::string_view belief;
+  // "ejected", "restored", "gone" or "cold".
+  std::string_view health;
   std::string_view cause;
   // How long it had been silent, or stays cold; zero where it doesn't apply.
   Duration span{};
 };
 
-struct TargetBookOptions {
+struct LoadBalancerOptions {
   HostId self;
   ZoneId zone;
   // Bound on what a cold target gets in a second from all hosts together:
@@ -57,11 +57,11 @@
   uint64_t seed = 1;
   // When this host began to send.
   TimePoint started;
-  // Told of each change of belief; may be absent.
-  std::function<void(const TargetBelief&)> on_belief;
+  // Told of each change of health; may be absent.
+  std::function<void(const TargetHealthChange&)> on_health_change;
   // Told of each attempt's outcome, to be shared with other hosts; may be
   // absent.
-  std::function<void(const TargetEvidence&)> on_evidence;
+  std::function<void(const TargetOutcomes&)> on_outcomes;
   // Whether this host holds an idle connection to the target; absent: yes.
   std::function<bool(const TargetId&)> is_connected;
 };
@@ -84,9 +84,9 @@
   std::string health_path;
 };
 
-class TargetBook {
+class LoadBalancer {
  public:
-  explicit TargetBook(TargetBookOptions options);
+  explicit LoadBalancer(LoadBalancerOptions options);
 
   // News of a target; older knowledge than is held changes nothing.
   void Learn(const TargetRecord& record, TimePoint now);
@@ -100,12 +100,12 @@
   }
   // What all hosts of the zone together see of targets, as one control host
   // tells it; replaces what it told before. Nothing: that still holds.
-  void LearnTroubles(const HostId& control_host,
-                     std::optional<std::vector<TargetTrouble>> troubles,
+  void LearnOutliers(const HostId& control_host,
+                     std::optional<std::vector<TargetOutlier>> outliers,
                      TimePoint now);
   // Drops what control hosts that no longer reply have told. Called every few
   // hundred milliseconds.
-  void ForgetOldTroubles(TimePoint now);
+  void ForgetOldOutliers(TimePoint now);
   // How many share it, at the most, as far as known.
   size_t entry_hosts() const { return this->share.host_count(); }
 
@@ -127,7 +127,7 @@
   ServiceCount Count(const ServiceId& service, TimePoint now) const;
 
   // Whether this zone seems cut off, by what targets of others answer.
-  ReachWatch& reach() { return this->reach_watch; }
+  ZoneReachability& reachability() { return this->zone_reachability; }
   // A control host of another zone has answered, or a target.
   void OnOutsideAnswer(TimePoint now);
 
@@ -153,7 +153,7 @@
   // The connection ended in the middle, or bytes came that are no answer.
   void OnBroken(const TargetId& id, TimePoint now);
   // It closed a new connection before anything was sent: it has too many.
-  void OnTurnedAway(const TargetId& id, TimePoint now);
+  void OnConnectionRejected(const TargetId& id, TimePoint now);
   // No connection could be had.
   void OnUnreachable(const TargetId& id, TimePoint now);
   // Nothing came in all the time it was given.
@@ -167,7 +167,7 @@
 
   // Stops using targets that have left attempts unanswered for long while
   // nothing came from them. Not called after this process stood still.
-  void SuspectSilent(TimePoint now);
+  void EjectSilent(TimePoint now);
 
   // Targets to ask for their health now; each is then due again after a
   // while. Asked before new requests go to a target that has failed.
@@ -175,50 +175,50 @@
   void OnProbe(const TargetId& id, const ProbeResult& result, TimePoint now);
 
  private:
-  BookedTarget* Get(const TargetId& id);
-  const BookedTarget* Get(const TargetId& id) const;
+  BalancedTarget* Get(const TargetId& id);
+  const BalancedTarget* Get(const TargetId& id) const;
   void Drop(const TargetId& id);
-  bool IsUsable(const BookedTarget& target, TimePoint now) const;
-  bool IsCold(const BookedTarget& target, TimePoint now) const;
-  bool IsWell(const BookedTarget& target, TimePoint now) const;
-  bool MayTry(const BookedTarget& target, TimePoint now) const;
-  bool MaySendCold(const BookedTarget& target, TimePoint now) const;
-  bool IsInSubset(const BookedTarget& target) const;
+  bool IsUsable(const BalancedTarget& target, TimePoint now) const;
+  bool IsCold(const BalancedTarget& target, TimePoint now) const;
+  bool IsWell(const BalancedTarget& target, TimePoint now) const;
+  bool MayTry(const BalancedTarget& target, TimePoint now) const;
+  bool MaySendCold(const BalancedTarget& target, TimePoint now) const;
+  bool IsInSubset(const BalancedTarget& target) const;
   // The service, with what is configured of it.
-  BookedService& ServiceOf(const ServiceId& id);
-  void TakeConfigured(const ServiceId& id, BookedService& service) const;
-  size_t CapOf(const BookedTarget& target, TimePoint now) const;
-  double Cost(const BookedTarget& target, TimePoint now);
-  void EndAttempt(BookedTarget& target);
-  void TakeLoad(BookedTarget& target,
+  BalancedService& ServiceOf(const ServiceId& id);
+  void TakeConfigured(const ServiceId& id, BalancedService& service) const;
+  size_t CapOf(const BalancedTarget& target, TimePoint now) const;
+  double Cost(const BalancedTarget& target, TimePoint now);
+  void EndAttempt(BalancedTarget& target);
+  void TakeLoad(BalancedTarget& target,
                 const std::optional<TargetLoad>& load,
                 TimePoint now);
-  bool IsOutside(const BookedTarget& target) const;
-  void ShareOutcome(const BookedTarget& target, TargetEvidence seen);
+  bool IsOutside(const BalancedTarget& target) const;
+  void ShareOutcome(const BalancedTarget& target, TargetOutcomes seen);
   void ApplyOutliers();
-  void Suspect(BookedTarget& target, std::string_view cause, TimePoint now);
-  void Trust(BookedTarget& target, std::string_view cause);
-  void Tell(const BookedTarget& target,
-            std::string_view belief,
-            std::string_view cause,
-            Duration span = Duration::zero()) const;
+  void Eject(BalancedTarget& target, std::string_view cause, TimePoint now);
+  void Restore(BalancedTarget& target, std::string_view cause);
+  void ReportHealth(const BalancedTarget& target,
+                    std::string_view health,
+                    std::string_view cause,
+                    Duration span = Duration::zero()) const;
   // Smoothed latencies take the value in, and `seen` with it is shared.
-  void CountLatency(BookedTarget& target,
+  void CountLatency(BalancedTarget& target,
                     double taken,
                     double weight,
-                    TargetEvidence seen,
+                    TargetOutcomes seen,
                     TimePoint now);
-  Duration ProbeInterval(const BookedTarget& target) const;
+  Duration ProbeInterval(const BalancedTarget& target) const;
 
-  TargetBookOptions options;
-  std::unordered_map<TargetId, BookedTarget> targets;
+  LoadBalancerOptions options;
+  std::unordered_map<TargetId, BalancedTarget> targets;
   // Targets and services refer to each other; neither moves.
-  std::unordered_map<ServiceId, BookedService> services;
+  std::unordered_map<ServiceId, BalancedService> services;
   std::shared_ptr<const RouteTable> routing;
   std::set<ZoneId> zones_out;
   OutlierLists outliers;
   ConnectionShare share;
-  ReachWatch reach_watch;
+  ZoneReachability zone_reachability;
   // Until then targets are taken to be short of connections.
   TimePoint connections_scarce_until;
   std::minstd_rand random;
@@ -226,4 +226,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_ROUTING_TARGET_BOOK_H_
+#endif  // KNAPWEEDROAD_ROUTING_LOAD_BALANCER_H_
--- /dev/null
+++ b/knapweedroad/routing/load_balancer_test.cc
@@ -0,0 +1,451 @@
+#include "knapweedroad/routing/load_balancer.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+#include "knapweedroad/routing/route_table.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+const ServiceId kService("s");
+
+std::vector<HostId> Hosts(size_t count) {
+  std::vector<HostId> hosts;
+  for (size_t i = 0; i < count; ++i) {
+    hosts.emplace_back("entry-" + std::to_string(i));
+  }
+  return hosts;
+}
+
+TargetRecord Record(const char* id, const char* zone) {
+  return {.id = TargetId(id),
+          .service = kService,
+          .zone = ZoneId(zone),
+          .address = {"10.0.0.1", 80},
+          .slots = 2,
+          .started_ms = 1000,
+          .sequence = 1};
+}
+
+LoadBalancer MakeBook(size_t host, size_t hosts, size_t connections) {
+  LoadBalancer balancer({.self = Hosts(hosts)[host], .zone = ZoneId("a")});
+  RoutingConfig config{
+      .version = 1,
+      .services = {{.name = kService, .max_connections = connections}}};
+  balancer.SetRouting(std::make_shared<RouteTable>(config));
+  // Long ago: the list is settled.
+  balancer.SetEntryHosts(Hosts(hosts), kStart - seconds(60));
+  return balancer;
+}
+
+void Serve(LoadBalancer& balancer,
+           const TargetId& id,
+           Duration took,
+           TimePoint at) {
+  balancer.OnSent(id, at);
+  balancer.OnAnswered(id, took, std::nullopt, at + took);
+}
+
+// A target is five times as slow as the others. Sent its even share it would
+// hold up every third answer of its shard.
+Test(load_balancer, a_slow_target_gets_little_and_is_tried_again_later) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2", "t3"}) {
+    balancer.Learn(Record(id, "a"), kStart);
+  }
+  TimePoint now = kStart;
+  std::map<std::string, int> got;
+  for (int i = 0; i < 300; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    ++got[id.str()];
+    Serve(balancer, id, milliseconds(id.str() == "t1" ? 50 : 10), now);
+    now += milliseconds(60);
+  }
+  cr_expect(got["t1"] < 30, "%d", got["t1"]);
+  cr_expect(got["t1"] >= 2, "%d", got["t1"]);
+}
+
+Test(load_balancer, its_own_zone_goes_first_while_it_is_as_fast) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("far", "b"), kStart);
+  balancer.Learn(Record("near", "a"), kStart);
+  int near = 0;
+  TimePoint now = kStart;
+  for (int i = 0; i < 100; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    near += id.str() == "near" ? 1 : 0;
+    Serve(balancer, id, milliseconds(10), now);
+    now += milliseconds(30);
+  }
+  cr_expect(near > 90, "%d", near);
+}
+
+// A target pauses: what it was sent stays unanswered. New requests must not
+// queue up behind it.
+Test(load_balancer, a_stalled_target_is_passed_over) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("near", "a"), kStart);
+  balancer.Learn(Record("far", "b"), kStart);
+  for (int i = 0; i < 20; ++i) {
+    Serve(balancer, TargetId("near"), milliseconds(5), kStart);
+    Serve(balancer, TargetId("far"), milliseconds(5), kStart);
+  }
+  balancer.OnSent(TargetId("near"), kStart);
+  cr_expect(balancer.Pick(kService, {}, kStart + milliseconds(60)) ==
+            TargetId("far"));
+}
+
+Test(load_balancer, a_leaving_or_evacuated_target_gets_nothing) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("t", "a"), kStart);
+  balancer.SetZonesOut({ZoneId("a")});
+  cr_expect(!balancer.Pick(kService, {}, kStart));
+  balancer.SetZonesOut({});
+  cr_expect(balancer.Pick(kService, {}, kStart).has_value());
+  TargetRecord leaving = Record("t", "a");
+  leaving.sequence = 2;
+  leaving.phase = TargetPhase::kLeaving;
+  balancer.Learn(leaving, kStart);
+  cr_expect(!balancer.Pick(kService, {}, kStart));
+  cr_expect(!balancer.IsServed(kService, kStart));
+}
+
+// A zone's targets come back cold and bear five requests a second together.
+// Nine hosts that are polite each for themselves still send ninety.
+Test(load_balancer, hosts_together_keep_to_what_a_cold_target_bears) {
+  constexpr size_t kHosts = 9;
+  std::vector<LoadBalancer> books;
+  for (size_t i = 0; i < kHosts; ++i) {
+    books.push_back(MakeBook(i, kHosts, 100));
+    TargetRecord cold = Record("t", "a");
+    cold.cold_left = seconds(30);
+    books.back().Learn(cold, kStart);
+  }
+  std::vector<TimePoint> sent;
+  for (Duration at{}; at < seconds(10); at += milliseconds(10)) {
+    for (LoadBalancer& balancer : books) {
+      if (const auto id = balancer.Pick(kService, {}, kStart + at)) {
+        Serve(balancer, *id, milliseconds(5), kStart + at);
+        sent.push_back(kStart + at);
+      }
+    }
+  }
+  cr_expect(!sent.empty());
+  for (size_t i = 0; i + 5 < sent.size(); ++i) {
+    cr_assert(sent[i + 5] - sent[i] >= seconds(1));
+  }
+}
+
+// 83 hosts stand before targets that take 74 connections each: one connection
+// of every host is too many, and the target resets what is over its cap.
+Test(load_balancer, many_hosts_share_out_the_connections_of_a_service) {
+  constexpr size_t kHosts = 83;
+  std::map<std::string, int> users;
+  for (size_t i = 0; i < kHosts; ++i) {
+    LoadBalancer balancer = MakeBook(i, kHosts, 74);
+    balancer.Learn(Record("t1", "a"), kStart);
+    balancer.Learn(Record("t2", "b"), kStart);
+    balancer.Learn(Record("t3", "c"), kStart);
+    std::map<std::string, int> got;
+    TimePoint now = kStart;
+    for (int n = 0; n < 50; ++n) {
+      const TargetId id = *balancer.Pick(kService, {}, now);
+      ++got[id.str()];
+      Serve(balancer, id, milliseconds(10), now);
+      now += milliseconds(50);
+    }
+    cr_expect(got.size() <= 2);
+    for (const auto& [id, count] : got) {
+      ++users[id];
+    }
+  }
+  cr_expect(users["t2"] <= 74 && users["t3"] <= 74, "%d %d", users["t2"],
+            users["t3"]);
+}
+
+// A target crashes and is back within a second under its old id, cold. Hosts
+// that go on in good faith crash it again: they ask for its health first.
+Test(load_balancer, an_unreachable_target_is_asked_before_it_is_used_again) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("t", "a"), kStart);
+  balancer.OnSent(TargetId("t"), kStart);
+  balancer.OnUnreachable(TargetId("t"), kStart);
+  cr_expect(!balancer.Pick(kService, {}, kStart + seconds(1)));
+  const auto due = balancer.DueProbes(kStart + milliseconds(1));
+  cr_assert(due.size() == 1);
+  balancer.OnProbe(
+      due[0].target,
+      {.is_reachable = true, .is_healthy = true, .cold_left = seconds(2)},
+      kStart + milliseconds(5));
+  cr_expect(!balancer.IsServed(kService, kStart + seconds(1)));
+  cr_expect(balancer.IsServed(kService, kStart + seconds(3)));
+}
+
+// A target goes dark: no reset, no refusal, requests just stay unanswered.
+Test(load_balancer, a_silent_target_is_taken_out_until_it_answers_again) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("t", "a"), kStart);
+  Serve(balancer, TargetId("t"), milliseconds(10), kStart);
+  balancer.OnSent(TargetId("t"), kStart + seconds(1));
+  balancer.EjectSilent(kStart + milliseconds(1400));
+  cr_expect(balancer.IsServed(kService, kStart + milliseconds(1400)));
+  balancer.EjectSilent(kStart + milliseconds(1500));
+  cr_expect(!balancer.IsServed(kService, kStart + milliseconds(1500)));
+  cr_assert(balancer.DueProbes(kStart + milliseconds(1500)).size() == 1);
+  cr_expect(balancer.DueProbes(kStart + milliseconds(1600)).empty());
+  balancer.OnProbe(TargetId("t"), {.is_reachable = true, .is_healthy = true},
+                   kStart + milliseconds(1600));
+  cr_expect(balancer.IsServed(kService, kStart + milliseconds(1600)));
+}
+
+// A target says that it is unhealthy though it serves well. Suspected once for
+// another reason it would never be used again.
+Test(load_balancer, a_target_with_false_health_answers_is_tried_by_requests) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("t", "a"), kStart);
+  balancer.OnSent(TargetId("t"), kStart);
+  balancer.OnUnreachable(TargetId("t"), kStart);
+  TimePoint now = kStart;
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(2);
+    for (const DueProbe& probe : balancer.DueProbes(now)) {
+      balancer.OnProbe(probe.target, {.is_reachable = true}, now);
+    }
+  }
+  const auto trial = balancer.Pick(kService, {}, now);
+  cr_assert(trial.has_value());
+  cr_expect(!balancer.Pick(kService, {}, now + milliseconds(10)));
+  Serve(balancer, *trial, milliseconds(5), now);
+  cr_expect(balancer.IsServed(kService, now + milliseconds(10)));
+}
+
+// A dark target's attempts are given up one after the other. Each time it
+// looks free, and would get the next request of every caller.
+Test(load_balancer, a_target_whose_attempts_are_given_up_is_passed_over) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("dark", "a"), kStart);
+  balancer.Learn(Record("well", "b"), kStart);
+  for (int i = 0; i < 20; ++i) {
+    Serve(balancer, TargetId("dark"), milliseconds(10), kStart);
+    Serve(balancer, TargetId("well"), milliseconds(10), kStart);
+  }
+  balancer.OnSent(TargetId("dark"), kStart);
+  balancer.OnAbandoned(TargetId("dark"), milliseconds(400),
+                       kStart + milliseconds(400));
+  int dark = 0;
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint now = kStart + milliseconds(400 + i * 20);
+    dark += balancer.Pick(kService, {}, now) == TargetId("dark") ? 1 : 0;
+  }
+  cr_expect(dark == 0);
+}
+
+// All hosts lose their power. Each one that is back believes to be alone for a
+// second; nine of them then hold nine times a target's connections, and all
+// beyond its cap are reset, with the requests on them.
+Test(load_balancer, hosts_that_have_just_started_hold_few_connections) {
+  LoadBalancer balancer({.self = HostId("entry-0"), .zone = ZoneId("a")});
+  RoutingConfig config{.version = 1,
+                       .services = {{.name = kService, .max_connections = 26}}};
+  balancer.SetRouting(std::make_shared<RouteTable>(config));
+  balancer.SetEntryHosts(Hosts(1), kStart);
+  balancer.Learn(Record("t", "a"), kStart);
+  int sent = 0;
+  while (balancer.Pick(kService, {}, kStart)) {
+    balancer.OnSent(TargetId("t"), kStart);
+    ++sent;
+  }
+  cr_expect(sent == 2, "%d", sent);
+  balancer.SetEntryHosts(Hosts(9), kStart + milliseconds(400));
+  balancer.SetEntryHosts(Hosts(1), kStart + seconds(4));
+  cr_expect(balancer.entry_hosts() == 9);
+}
+
+// A target at its cap of connections resets health questions like all others.
+// Suspected for that, it would lose its work to targets that are as full.
+Test(load_balancer, a_health_question_that_was_cut_off_proves_nothing) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("t", "a"), kStart);
+  balancer.OnSent(TargetId("t"), kStart);
+  balancer.OnBroken(TargetId("t"), kStart);
+  cr_assert(balancer.DueProbes(kStart).size() == 1);
+  balancer.OnProbe(TargetId("t"), {.is_unclear = true}, kStart);
+  cr_expect(balancer.IsServed(kService, kStart));
+}
+
+Test(load_balancer, another_target_at_the_address_ends_the_record) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("t", "a"), kStart);
+  balancer.OnSent(TargetId("t"), kStart);
+  balancer.OnMisdirected(TargetId("t"), kStart);
+  cr_expect(!balancer.Pick(kService, {}, kStart));
+  TargetRecord next = Record("t", "a");
+  next.started_ms = 2000;
+  balancer.Learn(next, kStart);
+  cr_expect(balancer.Pick(kService, {}, kStart).has_value());
+}
+
+// A target refuses half of its requests. This host has asked it only twice, but
+// all hosts of the zone together know, and it must not find out for itself.
+Test(load_balancer, a_target_that_others_see_fail_is_avoided) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    balancer.Learn(Record(id, "a"), kStart);
+    Serve(balancer, TargetId(id), milliseconds(10), kStart);
+  }
+  const HostId control("c1");
+  balancer.LearnOutliers(
+      control, std::vector{TargetOutlier{TargetId("t1"), 4, 1}}, kStart);
+  TimePoint now = kStart + seconds(1);
+  int bad = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    bad += id == TargetId("t1") ? 1 : 0;
+    Serve(balancer, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(bad < 10, "%d", bad);
+  // Well again by the word of the same control host.
+  balancer.LearnOutliers(control, std::vector<TargetOutlier>(), now);
+  int again = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    again += id == TargetId("t1") ? 1 : 0;
+    Serve(balancer, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(again > 50, "%d", again);
+}
+
+// The control host that listed a target has gone. What it said must not be
+// believed for ever.
+Test(load_balancer, a_list_whose_control_host_is_gone_is_forgotten) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    balancer.Learn(Record(id, "a"), kStart);
+    Serve(balancer, TargetId(id), milliseconds(10), kStart);
+  }
+  balancer.LearnOutliers(
+      HostId("c1"), std::vector{TargetOutlier{TargetId("t1"), 8, 1}}, kStart);
+  TimePoint now = kStart + seconds(6);
+  balancer.LearnOutliers(HostId("c2"), std::vector<TargetOutlier>(), now);
+  int got = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    got += id == TargetId("t1") ? 1 : 0;
+    Serve(balancer, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(got > 50, "%d", got);
+}
+
+// A zone's only control host dies after it has listed a target. No other list
+// comes that would replace its own, and the target would be avoided for as long
+// as the control host is away.
+Test(load_balancer, a_list_is_forgotten_without_any_other_list) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    balancer.Learn(Record(id, "a"), kStart);
+    Serve(balancer, TargetId(id), milliseconds(10), kStart);
+  }
+  balancer.LearnOutliers(
+      HostId("c1"), std::vector{TargetOutlier{TargetId("t1"), 8, 1}}, kStart);
+  TimePoint now = kStart + seconds(6);
+  balancer.ForgetOldOutliers(now);
+  int got = 0;
+  for (int i = 0; i < 200; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    got += id == TargetId("t1") ? 1 : 0;
+    Serve(balancer, id, milliseconds(10), now);
+    now += milliseconds(10);
+  }
+  cr_expect(got > 50, "%d", got);
+}
+
+// All hosts have lost their power; targets still hold the connections of
+// before and turn new ones away. A host keeps to the target that it has a
+// connection to: with a second one, another host would be left without any.
+Test(load_balancer, while_connections_are_scarce_it_keeps_to_those_it_has) {
+  bool is_first = true;
+  LoadBalancer balancer({.self = Hosts(1)[0],
+                         .zone = ZoneId("a"),
+                         .is_connected = [&is_first](const TargetId& id) {
+                           return id == TargetId(is_first ? "t1" : "t2");
+                         }});
+  RoutingConfig config{
+      .version = 1, .services = {{.name = kService, .max_connections = 100}}};
+  balancer.SetRouting(std::make_shared<RouteTable>(config));
+  for (const char* id : {"t1", "t2"}) {
+    balancer.Learn(Record(id, "a"), kStart);
+    Serve(balancer, TargetId(id), milliseconds(10), kStart);
+  }
+  balancer.OnSent(TargetId("t2"), kStart);
+  balancer.OnConnectionRejected(TargetId("t2"), kStart);
+  for (int i = 0; i < 50; ++i) {
+    cr_assert(*balancer.Pick(kService, {}, kStart) == TargetId("t1"));
+  }
+  // It is not ejected: where the first is tried already, it is next.
+  const std::vector<TargetId> tried{TargetId("t1")};
+  cr_expect(*balancer.Pick(kService, tried, kStart) == TargetId("t2"));
+}
+
+// Two of a shard's three targets refuse half of their requests, and answer the
+// others fast. The sound one is in another zone and has the rest of the work;
+// by latency alone half of all requests go to those that refuse, retries run
+// out, and callers get no answer.
+Test(load_balancer,
+     a_sound_target_with_more_to_do_goes_before_one_that_refuses) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  for (const char* id : {"t1", "t2"}) {
+    balancer.Learn(Record(id, "a"), kStart);
+  }
+  balancer.Learn(Record("sound", "b"), kStart);
+  balancer.LearnOutliers(HostId("c1"),
+                         std::vector{TargetOutlier{TargetId("t1"), 4, 1},
+                                     TargetOutlier{TargetId("t2"), 4, 1}},
+                         kStart);
+  TimePoint now = kStart;
+  int sound = 0;
+  for (int i = 0; i < 300; ++i) {
+    const TargetId id = *balancer.Pick(kService, {}, now);
+    sound += id == TargetId("sound") ? 1 : 0;
+    Serve(balancer, id, milliseconds(id == TargetId("sound") ? 90 : 8), now);
+    now += milliseconds(10);
+  }
+  cr_expect(sound > 285, "%d", sound);
+}
+
+// All hosts have lost their power; targets still hold the connections of before
+// and have few places. Hosts that keep those to themselves leave the others'
+// callers without an answer for ten seconds.
+Test(load_balancer,
+     a_host_that_has_just_started_gives_scarce_connections_back) {
+  LoadBalancer balancer({.self = HostId("e"), .started = kStart});
+  balancer.Learn(Record("t1", "a"), kStart);
+  cr_expect_not(balancer.GivesBackConnections(kStart));
+  balancer.OnSent(TargetId("t1"), kStart);
+  balancer.OnConnectionRejected(TargetId("t1"), kStart + seconds(1));
+  cr_expect(balancer.GivesBackConnections(kStart + seconds(2)));
+  // Nothing was turned away lately: places are there again.
+  cr_expect_not(balancer.GivesBackConnections(kStart + seconds(6)));
+}
+
+// Many hosts under high load: now and then a target turns one away. Its other
+// connections are kept, as each new one would cost its target time.
+Test(load_balancer, a_host_that_runs_for_long_keeps_its_connections) {
+  LoadBalancer balancer({.self = HostId("e"), .started = kStart});
+  balancer.Learn(Record("t1", "a"), kStart);
+  const TimePoint later = kStart + seconds(30);
+  balancer.OnSent(TargetId("t1"), later);
+  balancer.OnConnectionRejected(TargetId("t1"), later);
+  cr_expect_not(balancer.GivesBackConnections(later));
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- a/knapweedroad/routing/evidence_tally.cc
+++ b/knapweedroad/routing/outcome_recorder.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/evidence_tally.h"
+#include "knapweedroad/routing/outcome_recorder.h"
 
 #include <cstddef>
 
@@ -17,9 +17,9 @@
 
 }  // namespace
 
-void EvidenceTally::Count(const TargetEvidence& seen) {
+void OutcomeRecorder::Count(const TargetOutcomes& seen) {
   for (auto& [host, pending] : this->pending) {
-    TargetEvidence& sum = pending.targets[seen.target];
+    TargetOutcomes& sum = pending.targets[seen.target];
     sum.target = seen.target;
     sum.answered += seen.answered;
     sum.failed += seen.failed;
@@ -28,14 +28,14 @@
   }
 }
 
-std::vector<TargetEvidence> EvidenceTally::Take(const HostId& control_host,
-                                                TimePoint now) {
+std::vector<TargetOutcomes> OutcomeRecorder::Take(const HostId& control_host,
+                                                  TimePoint now) {
   std::erase_if(this->pending, [&](const auto& entry) {
     return now - entry.second.taken > kKeepFor;
   });
   Pending& own = this->pending[control_host];
   own.taken = now;
-  std::vector<TargetEvidence> report;
+  std::vector<TargetOutcomes> report;
   for (auto at = own.targets.begin();
        at != own.targets.end() && report.size() < kMostReported;) {
     if (at->second.answered + at->second.failed <= kEnoughAlone) {
--- a/knapweedroad/routing/evidence_tally.h
+++ b/knapweedroad/routing/outcome_recorder.h
@@ -1,12 +1,12 @@
 // What this entry host has seen of targets and not reported yet, for each
 // control host that it reports to.
 //
-//   EvidenceTally tally;
+//   OutcomeRecorder tally;
 //   tally.Count({.target = id, .answered = 1});
-//   std::vector<TargetEvidence> report = tally.Take(control_host, now);
+//   std::vector<TargetOutcomes> report = tally.Take(control_host, now);
 
-#ifndef KNAPWEEDROAD_ROUTING_EVIDENCE_TALLY_H_
-#define KNAPWEEDROAD_ROUTING_EVIDENCE_TALLY_H_
+#ifndef KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
+#define KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
 
 #include <map>
 #include <unordered_map>
@@ -14,22 +14,22 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/registry/target_evidence.h"
+#include "knapweedroad/registry/target_outcomes.h"
 
 namespace knapweedroad {
 
-class EvidenceTally {
+class OutcomeRecorder {
  public:
   // Adds to what every control host is still to hear.
-  void Count(const TargetEvidence& seen);
+  void Count(const TargetOutcomes& seen);
 
   // What `control_host` hasn't heard; the first call gives nothing. A part of
   // it where there is more than a report holds: the rest comes with the next.
-  std::vector<TargetEvidence> Take(const HostId& control_host, TimePoint now);
+  std::vector<TargetOutcomes> Take(const HostId& control_host, TimePoint now);
 
  private:
   struct Pending {
-    std::unordered_map<TargetId, TargetEvidence> targets;
+    std::unordered_map<TargetId, TargetOutcomes> targets;
     TimePoint taken;
   };
 
@@ -38,4 +38,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_ROUTING_EVIDENCE_TALLY_H_
+#endif  // KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
--- a/knapweedroad/routing/evidence_tally_test.cc
+++ b/knapweedroad/routing/outcome_recorder_test.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/evidence_tally.h"
+#include "knapweedroad/routing/outcome_recorder.h"
 
 #include <criterion/criterion.h>
 
@@ -15,8 +15,8 @@
 const HostId kSecond("c2");
 const TargetId kTarget("t");
 
-Test(evidence_tally, each_control_host_hears_everything_once) {
-  EvidenceTally tally;
+Test(outcome_recorder, each_control_host_hears_everything_once) {
+  OutcomeRecorder tally;
   cr_expect(tally.Take(kFirst, kStart).empty());
   cr_expect(tally.Take(kSecond, kStart).empty());
   tally.Count({.target = kTarget, .answered = 1});
@@ -31,8 +31,8 @@
 
 // At 2,000 hosts each asks every target hundreds of times a second. Reports
 // would cost more than a host may spend on control, and tell nobody anything.
-Test(evidence_tally, what_a_host_knows_by_itself_is_not_reported) {
-  EvidenceTally tally;
+Test(outcome_recorder, what_a_host_knows_by_itself_is_not_reported) {
+  OutcomeRecorder tally;
   tally.Take(kFirst, kStart);
   for (int i = 0; i < 200; ++i) {
     tally.Count({.target = kTarget, .answered = 1});
@@ -45,15 +45,15 @@
 
 // A host was cut off from a control host, and from targets as well. What it
 // saw meanwhile would make sound targets look bad once the cut has healed.
-Test(evidence_tally, what_could_not_be_reported_in_time_is_dropped) {
-  EvidenceTally tally;
+Test(outcome_recorder, what_could_not_be_reported_in_time_is_dropped) {
+  OutcomeRecorder tally;
   tally.Take(kFirst, kStart);
   tally.Count({.target = kTarget, .failed = 50});
   cr_expect(tally.Take(kFirst, kStart + seconds(5)).empty());
 }
 
-Test(evidence_tally, a_report_is_bounded_and_the_rest_comes_next) {
-  EvidenceTally tally;
+Test(outcome_recorder, a_report_is_bounded_and_the_rest_comes_next) {
+  OutcomeRecorder tally;
   tally.Take(kFirst, kStart);
   for (int i = 0; i < 200; ++i) {
     tally.Count({.target = TargetId("t" + std::to_string(i)), .answered = 1});
--- a/knapweedroad/routing/outlier_lists.cc
+++ b/knapweedroad/routing/outlier_lists.cc
@@ -13,14 +13,14 @@
 }  // namespace
 
 bool OutlierLists::Learn(const HostId& control_host,
-                         std::optional<std::vector<TargetTrouble>> troubles,
+                         std::optional<std::vector<TargetOutlier>> outliers,
                          TimePoint now) {
   List& list = this->lists[control_host];
   list.heard = now;
-  if (!troubles) {
+  if (!outliers) {
     return false;
   }
-  list.troubles = *std::move(troubles);
+  list.outliers = *std::move(outliers);
   this->ForgetOld(now);
   return true;
 }
@@ -31,14 +31,14 @@
          }) > 0;
 }
 
-std::map<TargetId, TargetTrouble> OutlierLists::Worst() const {
-  std::map<TargetId, TargetTrouble> worst;
+std::map<TargetId, TargetOutlier> OutlierLists::Worst() const {
+  std::map<TargetId, TargetOutlier> worst;
   for (const auto& [host, list] : this->lists) {
-    for (const TargetTrouble& trouble : list.troubles) {
-      TargetTrouble& held =
-          worst.emplace(trouble.target, trouble).first->second;
-      held.failed = std::max(held.failed, trouble.failed);
-      held.slowdown = std::max(held.slowdown, trouble.slowdown);
+    for (const TargetOutlier& outlier : list.outliers) {
+      TargetOutlier& held =
+          worst.emplace(outlier.target, outlier).first->second;
+      held.failed = std::max(held.failed, outlier.failed);
+      held.slowdown = std::max(held.slowdown, outlier.slowdown);
     }
   }
   return worst;
--- a/knapweedroad/routing/outlier_lists.h
+++ b/knapweedroad/routing/outlier_lists.h
@@ -1,8 +1,8 @@
-// Which targets are in trouble, as the control hosts of this host's zone list
+// Which targets are in outlier, as the control hosts of this host's zone list
 // them: each sends its whole list, and one that falls silent is forgotten.
 //
 //   OutlierLists lists;
-//   if (lists.Learn(control_host, std::move(troubles), now)) Apply(lists);
+//   if (lists.Learn(control_host, std::move(outliers), now)) Apply(lists);
 
 #ifndef KNAPWEEDROAD_ROUTING_OUTLIER_LISTS_H_
 #define KNAPWEEDROAD_ROUTING_OUTLIER_LISTS_H_
@@ -13,7 +13,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/registry/target_evidence.h"
+#include "knapweedroad/registry/target_outcomes.h"
 
 namespace knapweedroad {
 
@@ -22,7 +22,7 @@
   // Replaces what the control host listed before; nothing: that still holds.
   // True: Worst() may differ.
   bool Learn(const HostId& control_host,
-             std::optional<std::vector<TargetTrouble>> troubles,
+             std::optional<std::vector<TargetOutlier>> outliers,
              TimePoint now);
 
   // Drops the lists of control hosts that no longer reply. True: there were.
@@ -30,11 +30,11 @@
 
   // Each listed target once. The worst that any control host says counts: one
   // that has just started has heard little yet.
-  std::map<TargetId, TargetTrouble> Worst() const;
+  std::map<TargetId, TargetOutlier> Worst() const;
 
  private:
   struct List {
-    std::vector<TargetTrouble> troubles;
+    std::vector<TargetOutlier> outliers;
     TimePoint heard;
   };
 
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -323,7 +323,7 @@
 
 // All targets of a lookup are full of connections for seconds. Its caller hears
 // within half a second that it has not run, and isn't held to the deadline.
-Test(request_run, a_lookup_that_is_turned_away_for_long_is_refused) {
+Test(request_run, a_lookup_that_is_connection_rejected_for_long_is_refused) {
   World world(1);
   world.options.idempotent = false;
   world.options.deadline = kStart + milliseconds(8000);
--- a/knapweedroad/routing/extra_budget.cc
+++ b/knapweedroad/routing/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/extra_budget.h"
+#include "knapweedroad/routing/retry_budget.h"
 
 #include <algorithm>
 
@@ -10,22 +10,22 @@
 constexpr double kRatioMargin = 0.93;
 constexpr double kSlackMargin = 0.9;
 // What hedges leave to retries, as shares of the allowance: for the first
-// failures of a trouble, and however many there are.
+// failures of a outlier, and however many there are.
 constexpr double kLeastReserve = 0.1;
 constexpr double kMostReserve = 0.5;
 
 }  // namespace
 
-ExtraBudget::ExtraBudget(ExtraBudgetLimits limits, TimePoint started)
+RetryBudget::RetryBudget(RetryBudgetLimits limits, TimePoint started)
     : limits(limits),
       slack_from(started.time_since_epoch() / this->SliceLength() +
                  int64_t{kSlices}) {}
 
-Duration ExtraBudget::SliceLength() const {
+Duration RetryBudget::SliceLength() const {
   return this->limits.window / (kSlices - 1);
 }
 
-void ExtraBudget::Advance(TimePoint now) {
+void RetryBudget::Advance(TimePoint now) {
   const Duration slice = this->SliceLength();
   const int64_t current = now.time_since_epoch() / slice;
   const int64_t steps =
@@ -43,7 +43,7 @@
 // Failure: hosts are restarted in turn, each forgets what it has spent of the
 // slack, and together they spend it twice in one window. So a host has its part
 // of the slack only a window after its start.
-double ExtraBudget::Allowance(size_t hosts) const {
+double RetryBudget::Allowance(size_t hosts) const {
   if (this->newest < this->slack_from) {
     return this->requests * this->limits.ratio * kRatioMargin;
   }
@@ -52,13 +52,13 @@
   return this->requests * this->limits.ratio * kRatioMargin + shared;
 }
 
-void ExtraBudget::OnRequest(TimePoint now) {
+void RetryBudget::OnRequest(TimePoint now) {
   this->Advance(now);
   ++this->slices[this->newest % kSlices].requests;
   ++this->requests;
 }
 
-bool ExtraBudget::SpendRetry(size_t hosts, TimePoint now) {
+bool RetryBudget::SpendRetry(size_t hosts, TimePoint now) {
   this->Advance(now);
   if (this->extra() + 1 > this->Allowance(hosts)) {
     return false;
@@ -68,7 +68,7 @@
   return true;
 }
 
-bool ExtraBudget::SpendHedge(size_t hosts, TimePoint now) {
+bool RetryBudget::SpendHedge(size_t hosts, TimePoint now) {
   this->Advance(now);
   const double allowance = this->Allowance(hosts);
   const double reserved = std::clamp<double>(
--- a/knapweedroad/routing/extra_budget.h
+++ b/knapweedroad/routing/retry_budget.h
@@ -1,12 +1,12 @@
 // How many attempts beyond the first of each request this host may send to a
 // service: its part of a bound that all hosts share.
 //
-//   ExtraBudget budget({.ratio = 0.2, .slack = 58, .window = 10s}, started);
+//   RetryBudget budget({.ratio = 0.2, .slack = 58, .window = 10s}, started);
 //   budget.OnRequest(now);
 //   if (budget.SpendRetry(hosts, now)) SendAgain();
 
-#ifndef KNAPWEEDROAD_ROUTING_EXTRA_BUDGET_H_
-#define KNAPWEEDROAD_ROUTING_EXTRA_BUDGET_H_
+#ifndef KNAPWEEDROAD_ROUTING_RETRY_BUDGET_H_
+#define KNAPWEEDROAD_ROUTING_RETRY_BUDGET_H_
 
 #include <array>
 #include <cstddef>
@@ -16,7 +16,7 @@
 
 namespace knapweedroad {
 
-struct ExtraBudgetLimits {
+struct RetryBudgetLimits {
   // Extra attempts over requests, in any window.
   double ratio = 0.2;
   // Extra attempts in any window beside the ratio, of all hosts together.
@@ -28,10 +28,10 @@
 // less, and what still worked goes down with them. Counted over a sliding
 // window in slices, the oldest of which counts in full, so that no window of
 // the bound's length sees more.
-class ExtraBudget {
+class RetryBudget {
  public:
   // `started`: when this host began to send.
-  ExtraBudget(ExtraBudgetLimits limits, TimePoint started);
+  RetryBudget(RetryBudgetLimits limits, TimePoint started);
 
   void OnRequest(TimePoint now);
 
@@ -61,7 +61,7 @@
   double Allowance(size_t hosts) const;
   uint32_t extra() const { return this->retries + this->hedges; }
 
-  ExtraBudgetLimits limits;
+  RetryBudgetLimits limits;
   // The first slice in which the slack counts.
   int64_t slack_from = 0;
   std::array<Slice, kSlices> slices{};
@@ -73,4 +73,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_ROUTING_EXTRA_BUDGET_H_
+#endif  // KNAPWEEDROAD_ROUTING_RETRY_BUDGET_H_
--- a/knapweedroad/routing/extra_budget_test.cc
+++ b/knapweedroad/routing/retry_budget_test.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/extra_budget.h"
+#include "knapweedroad/routing/retry_budget.h"
 
 #include <criterion/criterion.h>
 
@@ -13,12 +13,12 @@
 // A service's targets fail for half a minute and every request asks for
 // another attempt. Nine hosts together must keep to the bound in each window,
 // wherever it begins.
-Test(extra_budget, nine_hosts_keep_to_the_bound_in_every_window) {
+Test(retry_budget, nine_hosts_keep_to_the_bound_in_every_window) {
   constexpr size_t kHosts = 9;
-  const ExtraBudgetLimits limits{
+  const RetryBudgetLimits limits{
       .ratio = 0.2, .slack = 58, .window = seconds(10)};
-  std::vector<ExtraBudget> hosts(kHosts,
-                                 ExtraBudget(limits, TimePoint(seconds(50))));
+  std::vector<RetryBudget> hosts(kHosts,
+                                 RetryBudget(limits, TimePoint(seconds(50))));
   std::deque<TimePoint> extra;
   std::deque<TimePoint> requests;
   for (Duration at{}; at < seconds(40); at += milliseconds(5)) {
@@ -44,12 +44,12 @@
 
 // Some targets are slow, others fail. Attempts beside slow ones must leave
 // enough to replace the failed ones: those are lost without.
-Test(extra_budget, hedges_leave_as_much_as_retries_use) {
+Test(retry_budget, hedges_leave_as_much_as_retries_use) {
   const TimePoint now{seconds(100)};
-  const ExtraBudgetLimits limits{
+  const RetryBudgetLimits limits{
       .ratio = 0, .slack = 40, .window = seconds(10)};  // 36 for one host
   const auto hedges_after = [&](int retries) {
-    ExtraBudget budget(limits, now - seconds(60));
+    RetryBudget budget(limits, now - seconds(60));
     for (int i = 0; i < retries; ++i) {
       cr_assert(budget.SpendRetry(1, now));
     }
@@ -62,7 +62,7 @@
   cr_expect(hedges_after(0) == 32);
   cr_expect(hedges_after(6) == 24);
   cr_expect(hedges_after(18) == 0);
-  ExtraBudget budget(limits, now - seconds(60));
+  RetryBudget budget(limits, now - seconds(60));
   while (budget.SpendHedge(1, now)) {
   }
   cr_expect(budget.SpendRetry(1, now));
@@ -70,9 +70,9 @@
 
 // Hosts are restarted one after the other while targets fail. Each began with
 // its whole part of the slack, and together they passed the bound.
-Test(extra_budget, a_host_that_has_just_started_has_no_slack) {
+Test(retry_budget, a_host_that_has_just_started_has_no_slack) {
   const TimePoint started{seconds(100)};
-  ExtraBudget budget({.ratio = 0, .slack = 40, .window = seconds(10)}, started);
+  RetryBudget budget({.ratio = 0, .slack = 40, .window = seconds(10)}, started);
   cr_expect(!budget.SpendRetry(1, started + seconds(9)));
   cr_expect(budget.SpendRetry(1, started + seconds(12)));
 }
--- a/knapweedroad/routing/service_count.h
+++ b/knapweedroad/routing/service_count.h
@@ -12,7 +12,7 @@
   size_t leaving = 0;  // leaves or is gone
   size_t out = 0;      // its zone is out
   size_t silent = 0;   // its heartbeats have stopped
-  size_t suspect = 0;  // failed here, and not yet well again
+  size_t ejected = 0;  // failed here, and not yet well again
   size_t cold = 0;
   size_t usable = 0;
 };
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "knapweedroad/routing/booked_target.h"
+#include "knapweedroad/routing/balanced_target.h"
 
 namespace knapweedroad {
 namespace {
@@ -50,7 +50,7 @@
                    static_cast<double>(half_life.count()));
 }
 
-double ExpectedLatency(const BookedTarget& target,
+double ExpectedLatency(const BalancedTarget& target,
                        double usual_latency,
                        TimePoint now) {
   const double usual = usual_latency > 0
@@ -63,7 +63,7 @@
   return target.latency * kept + kUnknownLatency * usual * (1 - kept);
 }
 
-double StallCost(const BookedTarget& target, double latency, TimePoint now) {
+double StallCost(const BalancedTarget& target, double latency, TimePoint now) {
   if (target.sent.empty()) {
     return 0;
   }
@@ -75,11 +75,11 @@
 
 }  // namespace
 
-double FailureShare(const BookedTarget& target, TimePoint now) {
+double FailureShare(const BalancedTarget& target, TimePoint now) {
   return target.failures * Decay(now - target.failures_at, kFailureHalfLife);
 }
 
-void CountOutcome(BookedTarget& target,
+void CountOutcome(BalancedTarget& target,
                   double failure,
                   double weight,
                   TimePoint now) {
@@ -87,7 +87,7 @@
   target.failures_at = now;
 }
 
-double CostOf(const BookedTarget& target,
+double CostOf(const BalancedTarget& target,
               const CostContext& context,
               TimePoint now) {
   double latency = ExpectedLatency(target, context.usual_latency, now);
--- a/knapweedroad/routing/target_cost.h
+++ b/knapweedroad/routing/target_cost.h
@@ -10,7 +10,7 @@
 
 namespace knapweedroad {
 
-struct BookedTarget;
+struct BalancedTarget;
 
 struct CostContext {
   // Of the service, in ns; zero: none known yet.
@@ -24,15 +24,15 @@
   bool takes_scarce_connection = false;
 };
 
-double CostOf(const BookedTarget& target,
+double CostOf(const BalancedTarget& target,
               const CostContext& context,
               TimePoint now);
 
 // The share of attempts that fail, as far as still known.
-double FailureShare(const BookedTarget& target, TimePoint now);
+double FailureShare(const BalancedTarget& target, TimePoint now);
 
 // Takes an outcome in: 1 a failure, 0 a success.
-void CountOutcome(BookedTarget& target,
+void CountOutcome(BalancedTarget& target,
                   double failure,
                   double weight,
                   TimePoint now);
--- a/knapweedroad/routing/reach_watch.cc
+++ b/knapweedroad/routing/zone_reachability.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/reach_watch.h"
+#include "knapweedroad/routing/zone_reachability.h"
 
 #include <cstddef>
 #include <utility>
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-bool ReachWatch::OnAnswered(TimePoint now) {
+bool ZoneReachability::OnAnswered(TimePoint now) {
   const bool was_cut_off = this->is_cut_off(now);
   this->unanswered.clear();
   this->answered = now;
@@ -38,13 +38,13 @@
   return was_cut_off;
 }
 
-void ReachWatch::OnUnanswered(const TargetId& target) {
+void ZoneReachability::OnUnanswered(const TargetId& target) {
   if (this->unanswered.size() < kMostRemembered) {
     this->unanswered.insert(target);
   }
 }
 
-void ReachWatch::OnTold(bool is_cut_off, TimePoint now) {
+void ZoneReachability::OnTold(bool is_cut_off, TimePoint now) {
   if (!is_cut_off && this->told_cut_off) {
     this->told_cut_off = false;
     this->OnAnswered(now);
@@ -54,7 +54,7 @@
   }
 }
 
-void ReachWatch::OnRequest(bool is_served, TimePoint now) {
+void ZoneReachability::OnRequest(bool is_served, TimePoint now) {
   this->last_request = now;
   this->unserved =
       this->unserved * (1 - kRequestWeight) + (is_served ? 0 : kRequestWeight);
@@ -63,7 +63,7 @@
 // Failure: a control host has lost all others, but not its zone's hosts. They
 // reach other zones well, and believing it they would send callers away; those
 // without callers would do so in turns, at each of its replies.
-bool ReachWatch::is_cut_off(TimePoint now) const {
+bool ZoneReachability::is_cut_off(TimePoint now) const {
   const Duration silence = now - this->answered;
   return (this->told_cut_off && now - this->told >= kFirstAnswer &&
           silence >= kControlSilence) ||
@@ -78,7 +78,7 @@
 // Failure: the balancer sends callers to another zone only once no host of this
 // one is ready; a host that no caller has reached lately would stay ready, and
 // get them all. So it decides by what its zone could serve.
-bool ReachWatch::should_send_away(bool zone_serves_all, TimePoint now) {
+bool ZoneReachability::should_send_away(bool zone_serves_all, TimePoint now) {
   if (!this->is_cut_off(now)) {
     this->sends_away = false;
     return false;
--- a/knapweedroad/routing/reach_watch.h
+++ b/knapweedroad/routing/zone_reachability.h
@@ -1,7 +1,7 @@
 // Whether this host's zone seems cut off from the others, and whether callers
 // are served better by hosts of another zone meanwhile.
 //
-//   ReachWatch watch;
+//   ZoneReachability watch;
 //   watch.OnUnanswered(target, now);      // of another zone
 //   watch.OnRequest(/*is_served=*/false, now);
 //   if (watch.should_send_away(zone_serves_all, now)) ReportNotReady();
@@ -10,8 +10,8 @@
 // cut off, its hosts can only refuse, while callers still reach them, and
 // reach the hosts of other zones, too.
 
-#ifndef KNAPWEEDROAD_ROUTING_REACH_WATCH_H_
-#define KNAPWEEDROAD_ROUTING_REACH_WATCH_H_
+#ifndef KNAPWEEDROAD_ROUTING_ZONE_REACHABILITY_H_
+#define KNAPWEEDROAD_ROUTING_ZONE_REACHABILITY_H_
 
 #include <set>
 
@@ -20,7 +20,7 @@
 
 namespace knapweedroad {
 
-class ReachWatch {
+class ZoneReachability {
  public:
   // A target or control host of another zone has answered anything. True: the
   // zone seemed cut off until now.
@@ -54,4 +54,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_ROUTING_REACH_WATCH_H_
+#endif  // KNAPWEEDROAD_ROUTING_ZONE_REACHABILITY_H_
--- a/knapweedroad/routing/reach_watch_test.cc
+++ b/knapweedroad/routing/zone_reachability_test.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/reach_watch.h"
+#include "knapweedroad/routing/zone_reachability.h"
 
 #include <criterion/criterion.h>
 
@@ -12,13 +12,13 @@
 
 const TimePoint kStart{seconds(1000)};
 
-void LoseTargets(ReachWatch& watch, int count) {
+void LoseTargets(ZoneReachability& watch, int count) {
   for (int i = 0; i < count; ++i) {
     watch.OnUnanswered(TargetId("t" + std::to_string(i)));
   }
 }
 
-void Refuse(ReachWatch& watch, int count) {
+void Refuse(ZoneReachability& watch, int count) {
   for (int i = 0; i < count; ++i) {
     watch.OnRequest(/*is_served=*/false, kStart);
   }
@@ -27,8 +27,8 @@
 // Callers of one zone are refused for six seconds. The zone has no targets of
 // the shards and is cut off; its hosts went on saying that they were ready, so
 // callers that came back came back to them.
-Test(reach_watch, a_cut_off_zone_without_targets_sends_its_callers_away) {
-  ReachWatch watch;
+Test(zone_reachability, a_cut_off_zone_without_targets_sends_its_callers_away) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart);
   LoseTargets(watch, 4);
   Refuse(watch, 4);
@@ -37,8 +37,8 @@
 }
 
 // The zone has its own targets of everything: it goes on by itself.
-Test(reach_watch, a_cut_off_zone_with_targets_keeps_its_callers) {
-  ReachWatch watch;
+Test(zone_reachability, a_cut_off_zone_with_targets_keeps_its_callers) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart);
   LoseTargets(watch, 4);
   watch.OnRequest(/*is_served=*/true, kStart + milliseconds(900));
@@ -49,8 +49,8 @@
 
 // All targets of a shard are down everywhere. Hosts of other zones would refuse
 // as well; nobody may leave.
-Test(reach_watch, a_shard_that_is_down_everywhere_sends_nobody_away) {
-  ReachWatch watch;
+Test(zone_reachability, a_shard_that_is_down_everywhere_sends_nobody_away) {
+  ZoneReachability watch;
   LoseTargets(watch, 3);
   Refuse(watch, 20);
   watch.OnAnswered(kStart);
@@ -59,8 +59,8 @@
       watch.should_send_away(/*zone_serves_all=*/true, kStart + seconds(1)));
 }
 
-Test(reach_watch, the_first_answer_from_outside_ends_it) {
-  ReachWatch watch;
+Test(zone_reachability, the_first_answer_from_outside_ends_it) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart);
   LoseTargets(watch, 4);
   Refuse(watch, 4);
@@ -72,8 +72,8 @@
 
 // Of a cut off zone's hosts one has had no callers lately. It alone stays
 // ready, and the balancer goes on sending everybody into the zone.
-Test(reach_watch, a_host_without_callers_follows_its_zone) {
-  ReachWatch watch;
+Test(zone_reachability, a_host_without_callers_follows_its_zone) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart);
   watch.OnTold(/*is_cut_off=*/true, kStart + seconds(1));
   const TimePoint now = kStart + seconds(2);
@@ -85,8 +85,8 @@
 }
 
 // Only the zone's control host is cut off: its hosts hear from other zones.
-Test(reach_watch, a_cut_off_control_host_alone_sends_nobody_away) {
-  ReachWatch watch;
+Test(zone_reachability, a_cut_off_control_host_alone_sends_nobody_away) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart - milliseconds(100));
   for (TimePoint now = kStart; now < kStart + seconds(5); now += seconds(1)) {
     watch.OnTold(/*is_cut_off=*/true, now);
@@ -99,8 +99,9 @@
 
 // A few lookups that the zone can serve come between: a host that changes its
 // word with each of them is in and out of rotation, and callers stay.
-Test(reach_watch, it_keeps_its_word_until_something_answers_from_outside) {
-  ReachWatch watch;
+Test(zone_reachability,
+     it_keeps_its_word_until_something_answers_from_outside) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart);
   LoseTargets(watch, 4);
   Refuse(watch, 4);
@@ -114,8 +115,8 @@
 
 // Guards against one host of a cut off zone that stays ready for a second,
 // and gets all of the zone's callers: its requests were sent, and failed.
-Test(reach_watch, requests_that_were_sent_and_failed_count_as_unserved) {
-  ReachWatch watch;
+Test(zone_reachability, requests_that_were_sent_and_failed_count_as_unserved) {
+  ZoneReachability watch;
   watch.OnAnswered(kStart);
   watch.OnTold(/*is_cut_off=*/true, kStart + milliseconds(800));
   const TimePoint now = kStart + milliseconds(1250);
