--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -31,8 +31,7 @@
 using std::chrono::milliseconds;
 
 // A second attempt is sent once the first has taken longer than this share of
-// earlier ones: about one attempt in twelve, under half of the bound on extra
-// attempts, the rest of which is for failures.
+// earlier ones. The rest of the bound on extra attempts is for failures.
 constexpr double kHedgeQuantile = 0.92;
 constexpr Duration kLeastHedge = milliseconds(3);
 // Part of the latency target after which it hedges while nothing is known.
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -15,10 +15,9 @@
 // tried again after some seconds.
 constexpr Duration kLatencyHalfLife = std::chrono::seconds(3);
 constexpr double kUnknownLatency = 0.8;
-// What a target says of its load is half out of date after this. A host hears
-// from each of a shard's targets about ten times a second; with less memory it
-// would know of its own requests alone, and a zone's hosts would go on filling
-// their own zone's target while the others are free.
+// What a target says of its load is half out of date after this. With less
+// memory a host would know of its own requests alone, and a zone's hosts would
+// go on filling their own zone's target while the others are free.
 constexpr Duration kLoadHalfLife = milliseconds(120);
 // Failures are half forgotten after this: a host of many asks a target only
 // every other second, and must remember from one request to the next.
@@ -29,9 +28,8 @@
 // few failures a retry mends nearly all; with many, retries run out, and what
 // fails is lost.
 constexpr double kSharedFailureCost = 100;
-// What an answer from another zone costs beside its time: bytes between zones
-// are paid for, and latencies of a dozen values differ by a third by chance, so
-// a near target that looks half as slow again is as good.
+// A target of another zone counts as so many times slower than it is: its bytes
+// cross between zones, and smoothed latencies of few values differ by chance.
 constexpr double kOtherZoneCost = 1.6;
 // What a target costs to which this host keeps no connections: a new one holds
 // a slot for some milliseconds, and may be over the target's cap.
