--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -124,7 +124,7 @@
 }
 
 std::vector<HostId> ControlFollower::State::Wanted(TimePoint now) const {
-  const std::vector<HostId> hosts = this->Candidates();
+  std::vector<HostId> hosts = this->Candidates();
   if (this->options.most_links == 0) {
     return hosts;
   }
