--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -25,6 +25,7 @@
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/entry_metrics.h"
+#include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/entry_request.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_links.h"
--- /dev/null
+++ b/knapweedroad/edge/agreed_editor.h
@@ -0,0 +1,63 @@
+// Operators' changes and reads of what control hosts agree on.
+//
+//   AgreedEditor editor({.author = id, .service = service, .on_chosen = ...});
+//   bool is_accepted = editor.SetZoneOut(zone, true, deadline);
+
+#ifndef KNAPWEEDROAD_EDGE_AGREED_EDITOR_H_
+#define KNAPWEEDROAD_EDGE_AGREED_EDITOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/control/change_request.h"
+#include "knapweedroad/registry/agreed_state.h"
+
+namespace knapweedroad {
+
+class ControlService;
+
+struct AgreedEditorOptions {
+  OperatorId author;
+  // Outlives the editor.
+  ControlService& service;
+  // A read has found this chosen.
+  std::function<void(uint64_t version, const std::string& text)> on_chosen;
+};
+
+// Each call blocks the calling fiber until its answer or the deadline.
+class AgreedEditor {
+ public:
+  explicit AgreedEditor(AgreedEditorOptions options);
+
+  // Makes the text the newest configuration unless its number is not above the
+  // newest one's. True: a quorum holds this or a newer one on its disks; false:
+  // not known, the same again settles it.
+  bool PutRouting(uint64_t number, std::string text, TimePoint deadline);
+
+  // Takes a zone out or back in; as PutRouting().
+  bool SetZoneOut(const ZoneId& zone, bool is_out, TimePoint deadline);
+
+  // The newest state there is; nothing where that can't be known now.
+  std::optional<AgreedState> Read(TimePoint deadline);
+
+  // Changes that a quorum holds, and those of which that isn't known.
+  uint64_t accepted() const { return this->changes_accepted; }
+  uint64_t unknown() const { return this->changes_unknown; }
+
+ private:
+  bool Edit(const std::string& name,
+            std::function<void(AgreedState&)> edit,
+            TimePoint deadline);
+
+  AgreedEditorOptions options;
+  uint64_t changes_accepted = 0;
+  uint64_t changes_unknown = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_AGREED_EDITOR_H_
--- /dev/null
+++ b/knapweedroad/edge/agreed_value.h
@@ -0,0 +1,32 @@
+// The newest agreed value that a control host knows to be chosen.
+
+#ifndef KNAPWEEDROAD_EDGE_AGREED_VALUE_H_
+#define KNAPWEEDROAD_EDGE_AGREED_VALUE_H_
+
+#include <cstdint>
+#include <string>
+
+namespace knapweedroad {
+
+class AgreedValue {
+ public:
+  // `text` of that version was chosen. False: it is not newer, or it can't be
+  // read, and nothing has changed.
+  bool Take(uint64_t chosen_version, const std::string& chosen_text);
+
+  // Zero: none is known.
+  uint64_t version() const { return this->newest_version; }
+  // As EncodeAgreedState() made it.
+  const std::string& text() const { return this->newest_text; }
+  // Of the routing configuration in it.
+  uint64_t number() const { return this->newest_number; }
+
+ private:
+  uint64_t newest_version = 0;
+  std::string newest_text;
+  uint64_t newest_number = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_AGREED_VALUE_H_
--- a/knapweedroad/edge/directory_cache.cc
+++ b/knapweedroad/edge/directory_cache.cc
@@ -20,6 +20,10 @@
 namespace knapweedroad {
 namespace {
 
+// What is known of targets is written down at most this often, and after a
+// refusal of the disk not sooner than the pause.
+constexpr Duration kSaveInterval = std::chrono::milliseconds(500);
+constexpr Duration kPauseAfterRefusal = std::chrono::milliseconds(2000);
 constexpr size_t kChecksumBytes = sizeof(uint64_t);
 
 std::string Checksum(std::string_view bytes) {
@@ -117,4 +121,22 @@
   return error.empty();
 }
 
+void DirectoryCache::KeepSaved(const std::function<Revisions()>& revisions,
+                               const std::function<DirectorySnapshot()>& take,
+                               const std::function<bool()>& is_stopped) {
+  Revisions saved;
+  while (!is_stopped()) {
+    Runtime::SleepFor(kSaveInterval);
+    const Revisions now = revisions();
+    if (now == saved) {
+      continue;
+    }
+    if (this->Save(take())) {
+      saved = now;
+    } else {
+      Runtime::SleepFor(kPauseAfterRefusal);
+    }
+  }
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/edge/directory_cache.h
+++ b/knapweedroad/edge/directory_cache.h
@@ -12,8 +12,11 @@
 #ifndef KNAPWEEDROAD_EDGE_DIRECTORY_CACHE_H_
 #define KNAPWEEDROAD_EDGE_DIRECTORY_CACHE_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "knapweedroad/base/id.h"
@@ -49,6 +52,15 @@
   // False, with a line in the log, where the disk refused it.
   bool Save(const DirectorySnapshot& snapshot);
 
+  // What has changed since, as two revisions.
+  using Revisions = std::pair<uint64_t, uint64_t>;
+
+  // Saves what `take` gives whenever `revisions` has moved, until `is_stopped`.
+  // Blocks the calling fiber.
+  void KeepSaved(const std::function<Revisions()>& revisions,
+                 const std::function<DirectorySnapshot()>& take,
+                 const std::function<bool()>& is_stopped);
+
  private:
   struct State;
   std::unique_ptr<State> state;
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -12,16 +12,17 @@
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/entry_metrics.h"
+#include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/entry_request.h"
 #include "knapweedroad/edge/role_parts.h"
+#include "knapweedroad/edge/routing_in_force.h"
 #include "knapweedroad/edge/target_links.h"
-#include "knapweedroad/edge/target_reply.h"
+#include "knapweedroad/edge/target_news.h"
+#include "knapweedroad/edge/target_prober.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
-#include "knapweedroad/registry/agreed_state.h"
 #include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/outcome_recorder.h"
-#include "knapweedroad/routing/route_adoption.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
 
@@ -30,15 +31,11 @@
 
 using std::chrono::milliseconds;
 
-// News of more targets than this, as after a start, is told by one line: the
-// control host's log has a line for each.
-constexpr size_t kMostTargetLines = 16;
 constexpr Duration kTick = milliseconds(100);
 // A tick this late means that the process stood still.
 constexpr Duration kStandstill = milliseconds(400);
 // Ticks between rounds over all callers' connections.
 constexpr int kSweepTicks = 5;
-constexpr Duration kProbeTimeout = milliseconds(500);
 // From "not ready" until the platform sends no new connections: two of its
 // questions, a second apart, and some slack.
 constexpr Duration kBalancerNotice = milliseconds(2600);
@@ -69,12 +66,8 @@
   void WatchReachability(TimePoint now);
   // Whether the own zone's targets could serve every route.
   bool ZoneServesAll(TimePoint now) const;
-  void Probe(TimePoint now);
-  void OnProbed(const DueProbe& probe, const TargetReply& reply);
   void OnNews(const HostId& from, const WatchReply& reply);
-  void OnAgreed(uint64_t version, const std::string& text);
-  // Puts an offered configuration in force, if it is time.
-  void Adopt();
+  void PutInForce(const std::shared_ptr<const RouteTable>& table);
   HttpResponse AnswerPlatform(const HttpRequest& request);
   bool IsReady() const;
   std::string PrintMetrics();
@@ -93,9 +86,8 @@
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<ControlFollower> follower;
-  RouteAdoption adoption{{}};
-  uint64_t agreed_version = 0;
-  std::string routing_text;
+  RoutingInForce routing;
+  std::shared_ptr<TargetProber> prober;
   TimePoint last_tick;
   int ticks = 0;
   bool is_leaving = false;
@@ -139,7 +131,23 @@
                               .slack = this->options.settings.retry_slack,
                               .window = this->options.settings.retry_window},
             .started = Runtime::Now(),
-            .shedding = ShardShedding({.seed = RandomSeed()})} {}
+            .shedding = ShardShedding({.seed = RandomSeed()})},
+      routing({.read = this->options.read_routing,
+               .is_served =
+                   [this](const ServiceId& service) {
+                     return this->balancer.IsServed(service, Runtime::Now());
+                   },
+               .on_zones_out =
+                   [this](const std::vector<ZoneId>& zones) {
+                     this->balancer.SetZonesOut(zones);
+                   },
+               .on_in_force =
+                   [this](const std::shared_ptr<const RouteTable>& table) {
+                     this->PutInForce(table);
+                   }}),
+      prober(std::make_shared<TargetProber>(this->options.header_names,
+                                            this->balancer,
+                                            this->links)) {}
 
 CallerLimits EntryHost::State::Limits() const {
   return this->parts.table == nullptr ? CallerLimits()
@@ -168,7 +176,7 @@
   this->metrics.SetGauge("target_connections_opened",
                          static_cast<double>(this->links.opened()));
   this->metrics.SetGauge("agreed_version",
-                         static_cast<double>(this->agreed_version));
+                         static_cast<double>(this->routing.agreed_version()));
   this->metrics.SetGauge("entry_hosts",
                          static_cast<double>(this->balancer.entry_hosts()));
   return this->metrics.Print();
@@ -181,33 +189,7 @@
   } else {
     this->balancer.reachability().OnTold(reply.is_cut_off, now);
   }
-  const bool is_bulk = reply.targets.size() > kMostTargetLines;
-  if (is_bulk) {
-    LogLine("targets_told")
-        .Add("count", reply.targets.size())
-        .Add("revision", reply.revision)
-        .Add("from", from)
-        .Info();
-  }
-  for (const TargetRecord& record : reply.targets) {
-    const TargetRecord* const known = this->balancer.Find(record.id);
-    const bool is_change = known == nullptr || known->phase != record.phase ||
-                           known->started_ms != record.started_ms ||
-                           record.cold_left > Duration::zero();
-    this->balancer.Learn(record, now);
-    if (is_change && !is_bulk) {
-      LogLine("target_told")
-          .Add("target", record.id)
-          .Add("service", record.service)
-          .Add("zone", record.zone)
-          .Add("phase", static_cast<int>(record.phase))
-          .Add("cold_ms",
-               std::chrono::floor<milliseconds>(record.cold_left).count())
-          .Add("sequence", record.sequence)
-          .Add("from", from)
-          .Info();
-    }
-  }
+  LearnTargets(this->balancer, from, reply, now);
   if (reply.has_hosts) {
     this->balancer.SetEntryHosts(reply.entry_hosts, Runtime::Now());
   }
@@ -216,53 +198,8 @@
       now);
 }
 
-void EntryHost::State::OnAgreed(uint64_t version, const std::string& text) {
-  if (version <= this->agreed_version) {
-    return;
-  }
-  const auto state = DecodeAgreedState(text);
-  if (!state) {
-    LogLine("agreed_state_unreadable")
-        .Add("version", version)
-        .Add("detail", state.error())
-        .Error();
-    return;
-  }
-  this->agreed_version = version;
-  this->balancer.SetZonesOut(state->zones_out);
-  if (state->number == 0 || state->text == this->routing_text) {
-    return;
-  }
-  auto routing = this->options.read_routing(state->text);
-  if (!routing) {
-    LogLine("configuration_unreadable")
-        .Add("number", state->number)
-        .Add("detail", routing.error())
-        .Error();
-    return;
-  }
-  this->routing_text = state->text;
-  this->adoption.Offer(std::make_shared<RouteTable>(*std::move(routing)),
-                       Runtime::Now());
-  this->Adopt();
-  if (this->adoption.is_holding()) {
-    LogLine("configuration_held_back")
-        .Add("number", state->number)
-        .Add("agreed_version", version)
-        .Info();
-  }
-}
-
-void EntryHost::State::Adopt() {
-  const TimePoint now = Runtime::Now();
-  const auto table = this->adoption.Take(
-      [this, now](const ServiceId& service) {
-        return this->balancer.IsServed(service, now);
-      },
-      now);
-  if (table == nullptr) {
-    return;
-  }
+void EntryHost::State::PutInForce(
+    const std::shared_ptr<const RouteTable>& table) {
   this->parts.table = table;
   this->balancer.SetRouting(table);
   std::set<std::string> names;
@@ -277,51 +214,6 @@
       return !names.contains(entry.first);
     });
   }
-  LogLine("configuration_in_force")
-      .Add("number", table->version())
-      .Add("agreed_version", this->agreed_version)
-      .Add("routes", table->config().routes.size())
-      .Info();
-}
-
-void EntryHost::State::OnProbed(const DueProbe& probe,
-                                const TargetReply& reply) {
-  const bool is_reachable = reply.kind == ReplyKind::kAnswered;
-  const ProbeResult result{
-      .is_reachable = is_reachable,
-      .is_unclear = reply.kind == ReplyKind::kBroken ||
-                    reply.kind == ReplyKind::kRejected,
-      .is_other_target = is_reachable && !reply.target.empty() &&
-                         reply.target != probe.target.str(),
-      .is_healthy = is_reachable && reply.answer.status == 200,
-      .cold_left = reply.cold_left.value_or(Duration::zero())};
-  this->balancer.OnProbe(probe.target, result, Runtime::Now());
-  LogLine("target_probed")
-      .Add("target", probe.target)
-      .Add("end", ToString(reply.kind))
-      .Add("status", reply.answer.status)
-      .Add("other_target", result.is_other_target)
-      .Info();
-}
-
-void EntryHost::State::Probe(TimePoint now) {
-  const HeaderNames& header_names = this->options.header_names;
-  for (DueProbe& probe : this->balancer.DueProbes(now)) {
-    std::string bytes = "GET " + probe.health_path +
-                        " HTTP/1.1\r\nHost: " + probe.address.ip + "\r\n" +
-                        header_names.expected_target + ": " +
-                        probe.target.str() + "\r\n\r\n";
-    const TargetId target = probe.target;
-    const Endpoint address = probe.address;
-    this->links.Send(
-        {.target = target,
-         .address = address,
-         .bytes = [bytes = std::move(bytes)] { return bytes; },
-         .max_idle = Duration::zero(),
-         .deadline = now + kProbeTimeout},
-        [self = this->shared_from_this(), probe = std::move(probe)](
-            const TargetReply& reply) { self->OnProbed(probe, reply); });
-  }
 }
 
 bool EntryHost::State::ZoneServesAll(TimePoint now) const {
@@ -361,12 +253,12 @@
   const bool stood_still = now - this->last_tick > kStandstill;
   this->last_tick = now;
   this->links.Sweep(now);
-  this->Adopt();
+  this->routing.Adopt(now);
   this->WatchReachability(now);
   this->balancer.ForgetOldOutliers(now);
   if (!stood_still) {
     this->balancer.EjectSilent(now);
-    this->Probe(now);
+    this->prober->Probe(now);
   }
   if (++this->ticks % kSweepTicks == 0) {
     this->callers->Sweep(now);
@@ -435,7 +327,7 @@
           .zone = settings.zone,
           .role = FollowerRole::kEntry,
           .seeds = [&self] { return self.seeds; },
-          .held_version = [&self] { return self.agreed_version; },
+          .held_version = [&self] { return self.routing.agreed_version(); },
           .take_outcomes =
               [&self](const HostId& to) {
                 return self.outcomes.Take(to, Runtime::Now());
@@ -446,7 +338,7 @@
               },
           .on_agreed =
               [&self](uint64_t version, const std::string& text) {
-                self.OnAgreed(version, text);
+                self.routing.OnAgreed(version, text, Runtime::Now());
               }});
   self.follower->Start();
   self.last_tick = Runtime::Now();
--- /dev/null
+++ b/knapweedroad/edge/entry_parts.h
@@ -0,0 +1,47 @@
+// What the requests of an entry host share.
+
+#ifndef KNAPWEEDROAD_EDGE_ENTRY_PARTS_H_
+#define KNAPWEEDROAD_EDGE_ENTRY_PARTS_H_
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/edge/run_plan.h"
+#include "knapweedroad/routing/answer_lead.h"
+#include "knapweedroad/routing/retry_budget.h"
+#include "knapweedroad/routing/shard_shedding.h"
+
+namespace knapweedroad {
+
+class EntryMetrics;
+class LoadBalancer;
+class RouteTable;
+class Runtime;
+class SplitRotation;
+class TargetLinks;
+struct HeaderNames;
+
+// The parts of an entry host that its requests work with; all outlive them.
+struct EntryParts {
+  Runtime& runtime;
+  const HeaderNames& header_names;
+  LoadBalancer& balancer;
+  TargetLinks& links;
+  EntryMetrics& metrics;
+  SplitRotation& rotation;
+  RetryBudgetLimits budget_limits;
+  TimePoint started;
+  ShardShedding shedding;
+  AnswerLead lead{{}};
+  std::unordered_map<ServiceId, RetryBudget> budgets;
+  std::unordered_map<std::string, RouteMemory> routes;
+  // Null until the first configuration has come.
+  std::shared_ptr<const RouteTable> table;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_ENTRY_PARTS_H_
--- /dev/null
+++ b/knapweedroad/edge/peer_calls.cc
@@ -0,0 +1,52 @@
+#include "knapweedroad/edge/peer_calls.h"
+
+#include "knapweedroad/edge/agreed_value.h"
+#include "knapweedroad/edge/watch_hub.h"
+#include "knapweedroad/host/control_replica.h"
+#include "knapweedroad/registry/watch_messages.h"
+#include "knapweedroad/wire/codec.h"
+
+namespace knapweedroad {
+namespace {
+
+tl::expected<std::string, std::string> AnswerWatch(WatchHub& hub,
+                                                   const std::string& body) {
+  const auto call = DecodePacked<WatchCall>(body);
+  if (!call) {
+    return tl::unexpected("unreadable call: " + call.error());
+  }
+  return hub.Answer(*call);
+}
+
+tl::expected<std::string, std::string> AnswerPull(const AgreedValue& agreed,
+                                                  const std::string& body) {
+  const auto call = DecodeBytes<PullCall>(body);
+  if (!call) {
+    return tl::unexpected("unreadable call: " + call.error());
+  }
+  PullReply reply{.agreed_version = agreed.version()};
+  if (call->held_version < agreed.version()) {
+    reply.agreed_text = agreed.text();
+  }
+  return EncodePacked(reply);
+}
+
+}  // namespace
+
+tl::expected<std::string, std::string> AnswerPeerCall(
+    const PeerCallParts& parts,
+    PeerMessageType type,
+    const std::string& body) {
+  switch (type) {
+    case PeerMessageType::kControl:
+      return parts.replica.OnPeerMessage(body);
+    case PeerMessageType::kWatch:
+      return AnswerWatch(parts.hub, body);
+    case PeerMessageType::kPull:
+      return AnswerPull(parts.agreed, body);
+    default:
+      return tl::unexpected(std::string("not a call of control hosts"));
+  }
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/edge/peer_calls.h
@@ -0,0 +1,33 @@
+// What a control host answers to hosts that call it.
+
+#ifndef KNAPWEEDROAD_EDGE_PEER_CALLS_H_
+#define KNAPWEEDROAD_EDGE_PEER_CALLS_H_
+
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "knapweedroad/wire/peer_message_type.h"
+
+namespace knapweedroad {
+
+class AgreedValue;
+class ControlReplica;
+class WatchHub;
+
+// The parts of a control host that answer calls; all outlive them.
+struct PeerCallParts {
+  ControlReplica& replica;
+  WatchHub& hub;
+  const AgreedValue& agreed;
+};
+
+// Blocks the calling fiber; the error says what is wrong with the call.
+tl::expected<std::string, std::string> AnswerPeerCall(
+    const PeerCallParts& parts,
+    PeerMessageType type,
+    const std::string& body);
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_PEER_CALLS_H_
--- /dev/null
+++ b/knapweedroad/edge/replica_membership.h
@@ -0,0 +1,55 @@
+// Keeps the set of control replicas in order from one control host: looks again
+// and again at what all replicas hold, and acts on what that calls for.
+//
+//   ReplicaMembership membership({.service = service, ...});
+//   membership.Run();   // in a fiber, until Stop()
+
+#ifndef KNAPWEEDROAD_EDGE_REPLICA_MEMBERSHIP_H_
+#define KNAPWEEDROAD_EDGE_REPLICA_MEMBERSHIP_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/control/member_id.h"
+
+namespace knapweedroad {
+
+class ControlService;
+struct MemberAction;
+
+struct ReplicaMembershipOptions {
+  // This host's replica.
+  MemberId self;
+  // The whole system starts for the first time: a membership may be formed.
+  bool first_start = false;
+  // Outlives Run().
+  ControlService& service;
+  // All control hosts known, this one among them.
+  std::function<std::vector<HostId>()> hosts;
+  // Whether this host knows an agreed version.
+  std::function<bool()> has_version;
+  std::function<void(uint64_t version, const std::string& text)> on_chosen;
+};
+
+class ReplicaMembership {
+ public:
+  explicit ReplicaMembership(ReplicaMembershipOptions options);
+
+  // Blocks the calling fiber until Stop(), and then for one round at the most.
+  void Run();
+  void Stop() { this->is_stopped = true; }
+
+ private:
+  // There is a version, but this host hasn't learned any since its start.
+  bool LooksForFirstVersion() const;
+  void Act(const MemberAction& action);
+
+  ReplicaMembershipOptions options;
+  bool is_stopped = false;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_REPLICA_MEMBERSHIP_H_
--- a/knapweedroad/edge/role_parts.cc
+++ b/knapweedroad/edge/role_parts.cc
@@ -1,5 +1,7 @@
 #include "knapweedroad/edge/role_parts.h"
 
+#include <cstdint>
+#include <random>
 #include <utility>
 
 #include "knapweedroad/base/log_line.h"
@@ -18,6 +20,11 @@
   return seeds;
 }
 
+RequestId RandomRequestId() {
+  std::random_device device;
+  return RequestId(std::to_string((uint64_t{device()} << 32) | device()));
+}
+
 void LogReload(const RoleSettings& settings) {
   LogLine("settings_reloaded")
       .Add("host", settings.name)
--- a/knapweedroad/edge/role_parts.h
+++ b/knapweedroad/edge/role_parts.h
@@ -12,6 +12,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/control/change_request.h"
 
 namespace knapweedroad {
 
@@ -22,6 +23,9 @@
 // The control hosts that the settings name, by the ids that hosts know them by.
 std::vector<HostId> SeedIds(const RoleSettings& settings);
 
+// For a change that no operator has named.
+RequestId RandomRequestId();
+
 void LogReload(const RoleSettings& settings);
 
 // Serves what `print` gives on the settings' metrics port; null where they
--- /dev/null
+++ b/knapweedroad/edge/run_plan.cc
@@ -0,0 +1,56 @@
+#include "knapweedroad/edge/run_plan.h"
+
+#include <algorithm>
+
+#include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/routing/route_table.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A second attempt is sent once the first has taken longer than this share of
+// earlier ones. The rest of the bound on extra attempts is for failures.
+constexpr double kHedgeQuantile = 0.92;
+constexpr Duration kLeastHedge = milliseconds(3);
+// Part of the latency target after which it hedges while nothing is known.
+constexpr int kUnknownHedgePart = 4;
+// Part of the latency target after which a slot is likely to be free.
+constexpr int kBusyRetryPart = 4;
+// A service without any usable target is likely to have one after the next
+// round of health questions.
+constexpr Duration kRetryWhenDown = milliseconds(400);
+// Kept of the longest wait by each request: callers that wait less take over.
+constexpr double kWaitMemory = 0.999;
+
+// How long ago the caller first asked, by what it has left.
+Duration SinceFirstAsked(Duration told, RouteMemory& memory) {
+  memory.longest_wait = std::max(told, std::chrono::duration_cast<Duration>(
+                                           memory.longest_wait * kWaitMemory));
+  return memory.longest_wait - told;
+}
+
+}  // namespace
+
+RequestRunOptions PlanRun(const RouteConfig& route,
+                          const CallerRequest& request,
+                          RouteMemory& memory,
+                          Duration lead) {
+  const Duration told = request.time_left.value_or(route.timeout);
+  const Duration elapsed = SinceFirstAsked(told, memory);
+  const Duration usual =
+      memory.latency.Quantile(kHedgeQuantile)
+          .value_or(route.latency_target / kUnknownHedgePart);
+  return {.is_scatter = route.is_scatter,
+          .idempotent = route.idempotent || route.is_scatter,
+          .max_attempts = route.max_attempts,
+          .min_share = route.is_scatter ? route.min_share : 1,
+          .target_at = request.received + route.latency_target - elapsed - lead,
+          .deadline = request.received + std::min(told, route.timeout),
+          .hedge_after = std::max(kLeastHedge, usual),
+          .retry_when_busy = route.latency_target / kBusyRetryPart,
+          .retry_when_down = kRetryWhenDown};
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/edge/run_plan.h
@@ -0,0 +1,37 @@
+// When the answer of one request is due, and when its run hedges and gives up.
+//
+//   RequestRunOptions options = PlanRun(route, request, memory, lead);
+//   options.services = ...;
+
+#ifndef KNAPWEEDROAD_EDGE_RUN_PLAN_H_
+#define KNAPWEEDROAD_EDGE_RUN_PLAN_H_
+
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/routing/latency_window.h"
+#include "knapweedroad/routing/request_run.h"
+
+namespace knapweedroad {
+
+struct CallerRequest;
+struct RouteConfig;
+
+// What an entry host keeps for each route, over versions.
+struct RouteMemory {
+  // Of attempts that were answered.
+  LatencyWindow latency;
+  // The longest time that callers of the route say they wait: what the first
+  // of a caller's attempts has. Shorter ones show how long ago it began.
+  Duration longest_wait{};
+};
+
+// All of the options but the services. `lead`: how long before it is due at the
+// caller the answer has to be decided on. A request that says how long it waits
+// changes `memory`.
+RequestRunOptions PlanRun(const RouteConfig& route,
+                          const CallerRequest& request,
+                          RouteMemory& memory,
+                          Duration lead);
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_RUN_PLAN_H_
--- /dev/null
+++ b/knapweedroad/edge/run_plan_test.cc
@@ -0,0 +1,60 @@
+#include "knapweedroad/edge/run_plan.h"
+
+#include <criterion/criterion.h>
+
+#include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/routing/route_table.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kWait = milliseconds(1000);
+constexpr Duration kAim = milliseconds(100);
+constexpr Duration kLead = milliseconds(8);
+const TimePoint kNow = TimePoint(std::chrono::seconds(100));
+
+RouteConfig ScatterRoute() {
+  return {.timeout = kWait, .latency_target = kAim, .is_scatter = true};
+}
+
+// Guards against an answer that leaves when it should have arrived.
+Test(run_plan, decides_so_early_that_the_answer_arrives_in_time) {
+  RouteMemory memory;
+  const RequestRunOptions options = PlanRun(
+      ScatterRoute(), {.time_left = kWait, .received = kNow}, memory, kLead);
+  cr_expect(options.target_at == kNow + kAim - kLead);
+  cr_expect(options.deadline == kNow + kWait);
+}
+
+// Guards against a caller that comes back after a refusal and is given the
+// whole latency target again, so that its answer is late for the caller.
+Test(run_plan, a_caller_that_comes_back_has_less_time) {
+  RouteMemory memory;
+  PlanRun(ScatterRoute(), {.time_left = kWait, .received = kNow}, memory,
+          kLead);
+  const RequestRunOptions options = PlanRun(
+      ScatterRoute(), {.time_left = kWait - milliseconds(60), .received = kNow},
+      memory, kLead);
+  // One request lets the longest wait fade by a thousandth.
+  const Duration left = options.target_at - kNow;
+  cr_expect(left >= kAim - milliseconds(60) - kLead);
+  cr_expect(left <= kAim - milliseconds(60) - kLead + kWait / 1000);
+}
+
+// Guards against a run that goes on after its caller has stopped waiting.
+Test(run_plan, ends_with_the_shorter_of_both_waits) {
+  RouteMemory memory;
+  const RequestRunOptions shorter = PlanRun(
+      ScatterRoute(), {.time_left = milliseconds(200), .received = kNow},
+      memory, kLead);
+  const RequestRunOptions longer =
+      PlanRun(ScatterRoute(), {.time_left = kWait * 2, .received = kNow},
+              memory, kLead);
+  cr_expect(shorter.deadline == kNow + milliseconds(200));
+  cr_expect(longer.deadline == kNow + kWait);
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/edge/target_prober.h
@@ -0,0 +1,44 @@
+// Asks targets that have failed for their health before requests go there
+// again.
+//
+//   auto prober = std::make_shared<TargetProber>(header_names, balancer,
+//   links); prober->Probe(now);   // ten times a second
+
+#ifndef KNAPWEEDROAD_EDGE_TARGET_PROBER_H_
+#define KNAPWEEDROAD_EDGE_TARGET_PROBER_H_
+
+#include <memory>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad {
+
+class LoadBalancer;
+class TargetLinks;
+struct DueProbe;
+struct HeaderNames;
+struct TargetReply;
+
+class TargetProber : public std::enable_shared_from_this<TargetProber> {
+ public:
+  // All outlive it; replies that come after its end are dropped.
+  TargetProber(const HeaderNames& header_names,
+               LoadBalancer& balancer,
+               TargetLinks& links);
+
+  // Asks all that are due, by the load balancer.
+  void Probe(TimePoint now);
+
+ private:
+  void Send(const DueProbe& probe, TimePoint now);
+  void OnReply(const TargetId& target, const TargetReply& reply);
+
+  const HeaderNames& header_names;
+  LoadBalancer& balancer;
+  TargetLinks& links;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_TARGET_PROBER_H_
--- a/knapweedroad/registry/outlier_detector.cc
+++ b/knapweedroad/registry/outlier_detector.cc
@@ -223,4 +223,16 @@
   }
 }
 
+std::string DescribeOutliers(std::span<const TargetOutlier> outliers) {
+  constexpr size_t kMostNamed = 8;
+  std::string text;
+  for (const TargetOutlier& outlier :
+       outliers.first(std::min(outliers.size(), kMostNamed))) {
+    text += outlier.target.str() +
+            "(failed_eighths:" + std::to_string(outlier.failed) +
+            ",slowdown:" + std::to_string(outlier.slowdown) + ") ";
+  }
+  return text;
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/registry/outlier_detector.h
+++ b/knapweedroad/registry/outlier_detector.h
@@ -1,14 +1,14 @@
 // A control host's view of how targets do, from what the entry hosts that
-// follow it report, and the list of those in outlier.
+// follow it report, and the list of outliers among them.
 //
-//   OutlierDetector board;
-//   board.Add(report, now);
-//   if (board.Refresh(service_of, now)) TellFollowers(board.outliers());
+//   OutlierDetector detector;
+//   detector.Add(report, now);
+//   if (detector.Refresh(service_of, now)) TellFollowers(detector.outliers());
 //
-// Answers the pattern of many hosts over few targets: with 83 hosts a host asks
-// a given target about once in two seconds, so a target that turns slow or
-// refuses costs every host several requests before it notices. Together they
-// ask it forty times a second and know within one.
+// Answers the pattern of many hosts over few targets: one host asks a given
+// target seldom, so a target that turns slow or refuses costs every host
+// several requests before it notices. Together they ask it often and know
+// within a second.
 
 #ifndef KNAPWEEDROAD_REGISTRY_OUTLIER_DETECTOR_H_
 #define KNAPWEEDROAD_REGISTRY_OUTLIER_DETECTOR_H_
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -103,6 +104,9 @@
   uint64_t changes = 0;
 };
 
+// "TARGET(failed_eighths:3,slowdown:1) " for the first few, for the log.
+std::string DescribeOutliers(std::span<const TargetOutlier> outliers);
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_REGISTRY_OUTLIER_DETECTOR_H_
--- a/knapweedroad/registry/outlier_detector_test.cc
+++ b/knapweedroad/registry/outlier_detector_test.cc
@@ -24,141 +24,142 @@
           .latency_us = count * each_us};
 }
 
-void AddAll(OutlierDetector& board,
+void AddAll(OutlierDetector& detector,
             const std::vector<TargetOutcomes>& report,
             TimePoint now) {
-  board.Add(report, now);
+  detector.Add(report, now);
 }
 
 // Dozens of hosts ask a target once in two seconds each. It refuses every
 // second request; each host sees one or two of the refusals, too few to avoid
 // it. Together they show it at once.
 Test(outlier_detector, a_target_that_many_hosts_see_refuse_is_listed) {
-  OutlierDetector board;
+  OutlierDetector detector;
   for (int host = 0; host < 8; ++host) {
-    AddAll(board,
+    AddAll(detector,
            {{.target = TargetId("bad"), .answered = 1, .failed = 1},
             Answers("good", 2, 10'000)},
            kStart);
   }
-  cr_assert(board.Refresh(OneService, kStart));
-  cr_assert_eq(board.outliers().size(), 1);
-  cr_expect_eq(board.outliers()[0].target, TargetId("bad"));
-  cr_expect_eq(board.outliers()[0].failed, 4);
+  cr_assert(detector.Refresh(OneService, kStart));
+  cr_assert_eq(detector.outliers().size(), 1);
+  cr_expect_eq(detector.outliers()[0].target, TargetId("bad"));
+  cr_expect_eq(detector.outliers()[0].failed, 4);
 }
 
 // A target turns seven times as slow; answers of its shard come late until
 // every host has noticed by itself.
 Test(outlier_detector, a_slow_target_is_listed_with_its_slowdown) {
-  OutlierDetector board;
-  AddAll(board,
+  OutlierDetector detector;
+  AddAll(detector,
          {Answers("slow", 10, 70'000), Answers("a", 10, 10'000),
           Answers("b", 10, 15'000)},
          kStart);
-  cr_assert(board.Refresh(OneService, kStart));
-  cr_assert_eq(board.outliers().size(), 1);
-  cr_expect_eq(board.outliers()[0].target, TargetId("slow"));
-  cr_expect_eq(board.outliers()[0].slowdown, 7);
+  cr_assert(detector.Refresh(OneService, kStart));
+  cr_assert_eq(detector.outliers().size(), 1);
+  cr_expect_eq(detector.outliers()[0].target, TargetId("slow"));
+  cr_expect_eq(detector.outliers()[0].slowdown, 7);
 }
 
 // A zone's hosts ask their own zone's target nearly always. It turns eight
 // times as slow; the two others were asked too seldom to compare it with, and
 // callers of the zone wait for it until each host has noticed alone.
 Test(outlier_detector, a_target_that_is_asked_alone_is_compared_with_before) {
-  OutlierDetector board;
-  AddAll(board, {Answers("near", 30, 12'000), Answers("far", 2, 12'000)},
+  OutlierDetector detector;
+  AddAll(detector, {Answers("near", 30, 12'000), Answers("far", 2, 12'000)},
          kStart);
-  board.Refresh(OneService, kStart);
-  cr_assert(board.outliers().empty());
+  detector.Refresh(OneService, kStart);
+  cr_assert(detector.outliers().empty());
   const TimePoint later = kStart + seconds(8);
-  AddAll(board, {Answers("near", 30, 96'000), Answers("far", 2, 12'000)},
+  AddAll(detector, {Answers("near", 30, 96'000), Answers("far", 2, 12'000)},
          later);
-  cr_assert(board.Refresh(OneService, later));
-  cr_assert_eq(board.outliers().size(), 1);
-  cr_expect_eq(board.outliers()[0].target, TargetId("near"));
+  cr_assert(detector.Refresh(OneService, later));
+  cr_assert_eq(detector.outliers().size(), 1);
+  cr_expect_eq(detector.outliers()[0].target, TargetId("near"));
 }
 
 // All targets of a service have twice the work for a minute. They are compared
-// with each other again, and none is in outlier.
+// with each other again, and none is an outlier.
 Test(outlier_detector, a_service_with_more_to_do_is_not_in_trouble) {
-  OutlierDetector board;
+  OutlierDetector detector;
   for (int second = 0; second < 60; ++second) {
     const TimePoint now = kStart + seconds(second);
     const uint64_t latency_us = second < 20 ? 10'000 : 20'000;
-    AddAll(board, {Answers("a", 20, latency_us), Answers("b", 20, latency_us)},
-           now);
-    board.Refresh(OneService, now);
+    AddAll(detector,
+           {Answers("a", 20, latency_us), Answers("b", 20, latency_us)}, now);
+    detector.Refresh(OneService, now);
   }
-  cr_expect(board.outliers().empty());
+  cr_expect(detector.outliers().empty());
 }
 
 Test(outlier_detector, few_attempts_tell_nothing) {
-  OutlierDetector board;
-  AddAll(board,
+  OutlierDetector detector;
+  AddAll(detector,
          {{.target = TargetId("t"), .answered = 1, .failed = 3},
           Answers("u", 5, 70'000),
           Answers("v", 10, 10'000)},
          kStart);
-  cr_expect_not(board.Refresh(OneService, kStart));
+  cr_expect_not(detector.Refresh(OneService, kStart));
 }
 
 // A listed target is hardly asked any more. Without evidence it must neither
 // come off the list within moments, or all hosts fall for it again, nor stay
 // there for ever.
 Test(outlier_detector, a_listed_target_is_kept_for_a_while_without_evidence) {
-  OutlierDetector board;
-  AddAll(board, {{.target = TargetId("bad"), .failed = 10}}, kStart);
-  cr_assert(board.Refresh(OneService, kStart));
-  cr_expect_not(board.Refresh(OneService, kStart + seconds(10)));
-  cr_expect_eq(board.outliers().size(), 1);
-  cr_expect(board.Refresh(OneService, kStart + seconds(24)));
-  cr_expect(board.outliers().empty());
+  OutlierDetector detector;
+  AddAll(detector, {{.target = TargetId("bad"), .failed = 10}}, kStart);
+  cr_assert(detector.Refresh(OneService, kStart));
+  cr_expect_not(detector.Refresh(OneService, kStart + seconds(10)));
+  cr_expect_eq(detector.outliers().size(), 1);
+  cr_expect(detector.Refresh(OneService, kStart + seconds(24)));
+  cr_expect(detector.outliers().empty());
 }
 
 Test(outlier_detector, a_target_that_is_well_again_comes_off_at_once) {
-  OutlierDetector board;
-  AddAll(board, {{.target = TargetId("t"), .failed = 10}}, kStart);
-  cr_assert(board.Refresh(OneService, kStart));
+  OutlierDetector detector;
+  AddAll(detector, {{.target = TargetId("t"), .failed = 10}}, kStart);
+  cr_assert(detector.Refresh(OneService, kStart));
   const TimePoint later = kStart + seconds(8);
-  AddAll(board, {Answers("t", 20, 10'000)}, later);
-  cr_assert(board.Refresh(OneService, later));
-  cr_expect(board.outliers().empty());
+  AddAll(detector, {Answers("t", 20, 10'000)}, later);
+  cr_assert(detector.Refresh(OneService, later));
+  cr_expect(detector.outliers().empty());
 }
 
 // Answers lost now and then on half of the targets are no reason to avoid half
 // of the targets: the other half would get all the load.
 Test(outlier_detector, a_small_share_of_failures_is_no_trouble) {
-  OutlierDetector board;
-  AddAll(board, {{.target = TargetId("t"), .answered = 95, .failed = 5}},
+  OutlierDetector detector;
+  AddAll(detector, {{.target = TargetId("t"), .answered = 95, .failed = 5}},
          kStart);
-  cr_expect_not(board.Refresh(OneService, kStart));
+  cr_expect_not(detector.Refresh(OneService, kStart));
 }
 
 Test(outlier_detector, targets_that_are_gone_are_dropped) {
-  OutlierDetector board;
-  AddAll(board, {{.target = TargetId("t"), .failed = 10}}, kStart);
-  cr_assert(board.Refresh(OneService, kStart));
-  cr_expect(board.Refresh([](const TargetId&) { return ServiceId(); }, kStart));
-  cr_expect_eq(board.size(), 0);
-  cr_expect_eq(board.revision(), 2);
+  OutlierDetector detector;
+  AddAll(detector, {{.target = TargetId("t"), .failed = 10}}, kStart);
+  cr_assert(detector.Refresh(OneService, kStart));
+  cr_expect(
+      detector.Refresh([](const TargetId&) { return ServiceId(); }, kStart));
+  cr_expect_eq(detector.size(), 0);
+  cr_expect_eq(detector.revision(), 2);
 }
 
 Test(outlier_detector, the_list_is_bounded) {
-  OutlierDetector board;
+  OutlierDetector detector;
   for (int i = 0; i < 1000; ++i) {
     const std::string name = "t" + std::to_string(i);
-    AddAll(board, {{.target = TargetId(name), .failed = 10}}, kStart);
+    AddAll(detector, {{.target = TargetId(name), .failed = 10}}, kStart);
   }
-  cr_assert(board.Refresh(OneService, kStart));
-  cr_expect_eq(board.outliers().size(), 256);
+  cr_assert(detector.Refresh(OneService, kStart));
+  cr_expect_eq(detector.outliers().size(), 256);
 }
 
 // Two of three targets refuse half of their requests and, with little to do,
 // answer the others fast. The third has the rest of the work; listed as slow it
 // would be avoided for those that refuse.
 Test(outlier_detector, a_busy_target_is_not_compared_with_one_that_refuses) {
-  OutlierDetector board;
-  AddAll(board,
+  OutlierDetector detector;
+  AddAll(detector,
          {{.target = TargetId("refuses"),
            .answered = 10,
            .failed = 10,
@@ -166,9 +167,9 @@
            .latency_us = 100'000},
           Answers("busy", 20, 40'000)},
          kStart);
-  board.Refresh(OneService, kStart);
-  cr_assert_eq(board.outliers().size(), 1);
-  cr_expect_eq(board.outliers()[0].target, TargetId("refuses"));
+  detector.Refresh(OneService, kStart);
+  cr_assert_eq(detector.outliers().size(), 1);
+  cr_expect_eq(detector.outliers()[0].target, TargetId("refuses"));
 }
 
 TargetOutlier Slow(const char* target, uint8_t slowdown) {
@@ -181,37 +182,37 @@
 // together, too seldom to see it; with dozens of shards nearly every scatter
 // waits for one such target until its own zone has told.
 Test(outlier_detector, what_another_zone_has_listed_is_listed_here) {
-  OutlierDetector board;
-  AddAll(board, {Answers("far", 2, 90'000)}, kStart);
-  board.LearnOthers(kOther, {Slow("far", 8)}, kStart);
-  cr_assert(board.Refresh(OneService, kStart));
-  cr_assert_eq(board.outliers().size(), 1);
-  cr_expect_eq(board.outliers()[0].slowdown, 8);
+  OutlierDetector detector;
+  AddAll(detector, {Answers("far", 2, 90'000)}, kStart);
+  detector.LearnOthers(kOther, {Slow("far", 8)}, kStart);
+  cr_assert(detector.Refresh(OneService, kStart));
+  cr_assert_eq(detector.outliers().size(), 1);
+  cr_expect_eq(detector.outliers()[0].slowdown, 8);
   // It isn't passed on as seen here: it would never be forgotten.
-  cr_expect(board.own_outliers().empty());
+  cr_expect(detector.own_outliers().empty());
 }
 
 // A target fails for the callers of one zone alone. The others' hosts, which
 // ask it often and are served, go on using it.
 Test(outlier_detector, what_this_zone_sees_goes_before_what_others_listed) {
-  OutlierDetector board;
-  AddAll(board, {Answers("near", 20, 10'000)}, kStart);
-  board.LearnOthers(kOther, {Slow("near", 8)}, kStart);
-  board.Refresh(OneService, kStart);
-  cr_expect(board.outliers().empty());
+  OutlierDetector detector;
+  AddAll(detector, {Answers("near", 20, 10'000)}, kStart);
+  detector.LearnOthers(kOther, {Slow("near", 8)}, kStart);
+  detector.Refresh(OneService, kStart);
+  cr_expect(detector.outliers().empty());
 }
 
 // The zone that listed a target is cut off. What it said is forgotten, as
 // nobody there can say any more that the target is well.
 Test(outlier_detector, the_list_of_a_zone_that_fell_silent_is_dropped) {
-  OutlierDetector board;
-  board.LearnOthers(kOther, {Slow("far", 8)}, kStart);
-  board.Refresh(OneService, kStart);
-  board.HearOthers(kOther, kStart + seconds(3));
-  board.Refresh(OneService, kStart + seconds(6));
-  cr_expect_eq(board.outliers().size(), 1);
-  board.Refresh(OneService, kStart + seconds(8));
-  cr_expect(board.outliers().empty());
+  OutlierDetector detector;
+  detector.LearnOthers(kOther, {Slow("far", 8)}, kStart);
+  detector.Refresh(OneService, kStart);
+  detector.HearOthers(kOther, kStart + seconds(3));
+  detector.Refresh(OneService, kStart + seconds(6));
+  cr_expect_eq(detector.outliers().size(), 1);
+  detector.Refresh(OneService, kStart + seconds(8));
+  cr_expect(detector.outliers().empty());
 }
 
 }  // namespace
--- a/knapweedroad/routing/outlier_lists.h
+++ b/knapweedroad/routing/outlier_lists.h
@@ -1,4 +1,4 @@
-// Which targets are in outlier, as the control hosts of this host's zone list
+// Which targets are outliers, as the control hosts of this host's zone list
 // them: each sends its whole list, and one that falls silent is forgotten.
 //
 //   OutlierLists lists;
--- a/knapweedroad/routing/retry_budget.cc
+++ b/knapweedroad/routing/retry_budget.cc
@@ -10,7 +10,7 @@
 constexpr double kRatioMargin = 0.93;
 constexpr double kSlackMargin = 0.9;
 // What hedges leave to retries, as shares of the allowance: for the first
-// failures of a outlier, and however many there are.
+// failures of an outlier, and however many there are.
 constexpr double kLeastReserve = 0.1;
 constexpr double kMostReserve = 0.5;
 
