--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -131,6 +131,7 @@
                               .slack = this->options.settings.retry_slack,
                               .window = this->options.settings.retry_window},
             .started = Runtime::Now(),
+            .random = std::minstd_rand(static_cast<uint32_t>(RandomSeed())),
             .shedding = ShardShedding({.seed = RandomSeed()})},
       routing({.read = this->options.read_routing,
                .is_served =
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -4,6 +4,7 @@
 #define KNAPWEEDROAD_EDGE_ENTRY_PARTS_H_
 
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -34,12 +35,15 @@
   SplitRotation& rotation;
   RetryBudgetLimits budget_limits;
   TimePoint started;
+  std::minstd_rand random;
   ShardShedding shedding;
   AnswerLead lead{{}};
   std::unordered_map<ServiceId, RetryBudget> budgets;
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
   std::shared_ptr<const RouteTable> table;
+
+  RetryBudget& BudgetOf(const ServiceId& service);
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -159,7 +159,7 @@
   this->hooks.spend_extra = [this](const ServiceId& service, bool is_hedge) {
     const TimePoint now = Runtime::Now();
     const size_t hosts = this->parts.balancer.entry_hosts();
-    RetryBudget& budget = this->parts.budgets.at(service);
+    RetryBudget& budget = this->parts.BudgetOf(service);
     const bool sent = is_hedge ? budget.SpendHedge(hosts, now)
                                : budget.SpendRetry(hosts, now);
     this->parts.metrics.CountExtra(sent);
@@ -193,9 +193,7 @@
   RequestRunOptions options = this->RunOptions(*this->route);
   this->services = options.services;
   for (const ServiceId& service : options.services) {
-    this->parts.budgets
-        .try_emplace(service, this->parts.budget_limits, this->parts.started)
-        .first->second.OnRequest(now);
+    this->parts.BudgetOf(service).OnRequest(now);
   }
   this->MakeHooks();
   this->attempts = std::make_shared<RequestAttempts>(
--- a/knapweedroad/routing/retry_budget.cc
+++ b/knapweedroad/routing/retry_budget.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/routing/retry_budget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweedroad {
 namespace {
@@ -13,11 +14,18 @@
 // failures of an outlier, and however many there are.
 constexpr double kLeastReserve = 0.1;
 constexpr double kMostReserve = 0.5;
+// The sum of all hosts' roundings may pass its mean: so many of its standard
+// deviations are kept free. That of one host is a half at the most.
+constexpr double kDeviationsKept = 3;
+constexpr double kDeviationOfOne = 0.5;
 
 }  // namespace
 
-RetryBudget::RetryBudget(RetryBudgetLimits limits, TimePoint started)
+RetryBudget::RetryBudget(RetryBudgetLimits limits,
+                         TimePoint started,
+                         double rounding)
     : limits(limits),
+      rounding(rounding),
       slack_from(started.time_since_epoch() / this->SliceLength() +
                  int64_t{kSlices}) {}
 
@@ -58,9 +66,20 @@
   ++this->requests;
 }
 
+bool RetryBudget::IsWithin(double part, size_t hosts) const {
+  const double used = this->extra();
+  if (used + 1 <= part) {
+    return true;
+  }
+  const double kept =
+      kDeviationsKept * kDeviationOfOne /
+      std::sqrt(static_cast<double>(std::max<size_t>(hosts, 1)));
+  return used + this->rounding <= part - kept;
+}
+
 bool RetryBudget::SpendRetry(size_t hosts, TimePoint now) {
   this->Advance(now);
-  if (this->extra() + 1 > this->Allowance(hosts)) {
+  if (!this->IsWithin(this->Allowance(hosts), hosts)) {
     return false;
   }
   ++this->slices[this->newest % kSlices].retries;
@@ -73,7 +92,7 @@
   const double allowance = this->Allowance(hosts);
   const double reserved = std::clamp<double>(
       this->retries, allowance * kLeastReserve, allowance * kMostReserve);
-  if (this->extra() + 1 > allowance - reserved) {
+  if (!this->IsWithin(allowance - reserved, hosts)) {
     return false;
   }
   ++this->slices[this->newest % kSlices].hedges;
--- a/knapweedroad/routing/retry_budget.h
+++ b/knapweedroad/routing/retry_budget.h
@@ -1,7 +1,8 @@
 // How many attempts beyond the first of each request this host may send to a
 // service: its part of a bound that all hosts share.
 //
-//   RetryBudget budget({.ratio = 0.2, .slack = 58, .window = 10s}, started);
+//   RetryBudget budget({.ratio = 0.2, .slack = 58, .window = 10s}, started,
+//                      rounding);
 //   budget.OnRequest(now);
 //   if (budget.SpendRetry(hosts, now)) SendAgain();
 
@@ -28,10 +29,15 @@
 // less, and what still worked goes down with them. Counted over a sliding
 // window in slices, the oldest of which counts in full, so that no window of
 // the bound's length sees more.
+//
+// Failure: many hosts share the bound, the part of each is less than one
+// attempt, and none may send any. So each part is rounded up on some hosts and
+// down on others: together they use what the bound allows, in every window.
 class RetryBudget {
  public:
-  // `started`: when this host began to send.
-  RetryBudget(RetryBudgetLimits limits, TimePoint started);
+  // `started`: when this host began to send. `rounding`: from 0 to 1, evenly
+  // spread over hosts and services.
+  RetryBudget(RetryBudgetLimits limits, TimePoint started, double rounding);
 
   void OnRequest(TimePoint now);
 
@@ -59,9 +65,14 @@
   Duration SliceLength() const;
   void Advance(TimePoint now);
   double Allowance(size_t hosts) const;
+  // Whether one more is within the host's `part`, rounded.
+  bool IsWithin(double part, size_t hosts) const;
   uint32_t extra() const { return this->retries + this->hedges; }
 
   RetryBudgetLimits limits;
+  // Fractions of a part from this on are rounded up; differs between hosts and
+  // services. A host that drew it anew would send more than its part.
+  double rounding = 1;
   // The first slice in which the slack counts.
   int64_t slack_from = 0;
   std::array<Slice, kSlices> slices{};
--- a/knapweedroad/routing/retry_budget_test.cc
+++ b/knapweedroad/routing/retry_budget_test.cc
@@ -2,7 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <cmath>
 #include <deque>
+#include <vector>
 
 namespace knapweedroad {
 namespace {
@@ -10,6 +13,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Evenly spread over hosts, in no order.
+double RoundingOf(size_t host) {
+  constexpr double kGoldenRatio = 0.6180339887;
+  return std::fmod(static_cast<double>(host + 1) * kGoldenRatio, 1);
+}
+
 // A service's targets fail for half a minute and every request asks for
 // another attempt. Nine hosts together must keep to the bound in each window,
 // wherever it begins.
@@ -17,8 +26,10 @@
   constexpr size_t kHosts = 9;
   const RetryBudgetLimits limits{
       .ratio = 0.2, .slack = 58, .window = seconds(10)};
-  std::vector<RetryBudget> hosts(kHosts,
-                                 RetryBudget(limits, TimePoint(seconds(50))));
+  std::vector<RetryBudget> hosts;
+  for (size_t host = 0; host < kHosts; ++host) {
+    hosts.emplace_back(limits, TimePoint(seconds(50)), RoundingOf(host));
+  }
   std::deque<TimePoint> extra;
   std::deque<TimePoint> requests;
   for (Duration at{}; at < seconds(40); at += milliseconds(5)) {
@@ -49,7 +60,7 @@
   const RetryBudgetLimits limits{
       .ratio = 0, .slack = 40, .window = seconds(10)};  // 36 for one host
   const auto hedges_after = [&](int retries) {
-    RetryBudget budget(limits, now - seconds(60));
+    RetryBudget budget(limits, now - seconds(60), /*rounding=*/1);
     for (int i = 0; i < retries; ++i) {
       cr_assert(budget.SpendRetry(1, now));
     }
@@ -62,7 +73,7 @@
   cr_expect(hedges_after(0) == 32);
   cr_expect(hedges_after(6) == 24);
   cr_expect(hedges_after(18) == 0);
-  RetryBudget budget(limits, now - seconds(60));
+  RetryBudget budget(limits, now - seconds(60), /*rounding=*/1);
   while (budget.SpendHedge(1, now)) {
   }
   cr_expect(budget.SpendRetry(1, now));
@@ -72,10 +83,45 @@
 // its whole part of the slack, and together they passed the bound.
 Test(retry_budget, a_host_that_has_just_started_has_no_slack) {
   const TimePoint started{seconds(100)};
-  RetryBudget budget({.ratio = 0, .slack = 40, .window = seconds(10)}, started);
+  RetryBudget budget({.ratio = 0, .slack = 40, .window = seconds(10)}, started,
+                     /*rounding=*/1);
   cr_expect(!budget.SpendRetry(1, started + seconds(9)));
   cr_expect(budget.SpendRetry(1, started + seconds(12)));
 }
 
+// Guards against a fleet of hosts that each see a few requests a window, just
+// started, so that no host's part is a whole attempt and every late part of an
+// answer is lost. Nor may they pass the bound together, in any window.
+Test(retry_budget, many_hosts_with_few_requests_use_what_they_may_together) {
+  constexpr size_t kHosts = 200;
+  const RetryBudgetLimits limits{
+      .ratio = 0.2, .slack = 0, .window = seconds(10)};
+  const TimePoint started{seconds(100)};
+  std::vector<RetryBudget> hosts;
+  for (size_t host = 0; host < kHosts; ++host) {
+    hosts.emplace_back(limits, started, RoundingOf(host));
+  }
+  constexpr Duration kPause = milliseconds(20);
+  std::deque<TimePoint> extra;
+  for (Duration at{}; at < seconds(60); at += kPause) {
+    const TimePoint now = started + at;
+    RetryBudget& host = hosts[(at / kPause) % kHosts];
+    host.OnRequest(now);
+    if (host.SpendHedge(kHosts, now)) {
+      extra.push_back(now);
+    }
+    while (!extra.empty() && now - extra.front() >= limits.window) {
+      extra.pop_front();
+    }
+    const auto requests =
+        static_cast<double>(std::min(at, limits.window) / kPause + 1);
+    cr_assert(static_cast<double>(extra.size()) <= limits.ratio * requests + 1);
+    if (at >= limits.window) {
+      cr_assert(static_cast<double>(extra.size()) >=
+                limits.ratio * requests / 2);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace knapweedroad
