After a start hosts may hedge a little: a quarter of the retry slack is kept for the first window

Cause: a host had no part of the slack in its first window, as it doesn't know what its former life has spent. After a loss of power that is every host: for ten seconds a part that a target's pause holds up is lost.

Change: each host has two parts of the slack, three quarters for later and one for the first window after a start; a life and the next one together keep to what one had before.

--- a/knapweedroad/routing/retry_budget.cc
+++ b/knapweedroad/routing/retry_budget.cc
@@ -10,6 +10,8 @@
 // an attempt arrives later than it is counted here.
 constexpr double kRatioMargin = 0.93;
 constexpr double kSlackMargin = 0.9;
+// Part of the slack that is for hosts in the first window after their start.
+constexpr double kSlackAfterStart = 0.25;
 // What hedges leave to retries, as shares of the allowance: for the first
 // failures of an outlier, and however many there are.
 constexpr double kLeastReserve = 0.1;
@@ -49,15 +51,17 @@
 }
 
 // Failure: hosts are restarted in turn, each forgets what it has spent of the
-// slack, and together they spend it twice in one window. So a host has its part
-// of the slack only a window after its start.
+// slack, and together they spend it twice in one window. Failure: all of them
+// are restarted at once, and none may send anything beside its requests' share
+// for a whole window. So each host has two parts of the slack: one for the
+// first window after a start, and one for later.
 double RetryBudget::Allowance(size_t hosts) const {
-  if (this->newest < this->slack_from) {
-    return this->requests * this->limits.ratio * kRatioMargin;
-  }
-  const double shared = this->limits.slack * kSlackMargin /
-                        static_cast<double>(std::max<size_t>(hosts, 1));
-  return this->requests * this->limits.ratio * kRatioMargin + shared;
+  const bool has_just_started = this->newest < this->slack_from;
+  const double slack =
+      this->limits.slack * kSlackMargin *
+      (has_just_started ? kSlackAfterStart : 1 - kSlackAfterStart);
+  return this->requests * this->limits.ratio * kRatioMargin +
+         slack / static_cast<double>(std::max<size_t>(hosts, 1));
 }
 
 void RetryBudget::OnRequest(TimePoint now) {
--- a/knapweedroad/routing/retry_budget.h
+++ b/knapweedroad/routing/retry_budget.h
@@ -73,7 +73,7 @@
   // Fractions of a part from this on are rounded up; differs between hosts and
   // services. A host that drew it anew would send more than its part.
   double rounding = 1;
-  // The first slice in which the slack counts.
+  // The first slice that is no longer in the first window after the start.
   int64_t slack_from = 0;
   std::array<Slice, kSlices> slices{};
   int64_t newest = 0;
