Comments of outcomes and outliers in the field's words

"Evidence" and "tally" were left in comments from before the renaming; "the mean of six is known to a fifth" told how a value was chosen.

--- a/knapweedroad/registry/outlier_detector.cc
+++ b/knapweedroad/registry/outlier_detector.cc
@@ -8,13 +8,13 @@
 namespace knapweedroad {
 namespace {
 
-// Evidence counts half after this: a report is up to a second old when it
+// Outcomes count half after this: a report is up to a second old when it
 // comes, and a target that has changed should show within the next one.
 constexpr Duration kHalfLife = std::chrono::milliseconds(800);
-// The same for a listed target, of which little evidence comes.
+// The same for a listed target, of which few outcomes come.
 constexpr Duration kListedHalfLife = std::chrono::seconds(4);
 // A judgement needs so many attempts: fewer tell of chance. Latencies scatter
-// by half, so the mean of six is known to a fifth.
+// by half, so the mean of fewer is known badly.
 constexpr double kLeastAttempts = 6;
 // A listed target that does well in so many is believed: all hosts try it then,
 // and if that was chance, it is back on the list within a second.
@@ -26,7 +26,7 @@
 constexpr double kLeastSlowdown = 2.2;
 constexpr double kMostSlowdown = 20;
 // Hardly anything is sent to a listed target, so it keeps its place without
-// new evidence, and is tried by everybody again after this.
+// new outcomes, and is tried by everybody again after this.
 constexpr Duration kListedMemory = std::chrono::seconds(12);
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
 constexpr size_t kMostTargets = 20'000;
@@ -119,7 +119,7 @@
 }
 
 // Failure: a zone's hosts send nearly all requests for a service to its target
-// in their own zone. It turns slow, the others give too little evidence to
+// in their own zone. It turns slow, the others get too few attempts to
 // compare it with, and it passes for the best there is. So it is compared with
 // what the service's targets did before, too.
 void OutlierDetector::RememberBest(const ServiceId& service,
--- a/knapweedroad/registry/outlier_detector.h
+++ b/knapweedroad/registry/outlier_detector.h
@@ -68,7 +68,7 @@
     double latency_us = 0;
     TimePoint faded;
     TimePoint heard;
-    // As last listed, and when there was last evidence enough to say so.
+    // As last listed, and when there were last attempts enough to say so.
     TargetOutlier outlier;
     TimePoint judged;
 
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -83,7 +83,7 @@
   bool is_cut_off = false;
   // Whether it hears all other control hosts, so that its news is whole.
   bool hears_all = false;
-  // Absent where the follower has this list, or doesn't share evidence. For
+  // Absent where the follower has this list, or doesn't share outcomes. For
   // entry hosts the whole list; for control hosts what this zone has seen.
   bool has_outliers = false;
   uint64_t outliers_revision = 0;
--- a/knapweedroad/routing/balanced_target.h
+++ b/knapweedroad/routing/balanced_target.h
@@ -1,5 +1,5 @@
-// What an entry host knows of one target, its record and the evidence, and of
-// a service.
+// What an entry host knows of one target, its record and the outcomes of
+// attempts, and of a service.
 
 #ifndef KNAPWEEDROAD_ROUTING_BALANCED_TARGET_H_
 #define KNAPWEEDROAD_ROUTING_BALANCED_TARGET_H_
--- a/knapweedroad/routing/load_balancer.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -138,7 +138,7 @@
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
 
-  // Evidence. Each attempt is OnSent() once, then one of the others once.
+  // Outcomes. Each attempt is OnSent() once, then one of the others once.
   void OnSent(const TargetId& id, TimePoint now);
   void OnAnswered(const TargetId& id,
                   Duration latency,
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -324,7 +324,7 @@
     this->Eject(*target, "no_health_answer", now);
     target->is_only_silent = false;
   }
-  // A target that only ever was in doubt and can be reached stays in use.
+  // One that was never ejected and can be reached stays in use.
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/outcome_recorder.cc
+++ b/knapweedroad/routing/outcome_recorder.cc
@@ -12,7 +12,7 @@
 // knows enough by itself, and so does every other one of its load.
 constexpr uint32_t kEnoughAlone = 50;
 // Nothing is kept for a control host that hasn't asked for this long; longer
-// than a call is held. Old evidence misleads.
+// than a call is held. Old outcomes mislead.
 constexpr Duration kKeepFor = std::chrono::milliseconds(2500);
 
 }  // namespace
--- a/knapweedroad/routing/outcome_recorder.h
+++ b/knapweedroad/routing/outcome_recorder.h
@@ -1,9 +1,9 @@
 // What this entry host has seen of targets and not reported yet, for each
 // control host that it reports to.
 //
-//   OutcomeRecorder tally;
-//   tally.Count({.target = id, .answered = 1});
-//   std::vector<TargetOutcomes> report = tally.Take(control_host, now);
+//   OutcomeRecorder recorder;
+//   recorder.Count({.target = id, .answered = 1});
+//   std::vector<TargetOutcomes> report = recorder.Take(control_host, now);
 
 #ifndef KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
 #define KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
