Two starts of a host within a window keep to the bound on extra attempts

Cause, found on reading the change again: the quarter of the slack that hosts had after a start was safe for one start within a window. Hosts that are restarted twice in it, and each time send all they may, passed the bound: three quarters and two quarters. The test had one start only.

Change: a tenth for each of two starts, eight tenths for later. hosts_that_are_restarted_keep_to_the_bound now restarts 1, 9 and 200 hosts twice, in turn or at once; with the quarter it fails. New: unlucky_roundings_keep_to_the_bound, for the three deviations that are kept free; without them it fails.

Ruled out: no slack after a start, as before: the fleet then loses every late part for a window.

--- a/knapweedroad/edge/agreed_value.h
+++ b/knapweedroad/edge/agreed_value.h
@@ -10,8 +10,8 @@
 
 class AgreedValue {
  public:
-  // `text` of that version was chosen. False: it is not newer, or it can't be
-  // read, and nothing has changed.
+  // A quorum holds this. False: it is not newer, or it can't be read, and
+  // nothing has changed.
   bool Take(uint64_t chosen_version, const std::string& chosen_text);
 
   // Zero: none is known.
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -1,7 +1,6 @@
 #include "knapweedroad/edge/control_host.h"
 
 #include <algorithm>
-#include <map>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -40,10 +39,6 @@
 // Larger bodies than any configuration of thousands of routes.
 constexpr size_t kMaxBodyBytes = 8 << 20;
 
-HostId OwnId(const RoleSettings& settings) {
-  return ControlHostId(settings.peer_address);
-}
-
 }  // namespace
 
 struct ControlHost::State : std::enable_shared_from_this<ControlHost::State> {
@@ -85,7 +80,7 @@
 ControlHost::State::State(Runtime& runtime, ControlHostOptions given)
     : runtime(runtime),
       options(std::move(given)),
-      self(OwnId(this->options.settings)),
+      self(ControlHostId(this->options.settings.peer_address)),
       seeds(SeedIds(this->options.settings)),
       links(runtime),
       connectivity(this->options.settings.zone),
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -1,7 +1,5 @@
 #include "knapweedroad/edge/entry_request.h"
 
-#include <algorithm>
-#include <cmath>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -18,7 +16,6 @@
 #include "knapweedroad/edge/parts_answer.h"
 #include "knapweedroad/edge/request_attempts.h"
 #include "knapweedroad/edge/run_plan.h"
-#include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/edge/unserved_services.h"
 #include "knapweedroad/net/runtime.h"
--- a/knapweedroad/routing/retry_budget.cc
+++ b/knapweedroad/routing/retry_budget.cc
@@ -10,8 +10,9 @@
 // an attempt arrives later than it is counted here.
 constexpr double kRatioMargin = 0.93;
 constexpr double kSlackMargin = 0.9;
-// Part of the slack that is for hosts in the first window after their start.
-constexpr double kSlackAfterStart = 0.25;
+// Parts of the slack: one for each of two starts within a window, and the rest.
+constexpr double kSlackAfterStart = 0.1;
+constexpr double kSlackLater = 1 - 2 * kSlackAfterStart;
 // What hedges leave to retries, as shares of the allowance: for the first
 // failures of an outlier, and however many there are.
 constexpr double kLeastReserve = 0.1;
@@ -53,13 +54,12 @@
 // Failure: hosts are restarted in turn, each forgets what it has spent of the
 // slack, and together they spend it twice in one window. Failure: all of them
 // are restarted at once, and none may send anything beside its requests' share
-// for a whole window. So each host has two parts of the slack: one for the
-// first window after a start, and one for later.
+// for a whole window. So each host has a part of the slack for the first window
+// after a start, and one for later; two starts within a window are borne.
 double RetryBudget::Allowance(size_t hosts) const {
   const bool has_just_started = this->newest < this->slack_from;
-  const double slack =
-      this->limits.slack * kSlackMargin *
-      (has_just_started ? kSlackAfterStart : 1 - kSlackAfterStart);
+  const double slack = this->limits.slack * kSlackMargin *
+                       (has_just_started ? kSlackAfterStart : kSlackLater);
   return this->requests * this->limits.ratio * kRatioMargin +
          slack / static_cast<double>(std::max<size_t>(hosts, 1));
 }
--- a/knapweedroad/routing/retry_budget_test.cc
+++ b/knapweedroad/routing/retry_budget_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <random>
 #include <vector>
 
 namespace knapweedroad {
@@ -58,7 +59,7 @@
 Test(retry_budget, hedges_leave_as_much_as_retries_use) {
   const TimePoint now{seconds(100)};
   const RetryBudgetLimits limits{
-      .ratio = 0, .slack = 53.4, .window = seconds(10)};  // 36 for one host
+      .ratio = 0, .slack = 50.1, .window = seconds(10)};  // 36 for one host
   const auto hedges_after = [&](int retries) {
     RetryBudget budget(limits, now - seconds(60), /*rounding=*/1);
     for (int i = 0; i < retries; ++i) {
@@ -80,34 +81,64 @@
 }
 
 // Guards against hosts that are restarted one after the other, or all at once,
-// while targets fail: each has forgotten what it spent before, and together
-// they must not pass the bound in any window.
+// and soon again, while targets fail: each has forgotten what it spent before,
+// and together they must not pass the bound in any window.
 Test(retry_budget, hosts_that_are_restarted_keep_to_the_bound) {
-  constexpr size_t kHosts = 9;
+  constexpr Duration kStep = milliseconds(5);
   const RetryBudgetLimits limits{
-      .ratio = 0, .slack = 58, .window = seconds(10)};
-  for (const Duration pause : {Duration::zero(), Duration(milliseconds(700))}) {
-    std::vector<RetryBudget> hosts;
-    for (size_t host = 0; host < kHosts; ++host) {
-      hosts.emplace_back(limits, TimePoint(seconds(50)), RoundingOf(host));
-    }
-    std::deque<TimePoint> extra;
-    for (Duration at{}; at < seconds(40); at += milliseconds(5)) {
-      const TimePoint now = TimePoint(seconds(100)) + at;
-      for (size_t host = 0; host < kHosts; ++host) {
-        if (at == seconds(15) + pause * host) {
-          hosts[host] = RetryBudget(limits, now, RoundingOf(host));
+      .ratio = 0, .slack = 428, .window = seconds(10)};
+  for (const size_t count : {1, 9, 200}) {
+    for (const Duration pause :
+         {Duration::zero(), Duration(milliseconds(40))}) {
+      std::vector<RetryBudget> hosts;
+      for (size_t host = 0; host < count; ++host) {
+        hosts.emplace_back(limits, TimePoint(seconds(50)), RoundingOf(host));
+      }
+      std::deque<TimePoint> extra;
+      for (Duration at{}; at < seconds(40); at += kStep) {
+        const TimePoint now = TimePoint(seconds(100)) + at;
+        for (size_t host = 0; host < count; ++host) {
+          const Duration since = at - seconds(15) - pause * host;
+          if (since == Duration::zero() || since == seconds(4)) {
+            hosts[host] = RetryBudget(limits, now, RoundingOf(host));
+          }
         }
+        for (RetryBudget& host : hosts) {
+          if (host.SpendRetry(count, now)) {
+            extra.push_back(now);
+          }
+        }
+        while (!extra.empty() && now - extra.front() >= limits.window) {
+          extra.pop_front();
+        }
+        cr_assert(static_cast<double>(extra.size()) <= limits.slack);
       }
-      const size_t host = (at / milliseconds(5)) % kHosts;
-      if (hosts[host].SpendRetry(kHosts, now)) {
-        extra.push_back(now);
+    }
+  }
+}
+
+// Guards against parts that happen to be rounded up on most hosts of a fleet.
+Test(retry_budget, unlucky_roundings_keep_to_the_bound) {
+  constexpr size_t kHosts = 16;
+  constexpr size_t kRequests = 8;
+  constexpr int kFleets = 200;
+  const RetryBudgetLimits limits{
+      .ratio = 0.2, .slack = 0, .window = seconds(10)};
+  const TimePoint now{seconds(100)};
+  std::minstd_rand random(1);
+  std::uniform_real_distribution<double> rounding(0, 1);
+  for (int fleet = 0; fleet < kFleets; ++fleet) {
+    size_t extra = 0;
+    for (size_t host = 0; host < kHosts; ++host) {
+      RetryBudget budget(limits, now, rounding(random));
+      for (size_t request = 0; request < kRequests; ++request) {
+        budget.OnRequest(now);
       }
-      while (!extra.empty() && now - extra.front() >= limits.window) {
-        extra.pop_front();
+      while (budget.SpendRetry(kHosts, now)) {
+        ++extra;
       }
-      cr_assert(static_cast<double>(extra.size()) <= limits.slack);
     }
+    cr_assert(static_cast<double>(extra) <= limits.ratio * kHosts * kRequests);
   }
 }
 
