--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -48,6 +48,7 @@
 extern const Command kHistoryCommand;
 extern const Command kEntryCommand;
 extern const Command kControlCommand;
+extern const Command kRolloutCommand;
 
 // The file's text, or nothing after printing why it can't be read.
 std::optional<std::string> ReadFileOrComplain(const std::string& path);
--- a/knapweedroad/cli/main.cc
+++ b/knapweedroad/cli/main.cc
@@ -16,7 +16,7 @@
     &kServeCommand,    &kCheckCommand,  &kApplyCommand,   &kZoneCommand,
     &kReplicaCommand,  &kStatusCommand, &kQueryCommand,   &kDevCommand,
     &kSearcherCommand, &kLoadCommand,   &kHistoryCommand, &kEntryCommand,
-    &kControlCommand};
+    &kControlCommand,  &kRolloutCommand};
 
 void PrintOverview(std::ostream& out) {
   out << "knapweedroad COMMAND [words and flags]\n\n";
--- a/knapweedroad/rollout/rollout_controller.cc
+++ b/knapweedroad/rollout/rollout_controller.cc
@@ -62,6 +62,9 @@
 constexpr Duration kQuickReportInterval = milliseconds(50);
 constexpr int64_t kValidMs = 1500;
 constexpr int64_t kFullValidMs = 800;
+// Longer than a host is waited for and the news of the end takes: a host that
+// has confirmed doesn't go back to the stable version meanwhile.
+constexpr int64_t kSealValidMs = 3000;
 constexpr uint32_t kAll = 1000;
 
 double Seconds(Duration duration) {
@@ -111,7 +114,7 @@
   this->told.allows_stable = allows_stable;
   this->told.valid_ms = candidate_permille == kAll ? kFullValidMs : kValidMs;
   if (!allows_stable) {
-    this->told.valid_ms = kValidMs;
+    this->told.valid_ms = kSealValidMs;
   }
   this->confirmed.reset();
 }
@@ -350,7 +353,7 @@
     const auto found = this->reporters.find(host);
     const TimePoint heard =
         found == this->reporters.end() ? TimePoint() : found->second.heard;
-    // Its directive has run out by then: it is down or cut off.
+    // It is down or cut off.
     if (now - std::max(heard, this->entered) > kReporterLost) {
       return true;
     }
