--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -27,10 +27,12 @@
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/entry_request.h"
+#include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
 
@@ -95,6 +97,7 @@
         links(runtime,
               {.header_names = this->header_names,
                .on_idle_closed = [](const TargetId&) {}}),
+        gather_links(runtime, this->relays),
         parts{.runtime = runtime,
               .header_names = this->header_names,
               .balancer = this->balancer,
@@ -104,6 +107,8 @@
               .started = Runtime::Now(),
               .shedding = ShardShedding({.seed = 1}),
               .sampler = AnswerSampler({.host = HostId("host"), .epoch = 1}),
+              .relays = this->relays,
+              .gather_links = this->gather_links,
               .table = MakeTable(shards)},
         callers(runtime,
                 {.endpoint = {"127.0.0.1", 0},
@@ -136,6 +141,8 @@
   HeaderNames header_names = MakeHeaderNames();
   LoadBalancer balancer;
   TargetLinks links;
+  RelayChoice relays{{}};
+  GatherLinks gather_links;
   EntryMetrics metrics;
   SplitRotation rotation;
   EntryParts parts;
--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -281,7 +281,10 @@
       {.endpoint = EndpointOf(host),
        .silence = this->options.role == FollowerRole::kControl ? kControlSilence
                                                                : kSilence});
-  WatchCall call{.follower = this->options.self, .role = this->options.role};
+  WatchCall call{.follower = this->options.self,
+                 .role = this->options.role,
+                 .zone = this->options.zone,
+                 .peer_address = this->options.peer_address};
   Duration pause = kFirstPause;
   while (!this->is_stopped && this->wanted.contains(host)) {
     if (this->Ask(peer, host, call)) {
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/config/host_settings.h"
 #include "knapweedroad/registry/watch_messages.h"
 
 namespace knapweedroad {
@@ -25,6 +26,8 @@
   HostId self;
   // Control hosts of this zone are followed first.
   ZoneId zone;
+  // Of an entry host: where other hosts reach it.
+  Endpoint peer_address;
   FollowerRole role = FollowerRole::kEntry;
   // Control hosts followed at a time while none is fit to be the only one,
   // however many there are. Zero: always all of them.
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -22,6 +22,7 @@
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/registry/announce_plan.h"
 #include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/rollout/rollout_orders.h"
 
@@ -200,7 +201,14 @@
           .exposure = {.share = settings.exposure_share,
                        .slack = settings.exposure_slack},
           .registry = this->registry,
-          .entry_hosts = [this] { return this->hub->EntryHosts(); },
+          .entry_hosts =
+              [this] {
+                std::vector<HostId> hosts;
+                for (const EntryHostRecord& record : this->hub->EntryHosts()) {
+                  hosts.push_back(record.host);
+                }
+                return hosts;
+              },
           .live_control_hosts =
               [this] {
                 std::vector<HostId> live = this->follower->LiveHosts();
@@ -405,6 +413,21 @@
   return result;
 }
 
+std::optional<Endpoint> ControlHost::NearerHost(const ZoneId& zone,
+                                                const TargetId& target) const {
+  const State& self = *this->state;
+  const std::vector<ControlHostRecord> live = self.follower->LiveRecords();
+  const auto host = NearerControlHost(
+      live,
+      {.reached = self.options.settings.zone, .zone = zone, .target = target});
+  if (!host) {
+    return std::nullopt;
+  }
+  // Control hosts serve targets at the same port.
+  return Endpoint{.ip = EndpointOf(*host).ip,
+                  .port = self.options.settings.control_address->port};
+}
+
 void ControlHost::SignOff(const TargetId& id,
                           uint64_t started_ms,
                           uint64_t sequence) {
--- a/knapweedroad/edge/control_host.h
+++ b/knapweedroad/edge/control_host.h
@@ -52,6 +52,10 @@
 
   // A target tells of itself.
   AnnounceResult Announce(TargetRecord record);
+  // Where a target of that zone is to announce itself from now on; nothing: it
+  // goes on as it does.
+  std::optional<Endpoint> NearerHost(const ZoneId& zone,
+                                     const TargetId& target) const;
   void SignOff(const TargetId& id, uint64_t started_ms, uint64_t sequence);
 
   // Makes the text the newest configuration unless its number is not above the
--- a/knapweedroad/edge/directory_cache.h
+++ b/knapweedroad/edge/directory_cache.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/registry/entry_host_record.h"
 #include "knapweedroad/registry/target_record.h"
 
 namespace knapweedroad {
@@ -28,7 +29,7 @@
 
 struct DirectorySnapshot {
   std::vector<TargetRecord> targets;
-  std::vector<HostId> entry_hosts;
+  std::vector<EntryHostRecord> entry_hosts;
 
   friend bool operator==(const DirectorySnapshot&,
                          const DirectorySnapshot&) = default;
--- a/knapweedroad/edge/directory_cache_test.cc
+++ b/knapweedroad/edge/directory_cache_test.cc
@@ -22,7 +22,8 @@
                        .zone = ZoneId("z"),
                        .address = {"10.0.0.1", 80},
                        .sequence = 7}},
-          .entry_hosts = {HostId("entry-1"), HostId("entry-2")}};
+          .entry_hosts = {{.host = HostId("entry-1"), .zone = ZoneId("a")},
+                          {.host = HostId("entry-2")}}};
 }
 
 // All hosts lose their power. For a second after they are back no request is
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -14,6 +14,9 @@
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/entry_request.h"
+#include "knapweedroad/edge/gather_calls.h"
+#include "knapweedroad/edge/gather_links.h"
+#include "knapweedroad/edge/gather_relay.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/edge/rollout_reporter.h"
 #include "knapweedroad/edge/routing_in_force.h"
@@ -21,9 +24,11 @@
 #include "knapweedroad/edge/target_news.h"
 #include "knapweedroad/edge/target_prober.h"
 #include "knapweedroad/net/http_server.h"
+#include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/outcome_recorder.h"
+#include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
 
@@ -68,6 +73,7 @@
   // Whether the own zone's targets could serve every route.
   bool ZoneServesAll(TimePoint now) const;
   void OnNews(const HostId& from, const WatchReply& reply);
+  void LearnEntryHosts(const std::vector<EntryHostRecord>& records);
   void PutInForce(const std::shared_ptr<const RouteTable>& table);
   HttpResponse AnswerPlatform(const HttpRequest& request);
   bool IsReady() const;
@@ -80,10 +86,14 @@
   OutcomeRecorder outcomes;
   LoadBalancer balancer;
   TargetLinks links;
+  RelayChoice relays;
+  GatherLinks gather_links;
+  GatherRelay gather_relay;
   EntryMetrics metrics;
   SplitRotation rotation;
   EntryParts parts;
   std::unique_ptr<CallerServer> callers;
+  std::unique_ptr<PeerServer> peers;
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<ControlFollower> follower;
@@ -123,6 +133,14 @@
                  [this](const TargetId& target) {
                    this->balancer.OnIdleClosed(target, Runtime::Now());
                  }}),
+      relays({.self = this->options.settings.name,
+              .zone = this->options.settings.zone,
+              .seed = RandomSeed()}),
+      gather_links(runtime, this->relays),
+      gather_relay({.runtime = runtime,
+                    .header_names = this->options.header_names,
+                    .links = this->links,
+                    .balancer = this->balancer}),
       parts{.runtime = runtime,
             .header_names = this->options.header_names,
             .balancer = this->balancer,
@@ -136,7 +154,9 @@
             .random = std::minstd_rand(static_cast<uint32_t>(RandomSeed())),
             .shedding = ShardShedding({.seed = RandomSeed()}),
             .sampler = AnswerSampler(
-                {.host = this->options.settings.name, .epoch = RandomSeed()})},
+                {.host = this->options.settings.name, .epoch = RandomSeed()}),
+            .relays = this->relays,
+            .gather_links = this->gather_links},
       routing({.read = this->options.read_routing,
                .is_served =
                    [this](const ServiceId& service) {
@@ -208,13 +228,24 @@
   }
   LearnTargets(this->balancer, from, reply, now);
   if (reply.has_hosts) {
-    this->balancer.SetEntryHosts(reply.entry_hosts, Runtime::Now());
+    this->LearnEntryHosts(reply.entry_hosts);
   }
   this->balancer.LearnOutliers(
       from, reply.has_outliers ? std::optional(reply.outliers) : std::nullopt,
       now);
 }
 
+void EntryHost::State::LearnEntryHosts(
+    const std::vector<EntryHostRecord>& records) {
+  std::vector<HostId> hosts;
+  hosts.reserve(records.size());
+  for (const EntryHostRecord& record : records) {
+    hosts.push_back(record.host);
+  }
+  this->balancer.SetEntryHosts(std::move(hosts), Runtime::Now());
+  this->relays.SetHosts(records);
+}
+
 void EntryHost::State::PutInForce(
     const std::shared_ptr<const RouteTable>& table) {
   this->parts.table = table;
@@ -281,6 +312,7 @@
   }
   if (++this->ticks % kSweepTicks == 0) {
     this->callers->Sweep(now);
+    this->gather_relay.Sweep(now);
     this->links.Prune([this](const TargetId& target) {
       const TargetRecord* const record = this->balancer.Find(target);
       return record != nullptr && record->phase != TargetPhase::kGone &&
@@ -334,6 +366,16 @@
       return tl::unexpected(port.error().detail);
     }
   }
+  self.peers = std::make_unique<PeerServer>(
+      self.runtime,
+      PeerServerOptions{
+          .endpoint = settings.peer_address,
+          .handler = [&self](PeerMessageType type, const std::string& body) {
+            return AnswerGatherCall(self.gather_relay, type, body);
+          }});
+  if (const auto port = self.peers->Start(); !port) {
+    return tl::unexpected(port.error().detail);
+  }
   auto metrics_server = StartMetricsServer(
       self.runtime, settings, [&self] { return self.PrintMetrics(); });
   if (!metrics_server) {
@@ -345,6 +387,7 @@
       ControlFollowerOptions{
           .self = settings.name,
           .zone = settings.zone,
+          .peer_address = settings.peer_address,
           .role = FollowerRole::kEntry,
           .seeds = [&self] { return self.seeds; },
           .held_version = [&self] { return self.routing.agreed_version(); },
@@ -383,6 +426,7 @@
       started + self.options.settings.stop_grace - kStopMargin;
   self.is_leaving = true;
   self.callers->StartDraining();
+  self.gather_relay.StartDraining();
   LogLine("leaving")
       .Add("host", self.options.settings.name)
       .Add("running", self.callers->running())
@@ -391,7 +435,8 @@
   while (Runtime::Now() < give_up) {
     if (Runtime::Now() - started > kBalancerNotice) {
       self.callers->CloseIdle();
-      if (self.callers->connections() == 0) {
+      if (self.callers->connections() == 0 &&
+          self.gather_relay.running() == 0) {
         break;
       }
     }
--- a/knapweedroad/edge/entry_metrics.cc
+++ b/knapweedroad/edge/entry_metrics.cc
@@ -45,6 +45,11 @@
   ++(sent ? this->extra_sent : this->extra_refused);
 }
 
+void EntryMetrics::CountGather(size_t count) {
+  ++this->gather_calls;
+  this->gathered_attempts += count;
+}
+
 void EntryMetrics::SetGauge(std::string_view name, double value) {
   this->gauges.insert_or_assign(std::string(name), value);
 }
@@ -81,6 +86,11 @@
       << this->extra_sent << "\n"
       << "knapweedroad_extra_attempts_total{result=\"over_budget\"} "
       << this->extra_refused << "\n";
+  out << "# TYPE knapweedroad_gather_calls_total counter\n"
+      << "knapweedroad_gather_calls_total " << this->gather_calls << "\n"
+      << "# TYPE knapweedroad_gathered_attempts_total counter\n"
+      << "knapweedroad_gathered_attempts_total " << this->gathered_attempts
+      << "\n";
   for (const auto& [name, value] : this->gauges) {
     out << "# TYPE knapweedroad_" << name << " gauge\n"
         << "knapweedroad_" << name << " " << value << "\n";
--- a/knapweedroad/edge/entry_metrics.h
+++ b/knapweedroad/edge/entry_metrics.h
@@ -28,6 +28,8 @@
   void CountAttempt(std::string_view outcome);
   // Attempts beyond the first, sent and refused for want of budget.
   void CountExtra(bool sent);
+  // Attempts of this host that another one makes and merges, in one call.
+  void CountGather(size_t attempts);
 
   // Adds a value that is read now.
   void SetGauge(std::string_view name, double value);
@@ -54,6 +56,8 @@
   std::map<std::string, uint64_t, std::less<>> attempts;
   std::map<std::string, double, std::less<>> gauges;
   uint64_t extra_sent = 0;
+  uint64_t gather_calls = 0;
+  uint64_t gathered_attempts = 0;
   uint64_t extra_refused = 0;
 };
 
--- a/knapweedroad/edge/entry_parts.cc
+++ b/knapweedroad/edge/entry_parts.cc
@@ -2,6 +2,13 @@
 
 namespace knapweedroad {
 
+uint64_t EntryParts::NextToken() {
+  if (this->last_token == 0) {
+    this->last_token = (uint64_t{this->random()} << 32) ^ this->random();
+  }
+  return ++this->last_token;
+}
+
 RetryBudget& EntryParts::BudgetOf(const ServiceId& service) {
   const auto found = this->budgets.find(service);
   if (found != this->budgets.end()) {
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -3,6 +3,7 @@
 #ifndef KNAPWEEDROAD_EDGE_ENTRY_PARTS_H_
 #define KNAPWEEDROAD_EDGE_ENTRY_PARTS_H_
 
+#include <cstdint>
 #include <memory>
 #include <random>
 #include <string>
@@ -19,7 +20,9 @@
 namespace knapweedroad {
 
 class EntryMetrics;
+class GatherLinks;
 class LoadBalancer;
+class RelayChoice;
 class RouteTable;
 class Runtime;
 class SplitRotation;
@@ -39,12 +42,18 @@
   std::minstd_rand random;
   ShardShedding shedding;
   AnswerSampler sampler;
+  RelayChoice& relays;
+  GatherLinks& gather_links;
   AnswerLead lead{{}};
   std::unordered_map<ServiceId, RetryBudget> budgets;
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
   std::shared_ptr<const RouteTable> table;
 
+  uint64_t last_token = 0;
+
+  // Names a call to another entry host, whose other callers draw theirs, too.
+  uint64_t NextToken();
   RetryBudget& BudgetOf(const ServiceId& service);
 };
 
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -1,6 +1,8 @@
 #include "knapweedroad/edge/entry_request.h"
 
+#include <algorithm>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -20,6 +22,7 @@
 #include "knapweedroad/edge/unserved_services.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
@@ -30,6 +33,10 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kRetryWithoutConfiguration = milliseconds(500);
+// With fewer parts from a zone, one exchange each costs less than a call.
+constexpr size_t kLeastGathered = 3;
+// How much longer a gathered part takes on its way.
+constexpr Duration kGatherSlack = milliseconds(4);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
@@ -77,7 +84,14 @@
   bool IsFresh() const;
   void MakeHooks();
   void Do(RunStep step);
+  void Send(const AttemptStart& start);
+  // Sends what goes through other hosts; the rest of the attempts.
+  std::vector<AttemptStart> SendGroups(std::vector<AttemptStart> starts);
+  void SendGroup(const EntryHostRecord& relay,
+                 std::span<const AttemptStart> group);
+  void OnGathered(RequestAttempts::Gathered gathered);
   void OnReply(uint32_t attempt, TargetReply reply);
+  void Conclude(uint32_t attempt, AttemptOutcome outcome, TargetReply reply);
   void Arm(TimePoint at);
   void End(RunEnd end);
   // Sends the final answer; its status.
@@ -102,6 +116,13 @@
   std::optional<RequestRun> run;
   std::shared_ptr<RequestAttempts> attempts;
   std::optional<TimePoint> armed;
+  // Zones whose parts other hosts gather, the preferred one first.
+  std::vector<ZoneId> near_zones;
+  // When those hosts are to tell what they have.
+  Duration reply_within{};
+  // How much later than others an attempt that they make is hedged.
+  Duration gather_slack{};
+  bool is_starting = true;
   bool is_over = false;
 };
 
@@ -147,7 +168,8 @@
 void EntryRequest::MakeHooks() {
   this->hooks.pick = [this](const ServiceId& service,
                             std::span<const TargetId> tried) {
-    return this->parts.balancer.Pick(service, tried, Runtime::Now());
+    return this->parts.balancer.Pick(service, tried, Runtime::Now(),
+                                     this->near_zones);
   };
   this->hooks.is_served = [this](const ServiceId& service,
                                  std::span<const TargetId> tried) {
@@ -189,6 +211,13 @@
   const TimePoint now = Runtime::Now();
   RequestRunOptions options = this->RunOptions(*this->route);
   this->services = options.services;
+  this->reply_within = GatherWithin(*this->route, *this->memory);
+  this->gather_slack =
+      std::max(Duration::zero(), this->reply_within - options.hedge_after) +
+      kGatherSlack;
+  if (this->route->is_scatter && options.services.size() >= kLeastGathered) {
+    this->near_zones = this->parts.relays.Zones(now);
+  }
   for (const ServiceId& service : options.services) {
     this->parts.BudgetOf(service).OnRequest(now);
   }
@@ -206,12 +235,90 @@
   this->Do(this->run->Start(now));
 }
 
+void EntryRequest::Send(const AttemptStart& start) {
+  this->attempts->Send(start, [self = this->shared_from_this(),
+                               number = start.attempt](TargetReply reply) {
+    self->OnReply(number, std::move(reply));
+  });
+}
+
+std::vector<AttemptStart> EntryRequest::SendGroups(
+    std::vector<AttemptStart> starts) {
+  for (const ZoneId& zone : this->near_zones) {
+    std::vector<AttemptStart> group;
+    for (const AttemptStart& start : starts) {
+      const TargetRecord* const record =
+          this->parts.balancer.Find(start.target);
+      if (record != nullptr && record->zone == zone) {
+        group.push_back(start);
+      }
+    }
+    const auto relay = this->parts.relays.Choose(zone, Runtime::Now());
+    if (group.size() < kLeastGathered || !relay) {
+      continue;
+    }
+    std::erase_if(starts, [&](const AttemptStart& start) {
+      return std::ranges::find(group, start.attempt, &AttemptStart::attempt) !=
+             group.end();
+    });
+    this->SendGroup(*relay, group);
+  }
+  return starts;
+}
+
+void EntryRequest::SendGroup(const EntryHostRecord& relay,
+                             std::span<const AttemptStart> group) {
+  for (const AttemptStart& start : group) {
+    this->run->DelayHedge(start.attempt, this->gather_slack);
+  }
+  this->attempts->SendThrough(
+      relay, group, this->reply_within,
+      [self = this->shared_from_this()](RequestAttempts::Gathered gathered) {
+        self->OnGathered(std::move(gathered));
+      });
+  this->parts.metrics.CountGather(group.size());
+}
+
+void EntryRequest::OnGathered(RequestAttempts::Gathered gathered) {
+  const TimePoint now = Runtime::Now();
+  std::vector<MergedAnswer> merged;
+  std::vector<RequestAttempts::Gathered::Part> others;
+  for (auto& part : gathered.parts) {
+    const AttemptOutcome outcome =
+        this->attempts->Take(part.attempt, part.reply, now);
+    if (outcome == AttemptOutcome::kAnswer) {
+      merged.push_back(
+          {.attempt = part.attempt, .seal = std::move(part.reply.answer.seal)});
+    } else {
+      part.outcome = outcome;
+      others.push_back(std::move(part));
+    }
+  }
+  if (!merged.empty()) {
+    this->Do(this->run->OnMerged(merged, std::move(gathered.records), now));
+  }
+  for (auto& part : others) {
+    this->Conclude(part.attempt, part.outcome, std::move(part.reply));
+  }
+  for (const uint32_t attempt : gathered.lost) {
+    this->attempts->TakeLost(attempt, now);
+    this->Do(this->run->OnEnd(attempt, AttemptEnd::kBroken, now));
+  }
+  for (const AttemptStart& start : gathered.not_tried) {
+    this->attempts->SendUntried(
+        start,
+        [self = this->shared_from_this(), number = start.attempt](
+            TargetReply reply) { self->OnReply(number, std::move(reply)); });
+  }
+}
+
 void EntryRequest::Do(RunStep step) {
+  // Those of the start alone: later ones come one by one.
+  if (std::exchange(this->is_starting, false)) {
+    step.start = this->SendGroups(std::move(step.start));
+  }
   for (const AttemptStart& start : step.start) {
-    this->attempts->Send(start, [self = this->shared_from_this(),
-                                 number = start.attempt](TargetReply reply) {
-      self->OnReply(number, std::move(reply));
-    });
+    this->Send(start);
   }
   if (step.end) {
     this->End(*std::move(step.end));
@@ -240,6 +347,13 @@
 void EntryRequest::OnReply(uint32_t number, TargetReply reply) {
   const TimePoint now = Runtime::Now();
   const AttemptOutcome outcome = this->attempts->Take(number, reply, now);
+  this->Conclude(number, outcome, std::move(reply));
+}
+
+void EntryRequest::Conclude(uint32_t number,
+                            AttemptOutcome outcome,
+                            TargetReply reply) {
+  const TimePoint now = Runtime::Now();
   switch (outcome) {
     case AttemptOutcome::kAnswer:
       this->Do(this->run->OnAnswer(number, std::move(reply.answer), now));
--- /dev/null
+++ b/knapweedroad/edge/gather_calls.cc
@@ -0,0 +1,38 @@
+#include "knapweedroad/edge/gather_calls.h"
+
+#include <chrono>
+
+#include "knapweedroad/edge/gather_messages.h"
+#include "knapweedroad/edge/gather_relay.h"
+#include "knapweedroad/wire/codec.h"
+
+namespace knapweedroad {
+
+tl::expected<std::string, std::string> AnswerGatherCall(
+    GatherRelay& relay,
+    PeerMessageType type,
+    const std::string& body) {
+  if (type == PeerMessageType::kGather) {
+    const auto call = DecodeBytes<GatherCall>(body);
+    return call ? tl::expected<std::string, std::string>(
+                      EncodeBytes(relay.Gather(*call)))
+                : tl::unexpected("unreadable call: " + call.error());
+  }
+  if (type == PeerMessageType::kGatherMore) {
+    const auto call = DecodeBytes<GatherMoreCall>(body);
+    return call ? tl::expected<std::string, std::string>(
+                      EncodeBytes(relay.More(call->token)))
+                : tl::unexpected("unreadable call: " + call.error());
+  }
+  if (type == PeerMessageType::kGatherEnd) {
+    const auto call = DecodeBytes<GatherEndCall>(body);
+    if (!call) {
+      return tl::unexpected("unreadable call: " + call.error());
+    }
+    relay.End(call->token, std::chrono::microseconds(call->grace_us));
+    return std::string();
+  }
+  return tl::unexpected(std::string("not a call of entry hosts"));
+}
+
+}  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/edge/gather_links.h
@@ -0,0 +1,69 @@
+// Has other entry hosts gather parts.
+//
+//   GatherLinks links(runtime, relays);
+//   auto gather = links.Start({.relay = record, .call = call, ...});
+//   gather->End(grace);   // nobody waits for the rest any more
+
+#ifndef KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
+#define KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/edge/gather_messages.h"
+#include "knapweedroad/registry/entry_host_record.h"
+
+namespace knapweedroad {
+
+class PeerClient;
+class RelayChoice;
+class Runtime;
+
+struct GatherOrder {
+  EntryHostRecord relay;
+  GatherCall call;
+  TimePoint deadline;
+  // Called with each reply, from another turn of the loop.
+  std::function<void(GatherReply reply)> on_reply;
+  // Called once instead of any further reply: none will come. Without
+  // `may_have_run` nothing was sent to any target.
+  std::function<void(bool may_have_run)> on_lost;
+};
+
+class GatherExchange {
+ public:
+  virtual ~GatherExchange() = default;
+  // No callback is called from now on; attempts that run are cut within
+  // `grace`.
+  virtual void End(Duration grace) = 0;
+};
+
+class GatherLinks {
+ public:
+  // `relays` outlives all exchanges and hears how its hosts do.
+  GatherLinks(Runtime& runtime, RelayChoice& relays);
+  ~GatherLinks();
+
+  std::shared_ptr<GatherExchange> Start(GatherOrder order);
+
+ private:
+  class Exchange;
+
+  std::shared_ptr<PeerClient> ClientOf(const EntryHostRecord& relay);
+
+  struct Link {
+    Endpoint endpoint;
+    std::shared_ptr<PeerClient> client;
+  };
+
+  Runtime& runtime;
+  RelayChoice& relays;
+  std::unordered_map<HostId, Link> links;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
--- /dev/null
+++ b/knapweedroad/edge/gather_relay.h
@@ -0,0 +1,83 @@
+// Gathers parts for entry hosts of other zones.
+//
+//   GatherRelay relay({.runtime = runtime, .links = links, ...});
+//   GatherReply reply = relay.Gather(call);   // blocks the fiber
+//   GatherReply rest = relay.More(token);     // blocks the fiber
+//   relay.End(token, grace);
+//
+// Answers the pattern of many parts from another zone: their heads and records
+// cross between zones once for each part, and most of the records are not among
+// the answer's greatest.
+
+#ifndef KNAPWEEDROAD_EDGE_GATHER_RELAY_H_
+#define KNAPWEEDROAD_EDGE_GATHER_RELAY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
+
+namespace knapweedroad {
+
+class LoadBalancer;
+class Runtime;
+class TargetLinks;
+struct GatherCall;
+struct GatherReply;
+struct HeaderNames;
+struct TargetReply;
+
+struct GatherRelayOptions {
+  // These outlive the relay.
+  Runtime& runtime;
+  const HeaderNames& header_names;
+  TargetLinks& links;
+  // Hears of each attempt, and bounds those on a target.
+  LoadBalancer& balancer;
+  // Calls that run at the same time; more are refused.
+  size_t most_running = 64;
+};
+
+class GatherRelay {
+ public:
+  explicit GatherRelay(GatherRelayOptions options);
+  ~GatherRelay();
+
+  GatherReply Gather(const GatherCall& call);
+  // Empty where the token isn't known, or all has been told.
+  GatherReply More(uint64_t token);
+  void End(uint64_t token, Duration grace);
+
+  // Forgets runs that nobody has asked for since their deadline. Called every
+  // few hundred milliseconds.
+  void Sweep(TimePoint now);
+
+  // From now on calls are refused; those that run go on.
+  void StartDraining() { this->is_draining = true; }
+  size_t running() const { return this->runs.size(); }
+
+ private:
+  struct Attempt;
+  struct Run;
+
+  void Send(const std::shared_ptr<Run>& run,
+            const GatherCall& call,
+            size_t index);
+  void OnReply(const std::shared_ptr<Run>& run,
+               size_t index,
+               TargetReply reply);
+  GatherReply TakeParts(Run& run);
+  void ForgetIfOver(uint64_t token, const Run& run);
+
+  GatherRelayOptions options;
+  std::unordered_map<uint64_t, std::shared_ptr<Run>> runs;
+  bool is_draining = false;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_EDGE_GATHER_RELAY_H_
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -2,10 +2,10 @@
 
 #include <utility>
 
-#include "knapweedroad/edge/answer_verdict.h"
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
+#include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_message.h"
@@ -18,6 +18,7 @@
 namespace knapweedroad {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 // What is still out when the answer has gone may end within this, so that its
@@ -30,6 +31,22 @@
 // A connection idle for longer may just have been closed by the target. For a
 // request that must not run twice nobody could then say whether it ran.
 constexpr Duration kFreshIdle = milliseconds(500);
+// From this host to one that gathers, there and back.
+constexpr Duration kGatherWay = milliseconds(2);
+
+TargetReply ReplyOf(GatheredPart part) {
+  TargetReply reply{.kind = static_cast<ReplyKind>(part.kind),
+                    .says_not_run = part.says_not_run,
+                    .latency = microseconds(part.latency_us),
+                    .was_gathered = true};
+  reply.answer.status = part.status;
+  reply.answer.seal = std::move(part.seal);
+  if (part.slots > 0) {
+    reply.load = TargetLoad{
+        .running = part.running, .waiting = part.waiting, .slots = part.slots};
+  }
+  return reply;
+}
 
 }  // namespace
 
@@ -43,10 +60,14 @@
 }
 
 void RequestAttempts::Send(const AttemptStart& start, OnReply on_reply) {
+  this->Register(start);
+  this->Dispatch(start, std::move(on_reply));
+}
+
+void RequestAttempts::Register(const AttemptStart& start) {
   if (this->attempts.size() <= start.attempt) {
     this->attempts.resize(start.attempt + 1);
   }
-  const RouteConfig& route = this->options.route;
   LoadBalancer& balancer = this->options.parts.balancer;
   const TargetRecord* const record = balancer.Find(start.target);
   const TimePoint now = Runtime::Now();
@@ -56,6 +77,20 @@
   attempt.sent = now;
   attempt.sampled =
       this->options.parts.sampler.OnSent(record->service, record->version);
+}
+
+void RequestAttempts::Dispatch(const AttemptStart& start, OnReply on_reply) {
+  const RouteConfig& route = this->options.route;
+  LoadBalancer& balancer = this->options.parts.balancer;
+  const TargetRecord* const record = balancer.Find(start.target);
+  if (record == nullptr) {
+    this->options.parts.runtime.Post([on_reply = std::move(on_reply)] {
+      on_reply({.kind = ReplyKind::kUnreachable});
+    });
+    return;
+  }
+  const TimePoint now = Runtime::Now();
+  Attempt& attempt = this->attempts[start.attempt];
   const bool may_run_again = route.idempotent || route.is_scatter;
   const auto self = this->shared_from_this();
   attempt.exchange = this->options.parts.links.Send(
@@ -71,6 +106,103 @@
       std::move(on_reply));
 }
 
+GatherCall RequestAttempts::MakeGatherCall(std::span<const AttemptStart> starts,
+                                           Duration reply_within) const {
+  const CallerRequest& request = *this->options.request;
+  GatherCall call{
+      .token = this->options.parts.NextToken(),
+      .method = request.method,
+      .path = request.path,
+      .host = request.host,
+      .id = request.id,
+      .header = request.header,
+      .body = request.body,
+      .time_left_us =
+          (this->options.deadline - Runtime::Now()) / microseconds(1),
+      .reply_within_us = reply_within / microseconds(1),
+      .top_records = static_cast<uint32_t>(this->options.route.top_records)};
+  for (const AttemptStart& start : starts) {
+    call.targets.push_back(start.target);
+  }
+  return call;
+}
+
+void RequestAttempts::SendThrough(const EntryHostRecord& relay,
+                                  std::span<const AttemptStart> starts,
+                                  Duration reply_within,
+                                  const OnGathered& on_gathered) {
+  for (const AttemptStart& start : starts) {
+    this->Register(start);
+    this->attempts[start.attempt].is_gathered = true;
+  }
+  const auto self = this->shared_from_this();
+  const auto made =
+      std::make_shared<std::vector<AttemptStart>>(starts.begin(), starts.end());
+  this->gathers.push_back(this->options.parts.gather_links.Start(
+      {.relay = relay,
+       .call = this->MakeGatherCall(starts, reply_within),
+       .deadline = this->options.deadline,
+       .on_reply =
+           [self, made, on_gathered](GatherReply reply) {
+             on_gathered(self->Understand(*made, std::move(reply)));
+           },
+       .on_lost =
+           [self, made, on_gathered](bool may_have_run) {
+             on_gathered(self->LoseAll(*made, may_have_run));
+           }}));
+}
+
+RequestAttempts::Gathered RequestAttempts::Understand(
+    std::span<const AttemptStart> made,
+    GatherReply reply) {
+  Gathered gathered{.records = std::move(reply.records)};
+  for (GatheredPart& part : reply.parts) {
+    if (part.target >= made.size()) {
+      continue;
+    }
+    const AttemptStart& start = made[part.target];
+    this->attempts[start.attempt].is_gathered = false;
+    if (part.kind == kPartNotTried) {
+      gathered.not_tried.push_back(start);
+      continue;
+    }
+    gathered.parts.push_back(
+        {.attempt = start.attempt, .reply = ReplyOf(std::move(part))});
+  }
+  return gathered;
+}
+
+RequestAttempts::Gathered RequestAttempts::LoseAll(
+    std::span<const AttemptStart> made,
+    bool may_have_run) {
+  Gathered gathered;
+  for (const AttemptStart& start : made) {
+    Attempt& attempt = this->attempts[start.attempt];
+    if (!std::exchange(attempt.is_gathered, false)) {
+      continue;
+    }
+    if (may_have_run) {
+      gathered.lost.push_back(start.attempt);
+    } else {
+      gathered.not_tried.push_back(start);
+    }
+  }
+  return gathered;
+}
+
+void RequestAttempts::SendUntried(const AttemptStart& start, OnReply on_reply) {
+  this->Dispatch(start, std::move(on_reply));
+}
+
+// That another host or the way to it is gone says nothing of the target.
+void RequestAttempts::TakeLost(uint32_t number, TimePoint now) {
+  const Attempt& attempt = this->attempts[number];
+  this->options.parts.balancer.OnAbandoned(attempt.target, Duration::zero(),
+                                           now);
+  this->options.parts.sampler.OnEnded(attempt.sampled);
+  this->Note(attempt, "lost", 0);
+}
+
 void RequestAttempts::Note(const Attempt& attempt,
                            std::string_view end,
                            int status) {
@@ -80,54 +212,18 @@
                          .took = Runtime::Now() - attempt.sent});
 }
 
-AttemptOutcome RequestAttempts::TakeAnswer(const Attempt& attempt,
-                                           const TargetReply& reply,
-                                           TimePoint now) {
-  LoadBalancer& balancer = this->options.parts.balancer;
-  const int status = reply.answer.status;
-  const Duration took = now - attempt.sent;
-  switch (JudgeAnswer(reply, this->options.route.is_scatter)) {
-    case AnswerVerdict::kOtherTarget:
-      balancer.OnMisdirected(attempt.target, now);
-      this->Note(attempt, "other_target", 0);
-      return AttemptOutcome::kDeclined;
-    case AnswerVerdict::kDeclined:
-      balancer.OnDeclined(attempt.target, reply.load, now);
-      this->Note(attempt, "declined", status);
-      return AttemptOutcome::kDeclined;
-    case AnswerVerdict::kUnproven:
-      balancer.OnFailed(attempt.target, now);
-      this->Note(attempt, "unproven", status);
-      return AttemptOutcome::kBroken;
-    case AnswerVerdict::kFailed:
-      balancer.OnFailed(attempt.target, now);
-      this->Note(attempt, "failed", status);
-      return AttemptOutcome::kFailure;
-    case AnswerVerdict::kServed:
-      this->options.memory.latency.Add(took);
-      break;
-    case AnswerVerdict::kCallersFault:
-      break;
-  }
-  balancer.OnAnswered(attempt.target, took, reply.load, now);
-  return AttemptOutcome::kAnswer;
-}
-
 void RequestAttempts::Sample(const Attempt& attempt,
-                             AttemptOutcome outcome,
+                             const TargetOutcome& outcome,
                              const TargetReply& reply) {
   if (attempt.sampled.service.empty()) {
     return;
   }
   AnswerSampler& sampler = this->options.parts.sampler;
   const std::string& route = this->options.route.name;
-  const bool is_other_target =
-      reply.kind == ReplyKind::kAnswered &&
-      JudgeAnswer(reply, this->options.route.is_scatter) ==
-          AnswerVerdict::kOtherTarget;
-  if (outcome == AttemptOutcome::kNeverSent || is_other_target) {
+  if (outcome.outcome == AttemptOutcome::kNeverSent ||
+      outcome.is_other_target) {
     sampler.OnEnded(attempt.sampled);
-  } else if (outcome == AttemptOutcome::kAnswer) {
+  } else if (outcome.outcome == AttemptOutcome::kAnswer) {
     sampler.OnAnswered(attempt.sampled, attempt.target, route, reply.latency);
   } else {
     sampler.OnFailed(attempt.sampled, attempt.target, route);
@@ -138,34 +234,24 @@
                                      const TargetReply& reply,
                                      TimePoint now) {
   Attempt& attempt = this->attempts[number];
-  const AttemptOutcome outcome = this->TakeReply(attempt, reply, now);
-  this->Sample(attempt, outcome, reply);
-  return outcome;
-}
-
-AttemptOutcome RequestAttempts::TakeReply(Attempt& attempt,
-                                          const TargetReply& reply,
-                                          TimePoint now) {
   attempt.exchange.reset();
-  LoadBalancer& balancer = this->options.parts.balancer;
   this->options.parts.metrics.CountAttempt(ToString(reply.kind));
-  switch (reply.kind) {
-    case ReplyKind::kAnswered:
-      return this->TakeAnswer(attempt, reply, now);
-    case ReplyKind::kUnreachable:
-      balancer.OnUnreachable(attempt.target, now);
-      this->Note(attempt, "unreachable", 0);
-      return AttemptOutcome::kNeverSent;
-    case ReplyKind::kRejected:
-      balancer.OnConnectionRejected(attempt.target, now);
-      this->Note(attempt, "connection_rejected", 0);
-      return AttemptOutcome::kNeverSent;
-    case ReplyKind::kBroken:
-      break;
+  // The host that gathers waits for other parts before it tells of this one.
+  const Duration took = reply.was_gathered ? reply.latency + kGatherWay
+                                           : Duration(now - attempt.sent);
+  const TargetOutcome outcome =
+      LearnOutcome(this->options.parts.balancer, attempt.target, reply,
+                   this->options.route.is_scatter, took, now);
+  if (outcome.is_served) {
+    (reply.was_gathered ? this->options.memory.gathered_latency
+                        : this->options.memory.latency)
+        .Add(took);
+  }
+  if (!outcome.word.empty()) {
+    this->Note(attempt, outcome.word, reply.answer.status);
   }
-  balancer.OnBroken(attempt.target, now);
-  this->Note(attempt, "broken", 0);
-  return AttemptOutcome::kBroken;
+  this->Sample(attempt, outcome, reply);
+  return outcome.outcome;
 }
 
 void RequestAttempts::ReleaseAfterAnswer() {
@@ -176,7 +262,27 @@
   this->Release(kAbandonGrace);
 }
 
+void RequestAttempts::ReleaseGathered(Duration grace) {
+  const TimePoint now = Runtime::Now();
+  for (Attempt& attempt : this->attempts) {
+    if (!std::exchange(attempt.is_gathered, false)) {
+      continue;
+    }
+    this->Note(attempt, "unanswered", 0);
+    this->options.parts.balancer.OnAbandoned(attempt.target, now - attempt.sent,
+                                             now);
+    this->options.parts.sampler.OnGivenUp(attempt.sampled, attempt.target,
+                                          this->options.route.name,
+                                          now - attempt.sent);
+  }
+  for (const auto& gather : this->gathers) {
+    gather->End(grace);
+  }
+  this->gathers.clear();
+}
+
 void RequestAttempts::Release(Duration grace) {
+  this->ReleaseGathered(grace);
   LoadBalancer* const balancer = &this->options.parts.balancer;
   AnswerSampler* const sampler = &this->options.parts.sampler;
   for (Attempt& attempt : this->attempts) {
@@ -189,14 +295,10 @@
                 sampled = attempt.sampled,
                 route = this->options.route.name](const TargetReply& reply) {
           const TimePoint now = Runtime::Now();
-          const bool is_answer = reply.kind == ReplyKind::kAnswered &&
-                                 !reply.answer.seal.empty() &&
-                                 !reply.says_not_run;
-          if (is_answer) {
-            balancer->OnAnswered(target, reply.latency, reply.load, now);
+          LearnReleased(*balancer, target, reply, now - sent, now);
+          if (IsAnswer(reply)) {
             sampler->OnAnswered(sampled, target, route, reply.latency);
           } else {
-            balancer->OnAbandoned(target, now - sent, now);
             sampler->OnGivenUp(sampled, target, route, now - sent);
           }
         });
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,26 +21,22 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/edge/attempt_log.h"
+#include "knapweedroad/edge/target_outcome.h"
+#include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/rollout/answer_sampler.h"
 
 namespace knapweedroad {
 
+class GatherExchange;
 class TargetExchange;
 struct AttemptStart;
 struct CallerRequest;
+struct EntryHostRecord;
 struct EntryParts;
+struct GatherCall;
+struct GatherReply;
 struct RouteConfig;
 struct RouteMemory;
-struct TargetReply;
-
-// What an attempt's end means for the run.
-enum class AttemptOutcome : uint8_t {
-  kAnswer,
-  kFailure,    // the target answered that it failed
-  kNeverSent,  // no byte of it reached the target
-  kDeclined,   // the target says that it did not run it
-  kBroken,     // it may have run
-};
 
 struct RequestAttemptsOptions {
   EntryParts& parts;
@@ -60,6 +57,37 @@
   // `on_reply` is called once, unless the attempt is released before.
   void Send(const AttemptStart& start, OnReply on_reply);
 
+  // What came of attempts that another host has made.
+  struct Gathered {
+    struct Part {
+      uint32_t attempt = 0;
+      TargetReply reply;
+      AttemptOutcome outcome = AttemptOutcome::kBroken;
+    };
+    std::vector<Part> parts;
+    // Merged of the successes among them.
+    std::string records;
+    // None was sent: to be sent by this host itself.
+    std::vector<AttemptStart> not_tried;
+    // Nothing is known of these: they may have run.
+    std::vector<uint32_t> lost;
+  };
+  using OnGathered = std::function<void(Gathered gathered)>;
+
+  // Has another host make these attempts and merge what they bring. It tells
+  // what has come after `reply_within`, then the rest; `on_gathered` is called
+  // with each, until all attempts have ended or are released.
+  void SendThrough(const EntryHostRecord& relay,
+                   std::span<const AttemptStart> starts,
+                   Duration reply_within,
+                   const OnGathered& on_gathered);
+
+  // Sends an attempt that another host has not made.
+  void SendUntried(const AttemptStart& start, OnReply on_reply);
+
+  // The end of an attempt of which nothing is known.
+  void TakeLost(uint32_t attempt, TimePoint now);
+
   // Reports the end of an attempt to the load balancer.
   AttemptOutcome Take(uint32_t attempt,
                       const TargetReply& reply,
@@ -78,23 +106,28 @@
     TimePoint sent;
     SampledAttempt sampled;
     std::shared_ptr<TargetExchange> exchange;
+    // Another host makes it, and hasn't told how it ended.
+    bool is_gathered = false;
   };
 
+  // Counts an attempt that is about to be sent.
+  void Register(const AttemptStart& start);
+  void Dispatch(const AttemptStart& start, OnReply on_reply);
+  GatherCall MakeGatherCall(std::span<const AttemptStart> starts,
+                            Duration reply_within) const;
   std::string Bytes(const TargetId& target) const;
-  AttemptOutcome TakeAnswer(const Attempt& attempt,
-                            const TargetReply& reply,
-                            TimePoint now);
   void Sample(const Attempt& attempt,
-              AttemptOutcome outcome,
+              const TargetOutcome& outcome,
               const TargetReply& reply);
-  AttemptOutcome TakeReply(Attempt& attempt,
-                           const TargetReply& reply,
-                           TimePoint now);
+  Gathered Understand(std::span<const AttemptStart> made, GatherReply reply);
+  Gathered LoseAll(std::span<const AttemptStart> made, bool may_have_run);
+  void ReleaseGathered(Duration grace);
   void Note(const Attempt& attempt, std::string_view end, int status);
   void Release(Duration grace);
 
   RequestAttemptsOptions options;
   std::vector<Attempt> attempts;
+  std::vector<std::shared_ptr<GatherExchange>> gathers;
   AttemptLog attempt_log;
 };
 
--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -31,24 +31,32 @@
   return memory.longest_wait - told;
 }
 
+// An attempt that takes longer than most of the earlier ones.
+Duration UsualAtMost(const RouteConfig& route, const LatencyWindow& latency) {
+  return std::max<Duration>(
+      kLeastHedge, latency.Quantile(kHedgeQuantile)
+                       .value_or(route.latency_target / kUnknownHedgePart));
+}
+
 }  // namespace
 
+Duration GatherWithin(const RouteConfig& route, const RouteMemory& memory) {
+  return UsualAtMost(route, memory.gathered_latency);
+}
+
 RequestRunOptions PlanRun(const RouteConfig& route,
                           const CallerRequest& request,
                           RouteMemory& memory,
                           Duration lead) {
   const Duration told = request.time_left.value_or(route.timeout);
   const Duration elapsed = SinceFirstAsked(told, memory);
-  const Duration usual =
-      memory.latency.Quantile(kHedgeQuantile)
-          .value_or(route.latency_target / kUnknownHedgePart);
   return {.is_scatter = route.is_scatter,
           .idempotent = route.idempotent || route.is_scatter,
           .max_attempts = route.max_attempts,
           .min_share = route.is_scatter ? route.min_share : 1,
           .target_at = request.received + route.latency_target - elapsed - lead,
           .deadline = request.received + std::min(told, route.timeout),
-          .hedge_after = std::max(kLeastHedge, usual),
+          .hedge_after = UsualAtMost(route, memory.latency),
           .retry_when_busy = route.latency_target / kBusyRetryPart,
           .retry_when_down = kRetryWhenDown};
 }
--- a/knapweedroad/edge/run_plan.h
+++ b/knapweedroad/edge/run_plan.h
@@ -17,13 +17,19 @@
 
 // What an entry host keeps for each route, over versions.
 struct RouteMemory {
-  // Of attempts that were answered.
+  // Of attempts that were answered: of those that this host made itself, and,
+  // as told by the hosts that made them, of gathered ones. An own one also
+  // waits for its turn on this host's link.
   LatencyWindow latency;
+  LatencyWindow gathered_latency;
   // The longest time that callers of the route say they wait: what the first
   // of a caller's attempts has. Shorter ones show how long ago it began.
   Duration longest_wait{};
 };
 
+// When a host that gathers parts is to tell what it has.
+Duration GatherWithin(const RouteConfig& route, const RouteMemory& memory);
+
 // All of the options but the services. `lead`: how long before it is due at the
 // caller the answer has to be decided on. A request that says how long it waits
 // changes `memory`.
--- a/knapweedroad/edge/target_reply.h
+++ b/knapweedroad/edge/target_reply.h
@@ -35,6 +35,8 @@
   std::optional<Duration> cold_left;
   // From the first byte sent to the last one read.
   Duration latency{};
+  // Another entry host had it; its body is merged with others.
+  bool was_gathered = false;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <map>
 #include <random>
-#include <set>
 #include <unordered_set>
 #include <utility>
 
@@ -42,7 +41,12 @@
 }
 
 struct OtherEntryHosts {
-  std::vector<HostId> hosts;
+  std::vector<EntryHostRecord> hosts;
+  TimePoint heard;
+};
+
+struct EntryFollower {
+  EntryHostRecord record;
   TimePoint heard;
 };
 
@@ -56,17 +60,18 @@
   WatchReply MakeReply(const WatchCall& call) const;
   ReplyKey KeyOf(const WatchCall& call) const;
   std::string EncodeReply(const WatchCall& call);
-  std::vector<HostId> OwnEntryHosts() const;
-  std::vector<HostId> AllEntryHosts() const;
+  std::vector<EntryHostRecord> OwnEntryHosts() const;
+  std::vector<EntryHostRecord> AllEntryHosts() const;
+  void HearEntryHost(const WatchCall& call, TimePoint now);
   void NoteHosts(TimePoint now);
 
   Runtime& runtime;
   WatchHubOptions options;
   uint64_t epoch;
   uint64_t hosts_revision = 1;
-  std::map<HostId, TimePoint> entry_followers;
+  std::map<HostId, EntryFollower> entry_followers;
   std::map<HostId, OtherEntryHosts> others;
-  std::vector<HostId> told_entry_hosts;
+  std::vector<EntryHostRecord> told_entry_hosts;
   std::vector<ControlHostRecord> told_control_hosts;
   TimePoint hosts_told;
   std::unordered_set<std::shared_ptr<TimedEvent>> waiting;
@@ -85,23 +90,41 @@
          call.agreed_version < this->options.agreed_version();
 }
 
-std::vector<HostId> WatchHub::State::OwnEntryHosts() const {
-  std::vector<HostId> hosts;
-  for (const auto& [host, heard] : this->entry_followers) {
-    hosts.push_back(host);
+std::vector<EntryHostRecord> WatchHub::State::OwnEntryHosts() const {
+  std::vector<EntryHostRecord> hosts;
+  for (const auto& [host, follower] : this->entry_followers) {
+    hosts.push_back(follower.record);
   }
   return hosts;
 }
 
-std::vector<HostId> WatchHub::State::AllEntryHosts() const {
-  std::set<HostId> hosts;
-  for (const auto& [host, heard] : this->entry_followers) {
-    hosts.insert(host);
+std::vector<EntryHostRecord> WatchHub::State::AllEntryHosts() const {
+  std::map<HostId, EntryHostRecord> hosts;
+  for (const auto& [host, follower] : this->entry_followers) {
+    hosts.emplace(host, follower.record);
   }
   for (const auto& [control_host, entry] : this->others) {
-    hosts.insert(entry.hosts.begin(), entry.hosts.end());
+    for (const EntryHostRecord& record : entry.hosts) {
+      hosts.emplace(record.host, record);
+    }
+  }
+  std::vector<EntryHostRecord> all;
+  all.reserve(hosts.size());
+  for (auto& [host, record] : hosts) {
+    all.push_back(std::move(record));
+  }
+  return all;
+}
+
+void WatchHub::State::HearEntryHost(const WatchCall& call, TimePoint now) {
+  const auto [place, is_new] = this->entry_followers.try_emplace(call.follower);
+  place->second = {.record = {.host = call.follower,
+                              .zone = call.zone,
+                              .peer_address = call.peer_address},
+                   .heard = now};
+  if (is_new) {
+    LogLine("entry_host_found").Add("host", call.follower).Info();
   }
-  return {hosts.begin(), hosts.end()};
 }
 
 void WatchHub::State::NoteHosts(TimePoint now) {
@@ -110,7 +133,7 @@
   if (is_control_same && now - this->hosts_told < kEntryHostsInterval) {
     return;
   }
-  std::vector<HostId> entry = this->AllEntryHosts();
+  std::vector<EntryHostRecord> entry = this->AllEntryHosts();
   if (is_control_same && entry == this->told_entry_hosts) {
     return;
   }
@@ -190,10 +213,8 @@
   const TimePoint now = Runtime::Now();
   if (call.role == FollowerRole::kControl) {
     self->options.on_control_follower(call.follower);
-  } else if (!std::exchange(self->entry_followers[call.follower], now)
-                  .time_since_epoch()
-                  .count()) {
-    LogLine("entry_host_found").Add("host", call.follower).Info();
+  } else {
+    self->HearEntryHost(call, now);
   }
   self->options.detector.Add(call.outcomes, now);
   const TimePoint until =
@@ -217,18 +238,20 @@
 }
 
 void WatchHub::LearnEntryHosts(const HostId& control_host,
-                               std::vector<HostId> entry_hosts) {
+                               std::vector<EntryHostRecord> entry_hosts) {
   this->state->others[control_host] = {.hosts = std::move(entry_hosts),
                                        .heard = Runtime::Now()};
 }
 
-void WatchHub::RememberEntryHosts(const std::vector<HostId>& entry_hosts) {
-  for (const HostId& host : entry_hosts) {
-    this->state->entry_followers[host] = Runtime::Now();
+void WatchHub::RememberEntryHosts(
+    const std::vector<EntryHostRecord>& entry_hosts) {
+  for (const EntryHostRecord& record : entry_hosts) {
+    this->state->entry_followers[record.host] = {.record = record,
+                                                 .heard = Runtime::Now()};
   }
 }
 
-std::vector<HostId> WatchHub::EntryHosts() const {
+std::vector<EntryHostRecord> WatchHub::EntryHosts() const {
   return this->state->AllEntryHosts();
 }
 
@@ -240,7 +263,7 @@
   const TimePoint now = Runtime::Now();
   State& self = *this->state;
   std::erase_if(self.entry_followers, [now](const auto& entry) {
-    const bool is_gone = now - entry.second > kFollowerTimeout;
+    const bool is_gone = now - entry.second.heard > kFollowerTimeout;
     if (is_gone) {
       LogLine("entry_host_lost").Add("host", entry.first).Info();
     }
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -50,12 +50,12 @@
 
   // Another control host's own entry hosts.
   void LearnEntryHosts(const HostId& control_host,
-                       std::vector<HostId> entry_hosts);
+                       std::vector<EntryHostRecord> entry_hosts);
   // Entry hosts of before a restart: taken as if they had just called.
-  void RememberEntryHosts(const std::vector<HostId>& entry_hosts);
+  void RememberEntryHosts(const std::vector<EntryHostRecord>& entry_hosts);
 
   // All entry hosts heard of, here or by other control hosts.
-  std::vector<HostId> EntryHosts() const;
+  std::vector<EntryHostRecord> EntryHosts() const;
   // Rises with each change of the lists of hosts.
   uint64_t hosts_revision() const;
 
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/registry/entry_host_record.h"
 #include "knapweedroad/registry/target_outcomes.h"
 #include "knapweedroad/registry/target_record.h"
 
@@ -21,6 +22,9 @@
 struct WatchCall {
   HostId follower;
   FollowerRole role = FollowerRole::kEntry;
+  // Of an entry host.
+  ZoneId zone;
+  Endpoint peer_address;
   // Of the control host's process that the last reply came from; zero: none.
   uint64_t epoch = 0;
   // What the follower has of it: targets, and the list of hosts.
@@ -42,7 +46,8 @@
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->follower, this->role, this->epoch, this->revision,
+    archive(this->follower, this->role, this->zone, this->peer_address.ip,
+            this->peer_address.port, this->epoch, this->revision,
             this->hosts_revision, this->agreed_version, this->shares_outcomes,
             this->outliers_revision, this->knows_cut_off, this->knows_hears_all,
             this->outcomes);
@@ -76,9 +81,9 @@
   bool has_hosts = false;
   std::vector<ControlHostRecord> control_hosts;
   // For control hosts: entry hosts that follow this control host itself.
-  std::vector<HostId> own_entry_hosts;
+  std::vector<EntryHostRecord> own_entry_hosts;
   // For entry hosts: all that this control host has heard of.
-  std::vector<HostId> entry_hosts;
+  std::vector<EntryHostRecord> entry_hosts;
   // Whether this control host has lost those of all other zones.
   bool is_cut_off = false;
   // Whether it hears all other control hosts, so that its news is whole.
--- a/knapweedroad/routing/load_balancer.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/routing/load_balancer.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <tuple>
@@ -29,6 +30,14 @@
 // As long as control hosts remember it.
 constexpr Duration kForgetSilentAfter = std::chrono::seconds(60);
 
+// A target of another zone counts as so many times slower than it is: its bytes
+// cross between zones, and smoothed latencies of few values differ by chance.
+constexpr double kOtherZoneCost = 1.6;
+// The same where an answer's parts from one zone cross together, and where
+// others do.
+constexpr std::array kNearZoneCosts = {1.3, 1.6};
+constexpr double kFarZoneCost = 2.1;
+
 // One pick in so many passes over what others say of a target, so that somebody
 // finds out that it is well again.
 constexpr unsigned kIgnoreOutliersOneIn = 300;
@@ -101,6 +110,14 @@
   return target == nullptr ? nullptr : &target->record;
 }
 
+const TargetRecord* LoadBalancer::FindFree(const TargetId& id,
+                                           TimePoint now) const {
+  const BalancedTarget* const target = this->Get(id);
+  const bool may = target != nullptr && !this->IsCold(*target, now) &&
+                   this->MayTry(*target, now);
+  return may ? &target->record : nullptr;
+}
+
 void LoadBalancer::Drop(const TargetId& id) {
   const auto found = this->targets.find(id);
   if (found == this->targets.end()) {
@@ -331,12 +348,29 @@
   }
 }
 
-double LoadBalancer::Cost(const BalancedTarget& target, TimePoint now) {
+double LoadBalancer::ZoneCost(const BalancedTarget& target,
+                              std::span<const ZoneId> near_zones) const {
+  if (!this->IsOutside(target)) {
+    return 1;
+  }
+  if (near_zones.empty()) {
+    return kOtherZoneCost;
+  }
+  const auto place = std::ranges::find(near_zones, target.record.zone);
+  const auto rank = static_cast<size_t>(place - near_zones.begin());
+  return rank < kNearZoneCosts.size() && place != near_zones.end()
+             ? kNearZoneCosts[rank]
+             : kFarZoneCost;
+}
+
+double LoadBalancer::Cost(const BalancedTarget& target,
+                          std::span<const ZoneId> near_zones,
+                          TimePoint now) {
   const bool is_scarce = now < this->connections_scarce_until;
   const CostContext context{
       .usual_latency = target.service->latency,
       .believes_others = this->random() % kIgnoreOutliersOneIn != 0,
-      .is_other_zone = this->IsOutside(target),
+      .zone_factor = this->ZoneCost(target, near_zones),
       .is_other_part = !this->IsInSubset(target),
       .takes_scarce_connection = is_scarce && this->options.is_connected &&
                                  !this->options.is_connected(target.record.id)};
@@ -373,7 +407,8 @@
 
 std::optional<TargetId> LoadBalancer::Pick(const ServiceId& service_id,
                                            std::span<const TargetId> tried,
-                                           TimePoint now) {
+                                           TimePoint now,
+                                           std::span<const ZoneId> near_zones) {
   const auto found = this->services.find(service_id);
   if (found == this->services.end()) {
     return std::nullopt;
@@ -412,7 +447,7 @@
     if (rank == kNone || rank > best_rank) {
       continue;
     }
-    const double cost = this->Cost(target, now);
+    const double cost = this->Cost(target, near_zones, now);
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
       best_cost = cost;
--- a/knapweedroad/routing/load_balancer.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -118,9 +118,12 @@
 
   // The target of the service that promises the soonest answer, none of
   // `tried`; nothing if none can take a request now.
+  // Targets of `near_zones` count as little farther than those of the own
+  // zone, the first of them as the nearest.
   std::optional<TargetId> Pick(const ServiceId& service,
                                std::span<const TargetId> tried,
-                               TimePoint now);
+                               TimePoint now,
+                               std::span<const ZoneId> near_zones = {});
 
   // Whether some target of the service, none of `tried`, may take requests, now
   // or as soon as one that runs has ended.
@@ -145,6 +148,9 @@
   // Null once it is gone.
   const TargetRecord* Find(const TargetId& id) const;
 
+  // Null where no further request may go to it now.
+  const TargetRecord* FindFree(const TargetId& id, TimePoint now) const;
+
   // Outcomes. Each attempt is OnSent() once, then one of the others once.
   void OnSent(const TargetId& id, TimePoint now);
   void OnAnswered(const TargetId& id,
@@ -198,7 +204,11 @@
   BalancedService& ServiceOf(const ServiceId& id);
   void TakeConfigured(const ServiceId& id, BalancedService& service) const;
   size_t CapOf(const BalancedTarget& target, TimePoint now) const;
-  double Cost(const BalancedTarget& target, TimePoint now);
+  double Cost(const BalancedTarget& target,
+              std::span<const ZoneId> near_zones,
+              TimePoint now);
+  double ZoneCost(const BalancedTarget& target,
+                  std::span<const ZoneId> near_zones) const;
   // Which of the two versions of a split an attempt goes to by preference.
   bool PrefersCandidate(const VersionSplit& split, bool is_first);
   BalancedTarget* PickCandidate(const BalancedService& service, TimePoint now);
--- a/knapweedroad/routing/load_balancer_test.cc
+++ b/knapweedroad/routing/load_balancer_test.cc
@@ -449,6 +449,32 @@
   cr_expect_not(balancer.GivesBackConnections(later));
 }
 
+// Answers the pattern of shards without a target in the own zone: parts that
+// come from one other zone are merged there, and cost few bytes.
+Test(load_balancer, parts_from_afar_come_from_the_preferred_zone) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("b", "b"), kStart);
+  balancer.Learn(Record("c", "c"), kStart);
+  balancer.Learn(Record("d", "d"), kStart);
+  for (const char* id : {"b", "c", "d"}) {
+    Serve(balancer, TargetId(id), milliseconds(10), kStart);
+  }
+  for (const char* zone : {"b", "c", "d"}) {
+    const std::vector<ZoneId> near = {ZoneId(zone)};
+    for (int i = 0; i < 20; ++i) {
+      cr_expect(balancer.Pick(kService, {}, kStart, near) == TargetId(zone));
+    }
+  }
+}
+
+Test(load_balancer, its_own_zone_goes_before_the_preferred_one) {
+  LoadBalancer balancer = MakeBook(0, 1, 100);
+  balancer.Learn(Record("a", "a"), kStart);
+  balancer.Learn(Record("b", "b"), kStart);
+  const std::vector<ZoneId> near = {ZoneId("b")};
+  cr_expect(balancer.Pick(kService, {}, kStart, near) == TargetId("a"));
+}
+
 TargetRecord Versioned(const char* id, const char* version, uint64_t started) {
   TargetRecord record = Record(id, "a");
   record.version = VersionId(version);
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -192,10 +192,59 @@
     this->Enter(*shard, ShardState::kAnswered);
     this->Judge(*shard, now <= this->options.target_at);
     this->answers.push_back(std::move(answer));
+    this->answer_shards.push_back(
+        static_cast<size_t>(shard - this->shards.data()));
   }
   return this->Finish(std::move(step), now);
 }
 
+void RequestRun::DropAnswer(size_t shard_index) {
+  const auto at = std::ranges::find(this->answer_shards, shard_index);
+  if (at == this->answer_shards.end()) {
+    return;
+  }
+  this->answers.erase(this->answers.begin() +
+                      (at - this->answer_shards.begin()));
+  this->answer_shards.erase(at);
+}
+
+// Merged records can't be taken apart: where a shard was answered twice, the
+// single answer gives way.
+RunStep RequestRun::OnMerged(std::span<const MergedAnswer> merged,
+                             std::string body,
+                             TimePoint now) {
+  RunStep step;
+  if (this->over) {
+    return step;
+  }
+  const bool is_whole = std::ranges::all_of(merged, [this](const auto& each) {
+    return each.attempt < this->attempt_shards.size() &&
+           this->attempt_shards[each.attempt] != kEnded;
+  });
+  if (!is_whole) {
+    return this->Finish(std::move(step), now);
+  }
+  for (const MergedAnswer& each : merged) {
+    Shard* const shard = this->ShardOf(each.attempt);
+    const auto index = static_cast<size_t>(shard - this->shards.data());
+    this->DropAnswer(index);
+    this->Enter(*shard, ShardState::kAnswered);
+    this->Judge(*shard, now <= this->options.target_at);
+    this->answers.push_back(
+        {.status = 200, .seal = each.seal, .body = std::exchange(body, {})});
+    this->answer_shards.push_back(index);
+  }
+  return this->Finish(std::move(step), now);
+}
+
+void RequestRun::DelayHedge(uint32_t attempt, Duration by) {
+  if (attempt < this->attempt_shards.size() &&
+      this->attempt_shards[attempt] != kEnded) {
+    this->shards[this->attempt_shards[attempt]].hedge_at += by;
+    this->known_wake.reset();
+  }
+}
+
 RunStep RequestRun::OnFailure(uint32_t attempt,
                               TargetAnswer answer,
                               TimePoint now) {
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -48,6 +48,12 @@
   TargetId target;
 };
 
+// One of several answers with merged records.
+struct MergedAnswer {
+  uint32_t attempt = 0;
+  std::string seal;
+};
+
 enum class RunEndKind : uint8_t {
   kAnswer,   // one target's answer, passed on
   kParts,    // a merged answer of several services
@@ -122,11 +128,20 @@
   RunStep Start(TimePoint now);
   // A 2xx answer with its seal, whole.
   RunStep OnAnswer(uint32_t attempt, TargetAnswer answer, TimePoint now);
+  // Answers of several attempts whose records come merged in `body`, so that
+  // they are in the caller's answer all together or not at all. Of a shard that
+  // another attempt has answered, this answer is the one that counts.
+  RunStep OnMerged(std::span<const MergedAnswer> merged,
+                   std::string body,
+                   TimePoint now);
   // Another answer that the target made for this request.
   RunStep OnFailure(uint32_t attempt, TargetAnswer answer, TimePoint now);
   RunStep OnEnd(uint32_t attempt, AttemptEnd end, TimePoint now);
   RunStep OnWake(TimePoint now);
 
+  // The attempt's answer takes that much longer on its way than others.
+  void DelayHedge(uint32_t attempt, Duration by);
+
   bool is_over() const { return this->over; }
   // Attempts sent so far, and how many of them beyond each service's first.
   size_t attempts() const { return this->attempt_shards.size(); }
@@ -160,6 +175,7 @@
   };
 
   Shard* ShardOf(uint32_t attempt);
+  void DropAnswer(size_t shard_index);
   // Leaves out a shard whose targets all turned its connections away; they may
   // be tried again later. False: that isn't why it has no target left.
   bool SetAside(Shard& shard, TimePoint now);
@@ -195,6 +211,8 @@
   // The wake of the last step, while only answers have come since.
   std::optional<TimePoint> known_wake;
   std::vector<TargetAnswer> answers;
+  // The shard of each.
+  std::vector<size_t> answer_shards;
   // The shard of each attempt; `kEnded` once it has ended.
   std::vector<uint32_t> attempt_shards;
   std::vector<TargetId> attempt_targets;
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -3,7 +3,10 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <initializer_list>
 #include <map>
+#include <string>
+#include <vector>
 
 namespace knapweedroad {
 namespace {
@@ -364,5 +367,72 @@
   cr_expect(run.attempts() <= kTargets * kMostTries);
 }
 
+std::vector<MergedAnswer> Merged(std::initializer_list<uint32_t> attempts) {
+  std::vector<MergedAnswer> merged;
+  for (const uint32_t attempt : attempts) {
+    merged.push_back(
+        {.attempt = attempt, .seal = "m" + std::to_string(attempt)});
+  }
+  return merged;
+}
+
+Test(request_run, merged_answers_are_in_together) {
+  World world(3);
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  cr_expect(!run.OnAnswer(1, Good("1"), kStart).end);
+  const RunStep end = run.OnMerged(Merged({0, 2}), "records", kStart);
+  cr_assert(end.end && end.end->parts.size() == 3);
+  std::string bodies;
+  for (const TargetAnswer& part : end.end->parts) {
+    bodies += part.body;
+  }
+  cr_expect(bodies == "xrecords");
+}
+
+// Guards against a part that counts twice: its hedge was answered first, and
+// its records are among merged ones that can't be taken apart.
+Test(request_run, a_single_answer_gives_way_to_merged_ones_of_its_shard) {
+  World world(3);
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  cr_assert(run.OnWake(kStart + milliseconds(20)).start.size() == 3);
+  run.OnAnswer(3, Good("hedge"), kStart + milliseconds(25));
+  run.OnMerged(Merged({0, 1}), "records", kStart + milliseconds(26));
+  const RunStep end = run.OnAnswer(2, Good("3"), kStart + milliseconds(27));
+  cr_assert(end.end);
+  std::vector<std::string> seals;
+  std::string bodies;
+  for (const TargetAnswer& part : end.end->parts) {
+    seals.push_back(part.seal);
+    bodies += part.body;
+  }
+  std::ranges::sort(seals);
+  cr_expect(seals == (std::vector<std::string>{"3", "m0", "m1"}));
+  cr_expect(bodies == "recordsx");
+}
+
+Test(request_run, merged_answers_after_the_end_change_nothing) {
+  World world(2);
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnAnswer(0, Good("1"), kStart);
+  cr_assert(run.OnAnswer(1, Good("2"), kStart).end.has_value());
+  const RunStep late = run.OnMerged(Merged({0}), "records", kStart);
+  cr_expect(!late.end && late.start.empty());
+}
+
+// Guards against hedges for each part that another host gathers, sent while
+// the parts are on their way.
+Test(request_run, an_attempt_on_a_longer_way_is_hedged_later) {
+  World world(3);
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.DelayHedge(0, milliseconds(10));
+  const RunStep first = run.OnWake(kStart + milliseconds(20));
+  cr_expect(first.start.size() == 2);
+  cr_expect(run.OnWake(kStart + milliseconds(31)).start.size() == 1);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -28,9 +28,6 @@
 // few failures a retry mends nearly all; with many, retries run out, and what
 // fails is lost.
 constexpr double kSharedFailureCost = 100;
-// A target of another zone counts as so many times slower than it is: its bytes
-// cross between zones, and smoothed latencies of few values differ by chance.
-constexpr double kOtherZoneCost = 1.6;
 // What a target costs to which this host keeps no connections: a new one holds
 // a slot for some milliseconds, and may be over the target's cap.
 constexpr double kOtherPartCost = 2;
@@ -111,7 +108,7 @@
   const double answered = latency * (1 + busy);
   double cost = answered + failing * std::max(answered, context.usual_latency);
   cost += StallCost(target, latency, now);
-  cost *= context.is_other_zone ? kOtherZoneCost : 1;
+  cost *= context.zone_factor;
   cost *= context.is_other_part ? kOtherPartCost : 1;
   cost *= context.takes_scarce_connection ? kNewConnectionCost : 1;
   return cost;
--- a/knapweedroad/routing/target_cost.h
+++ b/knapweedroad/routing/target_cost.h
@@ -17,7 +17,8 @@
   double usual_latency = 0;
   // Whether what other hosts say of the target counts.
   bool believes_others = true;
-  bool is_other_zone = false;
+  // How many times slower the target counts for the zone that it is in.
+  double zone_factor = 1;
   // This host keeps no connections to it by plan.
   bool is_other_part = false;
   // It would need a new connection while targets are short of them.
--- a/knapweedroad/wire/peer_message_type.h
+++ b/knapweedroad/wire/peer_message_type.h
@@ -22,6 +22,9 @@
   kWatch = 11,         // WatchCall -> WatchReply
   kPull = 12,          // PullCall -> PullReply
   kRollout = 13,       // RolloutReport -> RolloutReportReply
+  kGather = 14,        // GatherCall -> GatherReply
+  kGatherMore = 15,    // GatherMoreCall -> GatherReply
+  kGatherEnd = 16,     // GatherEndCall -> nothing
 };
 
 }  // namespace knapweedroad
