Gathered where that is fewer bytes, hedges too; records that an answer hardly needs stay where they are

Cause: of the bytes between zones that were left, half were hedges and small groups that crossed by themselves, a quarter records of gathered parts: of an answer's 50 greatest records nine parts of 36 have a dozen, and 50 were sent.

Change: a host gathers for another where the call and its reply are clearly fewer bytes than the exchanges, by the request's and the parts' sizes as it sees them (routing/record_cut), also one part alone, as hedges are. It sends as many records as the answer's share and four standard deviations, and holds the rest for two seconds; if the answer's last record is smaller than the least that was sent, they are asked for before the caller is answered. Where that happens more is sent from then on.

Merged answers are now replaced only whole, and hedges go one by one; request_run/a_second_answer_does_not_replace_a_merged_one failed before.

--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -17,12 +17,12 @@
 #include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/parts_answer.h"
 #include "knapweedroad/edge/request_attempts.h"
+#include "knapweedroad/edge/request_gathers.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/edge/unserved_services.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
-#include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/split_rotation.h"
@@ -33,8 +33,6 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kRetryWithoutConfiguration = milliseconds(500);
-// With fewer parts from a zone, one exchange each costs less than a call.
-constexpr size_t kLeastGathered = 3;
 // How much longer a gathered part takes on its way.
 constexpr Duration kGatherSlack = milliseconds(4);
 constexpr int kOk = 200;
@@ -85,15 +83,14 @@
   void MakeHooks();
   void Do(RunStep step);
   void Send(const AttemptStart& start);
-  // Sends what goes through other hosts; the rest of the attempts.
-  std::vector<AttemptStart> SendGroups(std::vector<AttemptStart> starts);
-  void SendGroup(const EntryHostRecord& relay,
-                 std::span<const AttemptStart> group);
+  void SendGroup(const GatherGroup& group, bool is_first);
   void OnGathered(RequestAttempts::Gathered gathered);
   void OnReply(uint32_t attempt, TargetReply reply);
   void Conclude(uint32_t attempt, AttemptOutcome outcome, TargetReply reply);
   void Arm(TimePoint at);
   void End(RunEnd end);
+  void OnCompleted(bool is_whole);
+  void Finish(RunEnd end);
   // Sends the final answer; its status.
   int AnswerCaller(RunEnd& end);
   void RefuseRun(int status, std::optional<Duration> retry_after);
@@ -116,9 +113,10 @@
   std::optional<RequestRun> run;
   std::shared_ptr<RequestAttempts> attempts;
   std::optional<TimePoint> armed;
-  // Zones whose parts other hosts gather, the preferred one first.
-  std::vector<ZoneId> near_zones;
-  // When those hosts are to tell what they have.
+  std::optional<RequestGathers> gathers;
+  // The end, while records that it needs are asked for.
+  std::shared_ptr<RunEnd> pending_end;
+  // When hosts that gather are to tell what they have.
   Duration reply_within{};
   // How much later than others an attempt that they make is hedged.
   Duration gather_slack{};
@@ -169,7 +167,7 @@
   this->hooks.pick = [this](const ServiceId& service,
                             std::span<const TargetId> tried) {
     return this->parts.balancer.Pick(service, tried, Runtime::Now(),
-                                     this->near_zones);
+                                     this->gathers->near_zones());
   };
   this->hooks.is_served = [this](const ServiceId& service,
                                  std::span<const TargetId> tried) {
@@ -215,9 +213,13 @@
   this->gather_slack =
       std::max(Duration::zero(), this->reply_within - options.hedge_after) +
       kGatherSlack;
-  if (this->route->is_scatter && options.services.size() >= kLeastGathered) {
-    this->near_zones = this->parts.relays.Zones(now);
-  }
+  this->gathers.emplace(
+      RequestGathersOptions{.parts = this->parts,
+                            .route = *this->route,
+                            .memory = *this->memory,
+                            .request = *this->request,
+                            .shards = options.services.size()},
+      now);
   for (const ServiceId& service : options.services) {
     this->parts.BudgetOf(service).OnRequest(now);
   }
@@ -242,41 +244,19 @@
   });
 }
 
-std::vector<AttemptStart> EntryRequest::SendGroups(
-    std::vector<AttemptStart> starts) {
-  for (const ZoneId& zone : this->near_zones) {
-    std::vector<AttemptStart> group;
-    for (const AttemptStart& start : starts) {
-      const TargetRecord* const record =
-          this->parts.balancer.Find(start.target);
-      if (record != nullptr && record->zone == zone) {
-        group.push_back(start);
-      }
-    }
-    const auto relay = this->parts.relays.Choose(zone, Runtime::Now());
-    if (group.size() < kLeastGathered || !relay) {
-      continue;
-    }
-    std::erase_if(starts, [&](const AttemptStart& start) {
-      return std::ranges::find(group, start.attempt, &AttemptStart::attempt) !=
-             group.end();
-    });
-    this->SendGroup(*relay, group);
-  }
-  return starts;
-}
-
-void EntryRequest::SendGroup(const EntryHostRecord& relay,
-                             std::span<const AttemptStart> group) {
-  for (const AttemptStart& start : group) {
+// The first ones wait for each other for a while; a later one is waited for by
+// itself.
+void EntryRequest::SendGroup(const GatherGroup& group, bool is_first) {
+  for (const AttemptStart& start : group.starts) {
     this->run->DelayHedge(start.attempt, this->gather_slack);
   }
   this->attempts->SendThrough(
-      relay, group, this->reply_within,
+      group.relay, group.starts,
+      is_first ? this->reply_within : this->deadline - Runtime::Now(),
       [self = this->shared_from_this()](RequestAttempts::Gathered gathered) {
         self->OnGathered(std::move(gathered));
       });
-  this->parts.metrics.CountGather(group.size());
+  this->parts.metrics.CountGather(group.starts.size());
 }
 
 void EntryRequest::OnGathered(RequestAttempts::Gathered gathered) {
@@ -295,7 +275,11 @@
     }
   }
   if (!merged.empty()) {
-    this->Do(this->run->OnMerged(merged, std::move(gathered.records), now));
+    this->Do(this->run->OnMerged(
+        merged,
+        {.records = std::move(gathered.records),
+         .held = this->gathers->Hold(std::move(gathered.held))},
+        now));
   }
   for (auto& part : others) {
     this->Conclude(part.attempt, part.outcome, std::move(part.reply));
@@ -305,6 +289,10 @@
     this->Do(this->run->OnEnd(attempt, AttemptEnd::kBroken, now));
   }
   for (const AttemptStart& start : gathered.not_tried) {
+    if (this->is_over) {
+      this->attempts->TakeLost(start.attempt, now);
+      continue;
+    }
     this->attempts->SendUntried(
         start,
         [self = this->shared_from_this(), number = start.attempt](
@@ -313,9 +301,10 @@
 }
 
 void EntryRequest::Do(RunStep step) {
-  // Those of the start alone: later ones come one by one.
-  if (std::exchange(this->is_starting, false)) {
-    step.start = this->SendGroups(std::move(step.start));
+  const bool is_first = std::exchange(this->is_starting, false);
+  for (const GatherGroup& group : this->gathers->Split(
+           step.start, /*may_merge=*/is_first, Runtime::Now())) {
+    this->SendGroup(group, is_first);
   }
   for (const AttemptStart& start : step.start) {
     this->Send(start);
@@ -437,8 +426,34 @@
 
 // The caller's answer goes first: all else costs time that the caller waits.
 void EntryRequest::End(RunEnd end) {
-  const TimePoint decided = Runtime::Now();
   this->is_over = true;
+  this->pending_end = std::make_shared<RunEnd>(std::move(end));
+  const bool waits =
+      this->pending_end->kind == RunEndKind::kParts &&
+      this->gathers->Complete(this->pending_end,
+                              [self = this->shared_from_this()](bool is_whole) {
+                                self->OnCompleted(is_whole);
+                              });
+  if (waits) {
+    this->attempts->ReleaseAfterAnswer();
+  } else {
+    this->Finish(std::move(*std::exchange(this->pending_end, nullptr)));
+  }
+}
+
+void EntryRequest::OnCompleted(bool is_whole) {
+  if (this->pending_end == nullptr) {
+    return;
+  }
+  RunEnd end = std::move(*std::exchange(this->pending_end, nullptr));
+  if (!is_whole) {
+    end = {.kind = RunEndKind::kFailed, .cause = "records_lost"};
+  }
+  this->Finish(std::move(end));
+}
+
+void EntryRequest::Finish(RunEnd end) {
+  const TimePoint decided = Runtime::Now();
   const int status = this->AnswerCaller(end);
   this->attempts->ReleaseAfterAnswer();
   this->parts.balancer.reachability().OnRequest(
@@ -466,7 +481,8 @@
 }
 
 void EntryRequest::Abandon() {
-  if (std::exchange(this->is_over, true)) {
+  const bool was_waiting = std::exchange(this->pending_end, nullptr) != nullptr;
+  if (std::exchange(this->is_over, true) && !was_waiting) {
     return;
   }
   this->timer.cancel();
--- a/knapweedroad/edge/gather_calls.cc
+++ b/knapweedroad/edge/gather_calls.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/edge/gather_calls.h"
 
 #include <chrono>
+#include <utility>
 
 #include "knapweedroad/edge/gather_messages.h"
 #include "knapweedroad/edge/gather_relay.h"
@@ -32,6 +33,16 @@
     relay.End(call->token, std::chrono::microseconds(call->grace_us));
     return std::string();
   }
+  if (type == PeerMessageType::kGatherHeld) {
+    const auto call = DecodeBytes<GatherHeldCall>(body);
+    if (!call) {
+      return tl::unexpected("unreadable call: " + call.error());
+    }
+    auto records = relay.Held(call->token, call->batch);
+    return EncodeBytes(
+        GatherHeldReply{.is_found = records.has_value(),
+                        .records = std::move(records).value_or("")});
+  }
   return tl::unexpected(std::string("not a call of entry hosts"));
 }
 
--- a/knapweedroad/edge/gather_links.cc
+++ b/knapweedroad/edge/gather_links.cc
@@ -23,6 +23,7 @@
 constexpr Duration kLostAfter = milliseconds(260);
 constexpr Duration kMoreTimeout = milliseconds(500);
 constexpr Duration kEndTimeout = milliseconds(200);
+constexpr Duration kFetchTimeout = milliseconds(200);
 constexpr Duration kConnectTimeout = milliseconds(100);
 
 }  // namespace
@@ -157,6 +158,27 @@
   return link.client;
 }
 
+void GatherLinks::FetchHeld(
+    const HeldRecords& held,
+    std::function<void(std::optional<std::string> records)> on_records) {
+  this->runtime.Spawn(
+      [client = this->ClientOf(held.relay),
+       call = GatherHeldCall{.token = held.token, .batch = held.batch},
+       on_records = std::move(on_records)] {
+        const auto bytes =
+            client->Call(PeerMessageType::kGatherHeld, EncodeBytes(call),
+                         Runtime::Now() + kFetchTimeout);
+        if (!bytes) {
+          on_records(std::nullopt);
+          return;
+        }
+        auto reply = DecodeBytes<GatherHeldReply>(*bytes);
+        const bool is_found = reply && reply->is_found;
+        on_records(is_found ? std::optional(std::move(reply->records))
+                            : std::nullopt);
+      });
+}
+
 std::shared_ptr<GatherExchange> GatherLinks::Start(GatherOrder order) {
   const std::shared_ptr<PeerClient> client = this->ClientOf(order.relay);
   const auto exchange = std::make_shared<Exchange>(this->runtime, this->relays,
--- a/knapweedroad/edge/gather_links.h
+++ b/knapweedroad/edge/gather_links.h
@@ -7,8 +7,12 @@
 #ifndef KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
 #define KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <unordered_map>
 
 #include "knapweedroad/base/id.h"
@@ -33,6 +37,15 @@
   std::function<void(bool may_have_run)> on_lost;
 };
 
+// Records that a host which gathered has held back.
+struct HeldRecords {
+  EntryHostRecord relay;
+  uint64_t token = 0;
+  uint16_t batch = 0;
+  // How many.
+  size_t count = 0;
+};
+
 class GatherExchange {
  public:
   virtual ~GatherExchange() = default;
@@ -49,6 +62,12 @@
 
   std::shared_ptr<GatherExchange> Start(GatherOrder order);
 
+  // Asks for records that were held back from a reply. `on_records` is called
+  // once, from another turn of the loop; with nothing where they can't be had.
+  void FetchHeld(
+      const HeldRecords& held,
+      std::function<void(std::optional<std::string> records)> on_records);
+
  private:
   class Exchange;
 
--- a/knapweedroad/edge/gather_messages.h
+++ b/knapweedroad/edge/gather_messages.h
@@ -28,7 +28,11 @@
   int64_t time_left_us = 0;
   // What has come by then is told, the rest with GatherMoreCall.
   int64_t reply_within_us = 0;
+  // Of the caller's answer, and how many parts that has in all: by these, and a
+  // factor on what is enough by chance, some records are held back.
   uint32_t top_records = 0;
+  uint32_t shards = 0;
+  double record_factor = 1;
   std::vector<TargetId> targets;
 
   // For cereal.
@@ -36,7 +40,8 @@
   void serialize(Archive& archive) {
     archive(this->token, this->method, this->path, this->host, this->id,
             this->header, this->body, this->time_left_us, this->reply_within_us,
-            this->top_records, this->targets);
+            this->top_records, this->shards, this->record_factor,
+            this->targets);
   }
 };
 
@@ -77,11 +82,39 @@
   std::vector<GatheredPart> parts;
   // The greatest records of the successes among them, see MergeRecords().
   std::string records;
+  // How many more of them are held back, under this number, for a moment.
+  uint16_t held = 0;
+  uint16_t batch = 0;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->is_refused, this->running, this->parts, this->records);
+    archive(this->is_refused, this->running, this->parts, this->records,
+            this->held, this->batch);
+  }
+};
+
+// Asks for the records that were held back.
+struct GatherHeldCall {
+  uint64_t token = 0;
+  uint16_t batch = 0;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->token, this->batch);
+  }
+};
+
+struct GatherHeldReply {
+  // False: they are not held any more.
+  bool is_found = false;
+  std::string records;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->is_found, this->records);
   }
 };
 
--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -16,6 +16,7 @@
 #include "knapweedroad/net/timed_event.h"
 #include "knapweedroad/registry/target_record.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/record_cut.h"
 #include "knapweedroad/routing/record_merge.h"
 
 namespace knapweedroad {
@@ -28,6 +29,8 @@
 // doesn't hold its fiber.
 constexpr Duration kMoreWait = milliseconds(250);
 constexpr Duration kForgetAfter = std::chrono::seconds(1);
+// An answer is made within its deadline, most of them much sooner.
+constexpr Duration kHeldFor = std::chrono::seconds(2);
 
 GatheredPart PartOf(size_t index, const TargetReply& reply) {
   GatheredPart part{
@@ -60,6 +63,9 @@
   CallerRequest request;
   TimePoint deadline;
   size_t top_records = 0;
+  size_t shards = 1;
+  RecordCut cut;
+  uint16_t batches = 0;
   std::vector<Attempt> attempts;
   // Not told yet.
   std::vector<GatheredPart> ended;
@@ -133,15 +139,34 @@
   }
 }
 
-GatherReply GatherRelay::TakeParts(Run& run) {
+GatherReply GatherRelay::TakeParts(uint64_t token, Run& run) {
   GatherReply reply{.running = static_cast<uint16_t>(run.running),
                     .parts = std::exchange(run.ended, {})};
   const std::vector<std::string> bodies = std::exchange(run.bodies, {});
   const std::vector<std::string_view> views(bodies.begin(), bodies.end());
   reply.records = MergeRecords(views, run.top_records);
+  const size_t wanted = kRecordBytes * run.cut.Wanted({.parts = views.size(),
+                                                       .shards = run.shards,
+                                                       .top = run.top_records});
+  if (reply.records.size() <= wanted) {
+    return reply;
+  }
+  reply.batch = ++run.batches;
+  reply.held =
+      static_cast<uint16_t>((reply.records.size() - wanted) / kRecordBytes);
+  this->held[{token, reply.batch}] = {.until = Runtime::Now() + kHeldFor,
+                                      .records = reply.records.substr(wanted)};
+  reply.records.resize(wanted);
   return reply;
 }
 
+std::optional<std::string> GatherRelay::Held(uint64_t token,
+                                             uint16_t batch) const {
+  const auto found = this->held.find({token, batch});
+  return found == this->held.end() ? std::nullopt
+                                   : std::optional(found->second.records);
+}
+
 void GatherRelay::ForgetIfOver(uint64_t token, const Run& run) {
   if (run.running == 0) {
     this->runs.erase(token);
@@ -164,6 +189,8 @@
                   .received = now};
   run->deadline = now + microseconds(call.time_left_us);
   run->top_records = call.top_records;
+  run->shards = call.shards;
+  run->cut = RecordCut(call.record_factor);
   run->attempts.resize(call.targets.size());
   this->runs.emplace(call.token, run);
   for (size_t i = 0; i < call.targets.size(); ++i) {
@@ -176,7 +203,7 @@
     run->changed.WaitUntil(reply_at);
   }
   this->ForgetIfOver(call.token, *run);
-  return this->TakeParts(*run);
+  return this->TakeParts(call.token, *run);
 }
 
 GatherReply GatherRelay::More(uint64_t token) {
@@ -192,13 +219,15 @@
     run->changed.WaitUntil(until);
   }
   this->ForgetIfOver(token, *run);
-  return this->TakeParts(*run);
+  return this->TakeParts(token, *run);
 }
 
 void GatherRelay::Sweep(TimePoint now) {
   std::erase_if(this->runs, [now](const auto& entry) {
     return now > entry.second->deadline + kForgetAfter;
   });
+  std::erase_if(this->held,
+                [now](const auto& entry) { return now > entry.second.until; });
 }
 
 void GatherRelay::End(uint64_t token, Duration grace) {
--- a/knapweedroad/edge/gather_relay.h
+++ b/knapweedroad/edge/gather_relay.h
@@ -15,8 +15,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
@@ -51,8 +55,11 @@
   // Empty where the token isn't known, or all has been told.
   GatherReply More(uint64_t token);
   void End(uint64_t token, Duration grace);
+  // The records that were held back from that reply; nothing: they are gone.
+  std::optional<std::string> Held(uint64_t token, uint16_t batch) const;
 
-  // Forgets runs that nobody has asked for since their deadline. Called every
+  // Forgets records that are held, and runs that nobody has asked for since
+  // their deadline. Called every
   // few hundred milliseconds.
   void Sweep(TimePoint now);
 
@@ -70,11 +77,17 @@
   void OnReply(const std::shared_ptr<Run>& run,
                size_t index,
                TargetReply reply);
-  GatherReply TakeParts(Run& run);
+  GatherReply TakeParts(uint64_t token, Run& run);
   void ForgetIfOver(uint64_t token, const Run& run);
 
   GatherRelayOptions options;
   std::unordered_map<uint64_t, std::shared_ptr<Run>> runs;
+  // Records that were held back, by token and batch.
+  struct HeldBatch {
+    TimePoint until;
+    std::string records;
+  };
+  std::map<std::pair<uint64_t, uint16_t>, HeldBatch> held;
   bool is_draining = false;
 };
 
--- a/knapweedroad/edge/gather_relay_test.cc
+++ b/knapweedroad/edge/gather_relay_test.cc
@@ -87,7 +87,8 @@
                     .id = "id",
                     .time_left_us = 60'000'000,
                     .reply_within_us = reply_within / 1us,
-                    .top_records = 2};
+                    .top_records = 2,
+                    .shards = 3};
     for (const std::string& target : targets) {
       call.targets.emplace_back(target);
     }
@@ -150,6 +151,36 @@
   cr_expect(world.relay.More(7).parts.empty());
 }
 
+// Answers the pattern of a few parts of many: most of their records are not
+// among the answer's greatest.
+Test(gather_relay,
+     records_that_are_hardly_needed_are_held_for_a_moment,
+     .timeout = 60) {
+  World world;
+  for (const auto& target : world.targets) {
+    std::string records;
+    for (int i = 0; i < 20; ++i) {
+      records +=
+          std::string(15, static_cast<char>('z' - i)) + target->record[0];
+    }
+    target->record = records;
+  }
+  GatherCall call = World::Call({"t0", "t1", "t2"}, World::kLong);
+  call.top_records = 50;
+  call.shards = 60;
+  const GatherReply reply = world.relay.Gather(call);
+  const size_t sent = reply.records.size() / 16;
+  cr_expect(sent < 20, "%zu", sent);
+  cr_expect(sent + reply.held == 50);
+  const auto rest = world.relay.Held(7, reply.batch);
+  cr_assert(rest.has_value());
+  cr_expect(rest->size() == reply.held * size_t{16});
+  cr_expect(*rest < reply.records.substr((sent - 1) * 16));
+  cr_expect(!world.relay.Held(7, reply.batch + 1).has_value());
+  world.relay.Sweep(Runtime::Now() + 10s);
+  cr_expect(!world.relay.Held(7, reply.batch).has_value());
+}
+
 // Guards against parts that wait for the one target that pauses.
 Test(gather_relay,
      what_is_there_in_time_does_not_wait_for_the_rest,
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -5,7 +5,6 @@
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
-#include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_message.h"
@@ -33,6 +32,7 @@
 constexpr Duration kFreshIdle = milliseconds(500);
 // From this host to one that gathers, there and back.
 constexpr Duration kGatherWay = milliseconds(2);
+constexpr double kPartBytesWeight = 0.05;
 
 TargetReply ReplyOf(GatheredPart part) {
   TargetReply reply{.kind = static_cast<ReplyKind>(part.kind),
@@ -120,7 +120,9 @@
       .time_left_us =
           (this->options.deadline - Runtime::Now()) / microseconds(1),
       .reply_within_us = reply_within / microseconds(1),
-      .top_records = static_cast<uint32_t>(this->options.route.top_records)};
+      .top_records = static_cast<uint32_t>(this->options.route.top_records),
+      .shards = static_cast<uint32_t>(this->options.route.services.size()),
+      .record_factor = this->options.memory.record_cut.factor()};
   for (const AttemptStart& start : starts) {
     call.targets.push_back(start.target);
   }
@@ -138,13 +140,15 @@
   const auto self = this->shared_from_this();
   const auto made =
       std::make_shared<std::vector<AttemptStart>>(starts.begin(), starts.end());
+  GatherCall call = this->MakeGatherCall(starts, reply_within);
+  const HeldRecords held{.relay = relay, .token = call.token};
   this->gathers.push_back(this->options.parts.gather_links.Start(
       {.relay = relay,
-       .call = this->MakeGatherCall(starts, reply_within),
+       .call = std::move(call),
        .deadline = this->options.deadline,
        .on_reply =
-           [self, made, on_gathered](GatherReply reply) {
-             on_gathered(self->Understand(*made, std::move(reply)));
+           [self, made, held, on_gathered](GatherReply reply) {
+             on_gathered(self->Understand(*made, held, std::move(reply)));
            },
        .on_lost =
            [self, made, on_gathered](bool may_have_run) {
@@ -154,8 +158,12 @@
 
 RequestAttempts::Gathered RequestAttempts::Understand(
     std::span<const AttemptStart> made,
+    HeldRecords held,
     GatherReply reply) {
-  Gathered gathered{.records = std::move(reply.records)};
+  held.batch = reply.batch;
+  held.count = reply.held;
+  Gathered gathered{.records = std::move(reply.records),
+                    .held = std::move(held)};
   for (GatheredPart& part : reply.parts) {
     if (part.target >= made.size()) {
       continue;
@@ -230,6 +238,13 @@
   }
 }
 
+void RequestAttempts::LearnPartBytes(size_t bytes) {
+  double& known = this->options.memory.part_bytes;
+  const auto seen = static_cast<double>(bytes);
+  known = known <= 0 ? seen
+                     : known * (1 - kPartBytesWeight) + seen * kPartBytesWeight;
+}
+
 AttemptOutcome RequestAttempts::Take(uint32_t number,
                                      const TargetReply& reply,
                                      TimePoint now) {
@@ -247,6 +262,10 @@
                         : this->options.memory.latency)
         .Add(took);
   }
+  if (outcome.is_served && !reply.was_gathered &&
+      this->options.route.is_scatter) {
+    this->LearnPartBytes(reply.answer.body.size());
+  }
   if (!outcome.word.empty()) {
     this->Note(attempt, outcome.word, reply.answer.status);
   }
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -21,13 +21,13 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/edge/attempt_log.h"
+#include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/target_outcome.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/rollout/answer_sampler.h"
 
 namespace knapweedroad {
 
-class GatherExchange;
 class TargetExchange;
 struct AttemptStart;
 struct CallerRequest;
@@ -65,8 +65,9 @@
       AttemptOutcome outcome = AttemptOutcome::kBroken;
     };
     std::vector<Part> parts;
-    // Merged of the successes among them.
+    // Merged of the successes among them, and what was held back.
     std::string records;
+    HeldRecords held;
     // None was sent: to be sent by this host itself.
     std::vector<AttemptStart> not_tried;
     // Nothing is known of these: they may have run.
@@ -119,9 +120,12 @@
   void Sample(const Attempt& attempt,
               const TargetOutcome& outcome,
               const TargetReply& reply);
-  Gathered Understand(std::span<const AttemptStart> made, GatherReply reply);
+  Gathered Understand(std::span<const AttemptStart> made,
+                      HeldRecords held,
+                      GatherReply reply);
   Gathered LoseAll(std::span<const AttemptStart> made, bool may_have_run);
   void ReleaseGathered(Duration grace);
+  void LearnPartBytes(size_t bytes);
   void Note(const Attempt& attempt, std::string_view end, int status);
   void Release(Duration grace);
 
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -192,36 +192,61 @@
     this->Enter(*shard, ShardState::kAnswered);
     this->Judge(*shard, now <= this->options.target_at);
     this->answers.push_back(std::move(answer));
-    this->answer_shards.push_back(
-        static_cast<size_t>(shard - this->shards.data()));
+    this->answer_places.push_back(
+        {.shard = static_cast<size_t>(shard - this->shards.data())});
   }
   return this->Finish(std::move(step), now);
 }
 
 void RequestRun::DropAnswer(size_t shard_index) {
-  const auto at = std::ranges::find(this->answer_shards, shard_index);
-  if (at == this->answer_shards.end()) {
+  const auto at =
+      std::ranges::find(this->answer_places, shard_index, &AnswerPlace::shard);
+  if (at == this->answer_places.end()) {
     return;
   }
   this->answers.erase(this->answers.begin() +
-                      (at - this->answer_shards.begin()));
-  this->answer_shards.erase(at);
+                      (at - this->answer_places.begin()));
+  this->answer_places.erase(at);
+}
+
+bool RequestRun::MayReplace(std::span<const MergedAnswer> merged) const {
+  size_t answered = 0;
+  for (const MergedAnswer& each : merged) {
+    if (each.attempt >= this->attempt_shards.size() ||
+        this->attempt_shards[each.attempt] == kEnded) {
+      return false;
+    }
+    const size_t shard = this->attempt_shards[each.attempt];
+    const auto place =
+        std::ranges::find(this->answer_places, shard, &AnswerPlace::shard);
+    if (place == this->answer_places.end()) {
+      continue;
+    }
+    if (place->is_merged) {
+      return false;
+    }
+    ++answered;
+  }
+  return answered < merged.size();
 }
 
 // Merged records can't be taken apart: where a shard was answered twice, the
-// single answer gives way.
+// answer that came alone gives way.
 RunStep RequestRun::OnMerged(std::span<const MergedAnswer> merged,
-                             std::string body,
+                             MergedBody body,
                              TimePoint now) {
   RunStep step;
   if (this->over) {
     return step;
   }
-  const bool is_whole = std::ranges::all_of(merged, [this](const auto& each) {
-    return each.attempt < this->attempt_shards.size() &&
-           this->attempt_shards[each.attempt] != kEnded;
-  });
-  if (!is_whole) {
+  if (!this->MayReplace(merged)) {
+    for (const MergedAnswer& each : merged) {
+      Shard* const shard = this->ShardOf(each.attempt);
+      if (shard != nullptr) {
+        this->TryAgain(static_cast<size_t>(shard - this->shards.data()),
+                       /*is_proven_not_run=*/false, now, step);
+      }
+    }
     return this->Finish(std::move(step), now);
   }
   for (const MergedAnswer& each : merged) {
@@ -230,9 +255,12 @@
     this->DropAnswer(index);
     this->Enter(*shard, ShardState::kAnswered);
     this->Judge(*shard, now <= this->options.target_at);
-    this->answers.push_back(
-        {.status = 200, .seal = each.seal, .body = std::exchange(body, {})});
-    this->answer_shards.push_back(index);
+    this->answers.push_back({.status = 200,
+                             .seal = each.seal,
+                             .body = std::exchange(body.records, {}),
+                             .held = std::exchange(body.held, 0)});
+    this->answer_places.push_back(
+        {.shard = index, .is_merged = merged.size() > 1});
   }
   return this->Finish(std::move(step), now);
 }
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -33,6 +33,8 @@
   // The header lines that go to the caller, as they came.
   std::string header;
   std::string body;
+  // Of merged records: names what was held back of `body`; zero: nothing.
+  size_t held = 0;
 };
 
 // How an attempt ended without an answer that can be used.
@@ -48,6 +50,12 @@
   TargetId target;
 };
 
+// Records of several answers, and TargetAnswer::held.
+struct MergedBody {
+  std::string records;
+  size_t held = 0;
+};
+
 // One of several answers with merged records.
 struct MergedAnswer {
   uint32_t attempt = 0;
@@ -128,11 +136,12 @@
   RunStep Start(TimePoint now);
   // A 2xx answer with its seal, whole.
   RunStep OnAnswer(uint32_t attempt, TargetAnswer answer, TimePoint now);
-  // Answers of several attempts whose records come merged in `body`, so that
+  // Answers of several attempts whose records come merged in one body, so that
   // they are in the caller's answer all together or not at all. Of a shard that
-  // another attempt has answered, this answer is the one that counts.
+  // another attempt has answered alone, this answer is the one that counts; if
+  // it was answered together with others, these are not taken.
   RunStep OnMerged(std::span<const MergedAnswer> merged,
-                   std::string body,
+                   MergedBody body,
                    TimePoint now);
   // Another answer that the target made for this request.
   RunStep OnFailure(uint32_t attempt, TargetAnswer answer, TimePoint now);
@@ -175,6 +184,9 @@
   };
 
   Shard* ShardOf(uint32_t attempt);
+  // Whether merged answers may take the place of what their shards have: only
+  // of answers that came alone.
+  bool MayReplace(std::span<const MergedAnswer> merged) const;
   void DropAnswer(size_t shard_index);
   // Leaves out a shard whose targets all turned its connections away; they may
   // be tried again later. False: that isn't why it has no target left.
@@ -211,8 +223,12 @@
   // The wake of the last step, while only answers have come since.
   std::optional<TimePoint> known_wake;
   std::vector<TargetAnswer> answers;
-  // The shard of each.
-  std::vector<size_t> answer_shards;
+  // The shard of each, and whether its records are merged with others'.
+  struct AnswerPlace {
+    size_t shard = 0;
+    bool is_merged = false;
+  };
+  std::vector<AnswerPlace> answer_places;
   // The shard of each attempt; `kEnded` once it has ended.
   std::vector<uint32_t> attempt_shards;
   std::vector<TargetId> attempt_targets;
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -381,7 +381,8 @@
   RequestRun run = world.Make();
   run.Start(kStart);
   cr_expect(!run.OnAnswer(1, Good("1"), kStart).end);
-  const RunStep end = run.OnMerged(Merged({0, 2}), "records", kStart);
+  const RunStep end =
+      run.OnMerged(Merged({0, 2}), {.records = "records"}, kStart);
   cr_assert(end.end && end.end->parts.size() == 3);
   std::string bodies;
   for (const TargetAnswer& part : end.end->parts) {
@@ -398,7 +399,8 @@
   run.Start(kStart);
   cr_assert(run.OnWake(kStart + milliseconds(20)).start.size() == 3);
   run.OnAnswer(3, Good("hedge"), kStart + milliseconds(25));
-  run.OnMerged(Merged({0, 1}), "records", kStart + milliseconds(26));
+  run.OnMerged(Merged({0, 1}), {.records = "records"},
+               kStart + milliseconds(26));
   const RunStep end = run.OnAnswer(2, Good("3"), kStart + milliseconds(27));
   cr_assert(end.end);
   std::vector<std::string> seals;
@@ -412,13 +414,49 @@
   cr_expect(bodies == "recordsx");
 }
 
+// Guards against records that are lost with one of several merged answers: a
+// hedge of its shard comes in after them.
+Test(request_run, a_second_answer_does_not_replace_a_merged_one) {
+  World world(3);
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  cr_assert(run.OnWake(kStart + milliseconds(20)).start.size() == 3);
+  run.OnMerged(Merged({0, 1}), {.records = "records"},
+               kStart + milliseconds(25));
+  run.OnMerged(Merged({3}), {.records = "hedge"}, kStart + milliseconds(26));
+  const RunStep end = run.OnAnswer(2, Good("3"), kStart + milliseconds(27));
+  cr_assert(end.end && end.end->parts.size() == 3);
+  std::string bodies;
+  for (const TargetAnswer& part : end.end->parts) {
+    bodies += part.body;
+  }
+  cr_expect(bodies == "recordsx");
+}
+
+// The same of two groups that share a shard: the later one isn't taken, and
+// what only it has is asked for as after a failure.
+Test(request_run, groups_that_share_a_shard_are_not_mixed) {
+  World world(3);
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  cr_assert(run.OnWake(kStart + milliseconds(20)).start.size() == 3);
+  run.OnMerged(Merged({0, 1}), {.records = "records"},
+               kStart + milliseconds(25));
+  run.OnMerged(Merged({4, 5}), {.records = "others"},
+               kStart + milliseconds(26));
+  const RunStep end = run.OnAnswer(2, Good("3"), kStart + milliseconds(27));
+  cr_assert(end.end && end.end->parts.size() == 3);
+  cr_expect(end.end->missing == 0);
+}
+
 Test(request_run, merged_answers_after_the_end_change_nothing) {
   World world(2);
   RequestRun run = world.Make();
   run.Start(kStart);
   run.OnAnswer(0, Good("1"), kStart);
   cr_assert(run.OnAnswer(1, Good("2"), kStart).end.has_value());
-  const RunStep late = run.OnMerged(Merged({0}), "records", kStart);
+  const RunStep late =
+      run.OnMerged(Merged({0}), {.records = "records"}, kStart);
   cr_expect(!late.end && late.start.empty());
 }
 
--- a/knapweedroad/wire/peer_message_type.h
+++ b/knapweedroad/wire/peer_message_type.h
@@ -25,6 +25,7 @@
   kGather = 14,        // GatherCall -> GatherReply
   kGatherMore = 15,    // GatherMoreCall -> GatherReply
   kGatherEnd = 16,     // GatherEndCall -> nothing
+  kGatherHeld = 17,    // GatherHeldCall -> GatherHeldReply
 };
 
 }  // namespace knapweedroad
