What goes wrong at a target is reported at once, and a zone's control hosts pool what they hear

Cause: half of the targets begin to refuse, or some turn slow; all hosts knew after 0.6 to 0.9 s, as outcomes went up with the next watch call (held for up to a second), were judged every 0.3 s, and each of a zone's two control hosts saw half of the zone.

Change: an entry host that meets a failure, or an attempt of three times the usual time, reports what it has 10 ms later (kOutcomes); the control host passes reports on to those of its zone and judges targets at most 50 ms after its last judgement.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -11,6 +11,7 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/net/timed_event.h"
 #include "knapweedroad/registry/follow_plan.h"
 #include "knapweedroad/wire/codec.h"
 
@@ -33,6 +34,9 @@
 // one of the own zone has told of it, too.
 constexpr Duration kNearPull = milliseconds(150);
 constexpr Duration kChooseInterval = milliseconds(150);
+// Outcomes of one moment are reported together: a question has dozens.
+constexpr Duration kReportGather = milliseconds(10);
+constexpr Duration kReportTimeout = milliseconds(500);
 // A control host that failed is tried again after this long, and another one
 // is followed meanwhile.
 constexpr Duration kAvoidAfterFailure = milliseconds(1000);
@@ -58,6 +62,15 @@
   }
 };
 
+// That there is something to report at once.
+struct ReportWish {
+  explicit ReportWish(Runtime& runtime) : is_wanted(runtime) {}
+
+  TimedEvent is_wanted;
+  // The host isn't followed any more.
+  bool is_over = false;
+};
+
 uint64_t RankOf(const HostId& self, const HostId& host) {
   return XXH64(host.str().data(), host.str().size(),
                XXH64(self.str().data(), self.str().size(), 1));
@@ -98,12 +111,19 @@
                                                         : kCallTimeout;
   }
   void Failed(const HostId& host, const std::string& detail);
+  // Reports to the host between its calls, until it isn't followed any more.
+  void Report(PeerClient& peer, const HostId& host, ReportWish& wish);
+  bool IsNear(const HostId& host) {
+    return this->known[host].zone == this->options.zone;
+  }
 
   Runtime& runtime;
   ControlFollowerOptions options;
   std::map<HostId, Known> known;
   std::set<HostId> followed;
   std::set<HostId> wanted;
+  // For each host followed.
+  std::map<HostId, std::shared_ptr<ReportWish>> report_wishes;
   TimePoint started;
   bool is_pulling = false;
   // The newest version that a control host told of.
@@ -181,8 +201,8 @@
                                  const HostId& host,
                                  WatchCall& call) {
   call.agreed_version = this->options.held_version();
-  call.shares_outcomes = this->options.take_outcomes != nullptr &&
-                         this->known[host].zone == this->options.zone;
+  call.shares_outcomes =
+      this->options.take_outcomes != nullptr && this->IsNear(host);
   if (call.shares_outcomes) {
     call.outcomes = this->options.take_outcomes(host);
   }
@@ -234,7 +254,7 @@
 // doesn't wait.
 void ControlFollower::State::PullFromNearest(PeerClient& peer,
                                              const HostId& host) {
-  const bool is_near = this->known[host].zone == this->options.zone;
+  const bool is_near = this->IsNear(host);
   const bool has_near =
       std::ranges::any_of(this->known, [&](const auto& entry) {
         return entry.second.was_live && entry.second.zone == this->options.zone;
@@ -271,23 +291,51 @@
   }
 }
 
+void ControlFollower::State::Report(PeerClient& peer,
+                                    const HostId& host,
+                                    ReportWish& wish) {
+  while (!this->is_stopped && !wish.is_over) {
+    if (!wish.is_wanted.WaitUntil(Runtime::Now() + kForgetAfter)) {
+      continue;
+    }
+    Runtime::SleepFor(kReportGather);
+    if (this->is_stopped || wish.is_over || !this->IsNear(host)) {
+      continue;
+    }
+    const OutcomeReport report{.role = this->options.role,
+                               .outcomes = this->options.take_outcomes(host)};
+    if (!report.outcomes.empty()) {
+      peer.Call(PeerMessageType::kOutcomes, EncodePacked(report),
+                Runtime::Now() + kReportTimeout);
+    }
+  }
+}
+
 void ControlFollower::State::Follow(const HostId& host) {
   // After an outage of all hosts, every pause of a follower is a pause of
   // callers; a refused connection costs next to nothing.
   constexpr Duration kFirstPause = milliseconds(50);
   constexpr Duration kLongestPause = milliseconds(100);
-  PeerClient peer(
+  const auto peer = std::make_shared<PeerClient>(
       this->runtime,
-      {.endpoint = EndpointOf(host),
-       .silence = this->options.role == FollowerRole::kControl ? kControlSilence
-                                                               : kSilence});
+      PeerClientOptions{.endpoint = EndpointOf(host),
+                        .silence = this->options.role == FollowerRole::kControl
+                                       ? kControlSilence
+                                       : kSilence});
+  const auto wish = std::make_shared<ReportWish>(this->runtime);
+  if (this->options.take_outcomes != nullptr) {
+    this->report_wishes[host] = wish;
+    this->runtime.Spawn([self = this->shared_from_this(), peer, host, wish] {
+      self->Report(*peer, host, *wish);
+    });
+  }
   WatchCall call{.follower = this->options.self,
                  .role = this->options.role,
                  .zone = this->options.zone,
                  .peer_address = this->options.peer_address};
   Duration pause = kFirstPause;
   while (!this->is_stopped && this->wanted.contains(host)) {
-    if (this->Ask(peer, host, call)) {
+    if (this->Ask(*peer, host, call)) {
       pause = kFirstPause;
       continue;
     }
@@ -295,6 +343,9 @@
     pause = std::min<Duration>(pause * 2, kLongestPause);
   }
   this->followed.erase(host);
+  this->report_wishes.erase(host);
+  wish->is_over = true;
+  wish->is_wanted.Set();
 }
 
 ControlFollower::ControlFollower(Runtime& runtime,
@@ -303,6 +354,7 @@
 
 ControlFollower::~ControlFollower() {
   this->state->is_stopped = true;
+  this->ReportSoon();
 }
 
 void ControlFollower::Start() {
@@ -310,6 +362,12 @@
   this->state->runtime.Spawn([state = this->state] { state->Choose(); });
 }
 
+void ControlFollower::ReportSoon() {
+  for (const auto& [host, wish] : this->state->report_wishes) {
+    wish->is_wanted.Set();
+  }
+}
+
 std::vector<HostId> ControlFollower::LiveHosts() const {
   std::vector<HostId> live;
   const TimePoint now = Runtime::Now();
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -36,7 +36,7 @@
   std::function<std::vector<HostId>()> seeds;
   // The agreed version in force here.
   std::function<uint64_t()> held_version;
-  // What `to` is still to hear of targets; absent: nothing.
+  // What `to`, of the same zone, is still to hear of targets; absent: nothing.
   std::function<std::vector<TargetOutcomes>(const HostId& to)> take_outcomes;
   std::function<void(const HostId& from, const WatchReply& reply)> on_reply;
   std::function<void(uint64_t version, const std::string& text)> on_agreed;
@@ -49,6 +49,9 @@
 
   void Start();
 
+  // Tells what take_outcomes() has without waiting for the next call.
+  void ReportSoon();
+
   // Control hosts that have answered lately.
   std::vector<HostId> LiveHosts() const;
   // The same with their zones, this host not among them.
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -25,6 +25,7 @@
 #include "knapweedroad/registry/announce_plan.h"
 #include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/rollout/rollout_orders.h"
+#include "knapweedroad/routing/outcome_recorder.h"
 
 namespace knapweedroad {
 namespace {
@@ -35,6 +36,12 @@
 // Ticks between judgements of targets. Each change wakes all followers, so this
 // also bounds their calls.
 constexpr int kOutlierTicks = 3;
+// Between two judgements, however much there is to tell: at the least, and for
+// each target, so that judging many takes a small part of a processor.
+constexpr Duration kDetectSpacing = milliseconds(50);
+constexpr Duration kDetectSpacingATarget = std::chrono::microseconds(30);
+// Targets whose outcomes go to a control host of the zone in one call.
+constexpr size_t kMostPassedOn = 1000;
 // Announcements missed before a target counts as silent.
 constexpr int kMissedHeartbeats = 3;
 // Calls that are running at a stop get this long.
@@ -51,8 +58,11 @@
   void TakeAgreed(uint64_t version, const std::string& text);
   void OnNews(const HostId& from, const WatchReply& reply);
   void Tick();
+  void TakeOutcomes(const OutcomeReport& report);
   // Makes the list of outliers anew.
-  void DetectOutliers(TimePoint now);
+  void DetectOutliers();
+  // The same before the next tick that would, as there is news of failures.
+  void DetectSoon();
   std::string PrintMetrics() const;
   std::shared_ptr<RolloutOwner> MakeRolloutOwner();
   // Live ones, this one among them.
@@ -66,6 +76,10 @@
   ZoneConnectivity connectivity;
   TargetRegistry registry;
   OutlierDetector detector;
+  // What the other control hosts of the zone are still to hear.
+  OutcomeRecorder heard_outcomes;
+  TimePoint detected;
+  bool is_detecting_soon = false;
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
@@ -92,7 +106,9 @@
       connectivity(this->options.settings.zone),
       registry({.self = this->self,
                 .silent_after = this->options.settings.heartbeat_interval *
-                                kMissedHeartbeats}) {}
+                                kMissedHeartbeats}),
+      heard_outcomes(
+          {.most_reported = kMostPassedOn, .enough_alone = UINT32_MAX}) {}
 
 std::vector<ControlHostRecord> ControlHost::State::ControlHosts() const {
   std::vector<ControlHostRecord> hosts = this->follower->LiveRecords();
@@ -129,7 +145,35 @@
   }
 }
 
-void ControlHost::State::DetectOutliers(TimePoint now) {
+void ControlHost::State::TakeOutcomes(const OutcomeReport& report) {
+  this->detector.Add(report.outcomes, Runtime::Now());
+  if (report.role == FollowerRole::kEntry) {
+    for (const TargetOutcomes& seen : report.outcomes) {
+      this->heard_outcomes.Count(seen);
+    }
+  }
+}
+
+void ControlHost::State::DetectSoon() {
+  if (std::exchange(this->is_detecting_soon, true)) {
+    return;
+  }
+  const auto targets = static_cast<int64_t>(this->detector.size());
+  const TimePoint due =
+      this->detected +
+      std::max<Duration>(kDetectSpacing, kDetectSpacingATarget * targets);
+  this->runtime.Spawn([self = this->shared_from_this(), due] {
+    Runtime::SleepFor(std::max(Duration::zero(), due - Runtime::Now()));
+    self->is_detecting_soon = false;
+    if (!self->is_stopped) {
+      self->DetectOutliers();
+    }
+  });
+}
+
+void ControlHost::State::DetectOutliers() {
+  const TimePoint now = Runtime::Now();
+  this->detected = now;
   const bool is_changed = this->detector.Refresh(
       [this](const TargetId& target) {
         const TargetRecord* const record = this->registry.Find(target);
@@ -168,7 +212,7 @@
     this->hub->Wake();
   }
   if (++this->ticks % kOutlierTicks == 0) {
-    this->DetectOutliers(now);
+    this->DetectOutliers();
   }
   if (this->options.on_tick) {
     this->options.on_tick();
@@ -258,6 +302,10 @@
           .most_links = 0,
           .seeds = [&self] { return self.seeds; },
           .held_version = [&self] { return self.agreed.version(); },
+          .take_outcomes =
+              [&self](const HostId& to) {
+                return self.heard_outcomes.Take(to, Runtime::Now());
+              },
           .on_reply =
               [&self](const HostId& from, const WatchReply& reply) {
                 self.OnNews(from, reply);
@@ -277,6 +325,10 @@
           .control_hosts = [&self] { return self.ControlHosts(); },
           .is_cut_off = [&self] { return self.connectivity.is_cut_off(); },
           .hears_all = [&self] { return self.connectivity.hears_all(); },
+          .on_outcomes =
+              [&self](const OutcomeReport& report) {
+                self.TakeOutcomes(report);
+              },
           .on_control_follower =
               [&self](const HostId& host) { self.follower->Hear(host); }});
   self.directory =
@@ -334,11 +386,20 @@
       PeerServerOptions{
           .endpoint = settings.peer_address,
           .handler = [&self](PeerMessageType type, const std::string& body) {
-            return AnswerPeerCall({.replica = *self.replica,
-                                   .hub = *self.hub,
-                                   .agreed = self.agreed,
-                                   .rollouts = *self.rollouts},
-                                  type, body);
+            return AnswerPeerCall(
+                {.replica = *self.replica,
+                 .hub = *self.hub,
+                 .agreed = self.agreed,
+                 .rollouts = *self.rollouts,
+                 .on_outcomes =
+                     [&self](const OutcomeReport& report) {
+                       self.TakeOutcomes(report);
+                       if (report.role == FollowerRole::kEntry) {
+                         self.follower->ReportSoon();
+                       }
+                       self.DetectSoon();
+                     }},
+                type, body);
           }});
   if (const auto port = self.peers->Start(); !port) {
     return tl::unexpected(port.error().detail);
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -120,8 +120,11 @@
                 .started = Runtime::Now(),
                 .on_health_change = LogHealthChange,
                 .on_outcomes =
-                    [this](const TargetOutcomes& seen) {
+                    [this](const TargetOutcomes& seen, bool is_bad) {
                       this->outcomes.Count(seen);
+                      if (is_bad && this->follower != nullptr) {
+                        this->follower->ReportSoon();
+                      }
                     },
                 .is_connected =
                     [this](const TargetId& target) {
--- a/knapweedroad/edge/peer_calls.cc
+++ b/knapweedroad/edge/peer_calls.cc
@@ -42,6 +42,16 @@
   return EncodePacked(rollouts.Answer(*report));
 }
 
+tl::expected<std::string, std::string> TakeOutcomes(const PeerCallParts& parts,
+                                                    const std::string& body) {
+  const auto report = DecodePacked<OutcomeReport>(body);
+  if (!report) {
+    return tl::unexpected("unreadable report: " + report.error());
+  }
+  parts.on_outcomes(*report);
+  return std::string();
+}
+
 }  // namespace
 
 tl::expected<std::string, std::string> AnswerPeerCall(
@@ -57,6 +67,8 @@
       return AnswerPull(parts.agreed, body);
     case PeerMessageType::kRollout:
       return AnswerRollout(parts.rollouts, body);
+    case PeerMessageType::kOutcomes:
+      return TakeOutcomes(parts, body);
     default:
       return tl::unexpected(std::string("not a call of control hosts"));
   }
--- a/knapweedroad/edge/peer_calls.h
+++ b/knapweedroad/edge/peer_calls.h
@@ -3,6 +3,7 @@
 #ifndef KNAPWEEDROAD_EDGE_PEER_CALLS_H_
 #define KNAPWEEDROAD_EDGE_PEER_CALLS_H_
 
+#include <functional>
 #include <string>
 
 #include <tl/expected.hpp>
@@ -15,6 +16,7 @@
 class ControlReplica;
 class RolloutOwner;
 class WatchHub;
+struct OutcomeReport;
 
 // The parts of a control host that answer calls; all outlive them.
 struct PeerCallParts {
@@ -22,6 +24,7 @@
   WatchHub& hub;
   const AgreedValue& agreed;
   RolloutOwner& rollouts;
+  std::function<void(const OutcomeReport&)> on_outcomes;
 };
 
 // Blocks the calling fiber; the error says what is wrong with the call.
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -57,6 +57,8 @@
       : runtime(runtime), options(std::move(options)), epoch(RandomEpoch()) {}
 
   bool HasNews(const WatchCall& call) const;
+  // Of the list of outliers that the follower is told.
+  uint64_t OutliersRevision(FollowerRole role) const;
   WatchReply MakeReply(const WatchCall& call) const;
   ReplyKey KeyOf(const WatchCall& call) const;
   std::string EncodeReply(const WatchCall& call);
@@ -78,15 +80,23 @@
   ReplyCache replies;
 };
 
+uint64_t WatchHub::State::OutliersRevision(FollowerRole role) const {
+  const OutlierDetector& detector = this->options.detector;
+  return role == FollowerRole::kControl ? detector.own_revision()
+                                        : detector.revision();
+}
+
 bool WatchHub::State::HasNews(const WatchCall& call) const {
+  const bool is_entry = call.role == FollowerRole::kEntry;
+  const bool hears_outliers = call.shares_outcomes || !is_entry;
   return call.epoch != this->epoch ||
          call.revision < this->options.registry.revision() ||
          call.hosts_revision < this->hosts_revision ||
-         (call.shares_outcomes &&
-          (call.outliers_revision != this->options.detector.revision() ||
-           call.knows_cut_off != this->options.is_cut_off())) ||
-         (call.role == FollowerRole::kEntry &&
-          call.knows_hears_all != this->options.hears_all()) ||
+         (hears_outliers &&
+          call.outliers_revision != this->OutliersRevision(call.role)) ||
+         (is_entry && call.shares_outcomes &&
+          call.knows_cut_off != this->options.is_cut_off()) ||
+         (is_entry && call.knows_hears_all != this->options.hears_all()) ||
          call.agreed_version < this->options.agreed_version();
 }
 
@@ -169,8 +179,7 @@
   reply.hears_all = this->options.hears_all();
   const OutlierDetector& detector = this->options.detector;
   const bool is_control = call.role == FollowerRole::kControl;
-  reply.outliers_revision =
-      is_control ? detector.own_revision() : detector.revision();
+  reply.outliers_revision = this->OutliersRevision(call.role);
   reply.has_outliers =
       (call.shares_outcomes || is_control) &&
       (!is_same || call.outliers_revision != reply.outliers_revision);
@@ -182,8 +191,6 @@
 
 ReplyKey WatchHub::State::KeyOf(const WatchCall& call) const {
   const bool is_same = call.epoch == this->epoch;
-  const OutlierDetector& detector = this->options.detector;
-  const bool is_control = call.role == FollowerRole::kControl;
   return {.role = call.role,
           .shares_outcomes = call.shares_outcomes,
           .is_cut_off = this->options.is_cut_off(),
@@ -193,8 +200,7 @@
                    .outliers = is_same ? call.outliers_revision : 0},
           .to = {.targets = this->options.registry.revision(),
                  .hosts = this->hosts_revision,
-                 .outliers = is_control ? detector.own_revision()
-                                        : detector.revision()},
+                 .outliers = this->OutliersRevision(call.role)},
           .agreed_version = this->options.agreed_version()};
 }
 
@@ -216,7 +222,7 @@
   } else {
     self->HearEntryHost(call, now);
   }
-  self->options.detector.Add(call.outcomes, now);
+  self->options.on_outcomes({.role = call.role, .outcomes = call.outcomes});
   const TimePoint until =
       now + (call.role == FollowerRole::kControl ? kControlHold : kHold);
   if (!self->HasNews(call)) {
--- a/knapweedroad/registry/target_outcomes.h
+++ b/knapweedroad/registry/target_outcomes.h
@@ -1,16 +1,20 @@
 // What entry hosts see of targets, shared through the control hosts that they
-// follow: outcomes go up with each watch call, outliers come down
-// with the reply.
+// follow: outcomes go up with each watch call, and between two of them when
+// something goes wrong; outliers come down with the reply. The control hosts of
+// a zone pass on to each other what they hear.
 
 #ifndef KNAPWEEDROAD_REGISTRY_TARGET_OUTCOMES_H_
 #define KNAPWEEDROAD_REGISTRY_TARGET_OUTCOMES_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "knapweedroad/base/id.h"
 
 namespace knapweedroad {
 
+enum class FollowerRole : uint8_t { kEntry = 1, kControl = 2 };
+
 // Outcomes of one host's attempts on one target since its last report.
 struct TargetOutcomes {
   TargetId target;
@@ -33,6 +37,18 @@
   }
 };
 
+// Outcomes that can't wait for the next watch call.
+struct OutcomeReport {
+  FollowerRole role = FollowerRole::kEntry;
+  std::vector<TargetOutcomes> outcomes;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->role, this->outcomes);
+  }
+};
+
 // A target that does worse than the others of its service, as told to entry
 // hosts. Coarse figures, so that the list changes seldom.
 struct TargetOutlier {
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -17,8 +17,6 @@
 
 namespace knapweedroad {
 
-enum class FollowerRole : uint8_t { kEntry = 1, kControl = 2 };
-
 struct WatchCall {
   HostId follower;
   FollowerRole role = FollowerRole::kEntry;
--- a/knapweedroad/routing/load_balancer.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -38,6 +38,10 @@
 constexpr std::array kNearZoneCosts = {1.3, 1.6};
 constexpr double kFarZoneCost = 2.1;
 
+// An attempt that takes so many times as long as usual is told of at once.
+constexpr double kBadLatency = 3;
+constexpr double kNsInUs = 1e3;
+
 // One pick in so many passes over what others say of a target, so that somebody
 // finds out that it is well again.
 constexpr unsigned kIgnoreOutliersOneIn = 300;
@@ -344,7 +348,10 @@
                                 TargetOutcomes seen) {
   if (this->options.on_outcomes) {
     seen.target = target.record.id;
-    this->options.on_outcomes(seen);
+    const bool is_slow =
+        seen.timed > 0 && static_cast<double>(seen.latency_us) * kNsInUs >
+                              kBadLatency * target.service->latency;
+    this->options.on_outcomes(seen, seen.failed > 0 || is_slow);
   }
 }
 
--- a/knapweedroad/routing/load_balancer.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -59,9 +59,9 @@
   TimePoint started;
   // Told of each change of health; may be absent.
   std::function<void(const TargetHealthChange&)> on_health_change;
-  // Told of each attempt's outcome, to be shared with other hosts; may be
-  // absent.
-  std::function<void(const TargetOutcomes&)> on_outcomes;
+  // Told of each attempt's outcome, to be shared with other hosts, and whether
+  // it was a failure or took far longer than usual; may be absent.
+  std::function<void(const TargetOutcomes&, bool is_bad)> on_outcomes;
   // Whether this host holds an idle connection to the target; absent: yes.
   std::function<bool(const TargetId&)> is_connected;
 };
--- a/knapweedroad/routing/outcome_recorder.cc
+++ b/knapweedroad/routing/outcome_recorder.cc
@@ -5,12 +5,6 @@
 namespace knapweedroad {
 namespace {
 
-// A report's size: about 1 KB packed. With two control hosts in the own zone
-// and a call a second that is 2 of the 3 KB/s that a host may spend on control.
-constexpr size_t kMostReported = 64;
-// A target asked more often than this between two reports is left out: the host
-// knows enough by itself, and so does every other one of its load.
-constexpr uint32_t kEnoughAlone = 50;
 // Nothing is kept for a control host that hasn't asked for this long; longer
 // than a call is held. Old outcomes mislead.
 constexpr Duration kKeepFor = std::chrono::milliseconds(2500);
@@ -37,8 +31,9 @@
   own.taken = now;
   std::vector<TargetOutcomes> report;
   for (auto at = own.targets.begin();
-       at != own.targets.end() && report.size() < kMostReported;) {
-    if (at->second.answered + at->second.failed <= kEnoughAlone) {
+       at != own.targets.end() &&
+       report.size() < this->options.most_reported;) {
+    if (at->second.answered + at->second.failed <= this->options.enough_alone) {
       report.push_back(std::move(at->second));
     }
     at = own.targets.erase(at);
--- a/knapweedroad/routing/outcome_recorder.h
+++ b/knapweedroad/routing/outcome_recorder.h
@@ -8,6 +8,8 @@
 #ifndef KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
 #define KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -18,8 +20,20 @@
 
 namespace knapweedroad {
 
+struct OutcomeRecorderOptions {
+  // A report's size. At the default, packed, about 1 KB: a call a second to two
+  // control hosts is 2 of the 3 KB/s that a host may spend on control.
+  size_t most_reported = 64;
+  // A target asked more often than this between two reports is left out: the
+  // host knows enough by itself, and so does every other one of its load.
+  uint32_t enough_alone = 50;
+};
+
 class OutcomeRecorder {
  public:
+  explicit OutcomeRecorder(OutcomeRecorderOptions options = {})
+      : options(options) {}
+
   // Adds to what every control host is still to hear.
   void Count(const TargetOutcomes& seen);
 
@@ -33,6 +47,7 @@
     TimePoint taken;
   };
 
+  OutcomeRecorderOptions options;
   std::map<HostId, Pending> pending;
 };
 
--- a/knapweedroad/wire/peer_message_type.h
+++ b/knapweedroad/wire/peer_message_type.h
@@ -26,6 +26,7 @@
   kGatherMore = 15,    // GatherMoreCall -> GatherReply
   kGatherEnd = 16,     // GatherEndCall -> nothing
   kGatherHeld = 17,    // GatherHeldCall -> GatherHeldReply
+  kOutcomes = 18,      // OutcomeReport -> nothing
 };
 
 }  // namespace knapweedroad
