--- a/knapweedroad/control/control_messages.cc
+++ b/knapweedroad/control/control_messages.cc
@@ -5,12 +5,12 @@
 namespace knapweedroad {
 
 std::string EncodeControlMessage(const ControlMessage& message) {
-  return EncodeBytes(message);
+  return EncodeCompact(message);
 }
 
 tl::expected<ControlMessage, std::string> DecodeControlMessage(
     std::string_view bytes) {
-  return DecodeBytes<ControlMessage>(bytes);
+  return DecodeCompact<ControlMessage>(bytes);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/gather_calls.cc
+++ b/knapweedroad/edge/gather_calls.cc
@@ -14,19 +14,19 @@
     PeerMessageType type,
     const std::string& body) {
   if (type == PeerMessageType::kGather) {
-    const auto call = DecodeBytes<GatherCall>(body);
+    const auto call = DecodeCompact<GatherCall>(body);
     return call ? tl::expected<std::string, std::string>(
-                      EncodeBytes(relay.Gather(*call)))
+                      EncodeCompact(relay.Gather(*call)))
                 : tl::unexpected("unreadable call: " + call.error());
   }
   if (type == PeerMessageType::kGatherMore) {
-    const auto call = DecodeBytes<GatherMoreCall>(body);
+    const auto call = DecodeCompact<GatherMoreCall>(body);
     return call ? tl::expected<std::string, std::string>(
-                      EncodeBytes(relay.More(call->token)))
+                      EncodeCompact(relay.More(call->token)))
                 : tl::unexpected("unreadable call: " + call.error());
   }
   if (type == PeerMessageType::kGatherEnd) {
-    const auto call = DecodeBytes<GatherEndCall>(body);
+    const auto call = DecodeCompact<GatherEndCall>(body);
     if (!call) {
       return tl::unexpected("unreadable call: " + call.error());
     }
@@ -34,12 +34,12 @@
     return std::string();
   }
   if (type == PeerMessageType::kGatherHeld) {
-    const auto call = DecodeBytes<GatherHeldCall>(body);
+    const auto call = DecodeCompact<GatherHeldCall>(body);
     if (!call) {
       return tl::unexpected("unreadable call: " + call.error());
     }
     auto records = relay.Held(call->token, call->batch);
-    return EncodeBytes(
+    return EncodeCompact(
         GatherHeldReply{.is_found = records.has_value(),
                         .records = std::move(records).value_or("")});
   }
--- a/knapweedroad/edge/gather_links.cc
+++ b/knapweedroad/edge/gather_links.cc
@@ -46,7 +46,7 @@
                 microseconds(this->order.call.reply_within_us) + kReplySlack;
     this->relays.OnCalled(this->order.relay.host, this->due);
     auto reply =
-        this->Call(PeerMessageType::kGather, EncodeBytes(this->order.call),
+        this->Call(PeerMessageType::kGather, EncodeCompact(this->order.call),
                    std::min(this->order.deadline, this->due + kLostAfter));
     if (!reply || reply->is_refused) {
       this->Lose(/*may_have_run=*/!reply && reply.error());
@@ -59,7 +59,7 @@
            Runtime::Now() < this->order.deadline) {
       auto more =
           this->Call(PeerMessageType::kGatherMore,
-                     EncodeBytes(GatherMoreCall{this->order.call.token}),
+                     EncodeCompact(GatherMoreCall{this->order.call.token}),
                      Runtime::Now() + kMoreTimeout);
       if (!more) {
         this->LoseRest();
@@ -77,8 +77,8 @@
     this->runtime.Spawn([self = this->shared_from_this(), grace] {
       self->client->Call(
           PeerMessageType::kGatherEnd,
-          EncodeBytes(GatherEndCall{.token = self->order.call.token,
-                                    .grace_us = grace / microseconds(1)}),
+          EncodeCompact(GatherEndCall{.token = self->order.call.token,
+                                      .grace_us = grace / microseconds(1)}),
           Runtime::Now() + kEndTimeout);
     });
   }
@@ -92,7 +92,7 @@
     if (!answered) {
       return tl::unexpected(answered.error().written);
     }
-    auto reply = DecodeBytes<GatherReply>(*answered);
+    auto reply = DecodeCompact<GatherReply>(*answered);
     if (!reply) {
       LogLine("gather_reply_unreadable")
           .Add("host", this->order.relay.host)
@@ -166,13 +166,13 @@
        call = GatherHeldCall{.token = held.token, .batch = held.batch},
        on_records = std::move(on_records)] {
         const auto bytes =
-            client->Call(PeerMessageType::kGatherHeld, EncodeBytes(call),
+            client->Call(PeerMessageType::kGatherHeld, EncodeCompact(call),
                          Runtime::Now() + kFetchTimeout);
         if (!bytes) {
           on_records(std::nullopt);
           return;
         }
-        auto reply = DecodeBytes<GatherHeldReply>(*bytes);
+        auto reply = DecodeCompact<GatherHeldReply>(*bytes);
         const bool is_found = reply && reply->is_found;
         on_records(is_found ? std::optional(std::move(reply->records))
                             : std::nullopt);
