News for hosts of other zones is gathered for 150 ms, but for a new agreed version

Change: a follower in another zone hears of changes that come within 150 ms together; one without the newest agreed version is answered as before.

--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -25,6 +25,9 @@
 // News of the same moment goes out together: at a start, dozens of targets
 // announce themselves within a few milliseconds of each other.
 constexpr Duration kGather = milliseconds(10);
+// The same for followers in other zones, as each reply is bytes between zones;
+// a new agreed version doesn't wait.
+constexpr Duration kFarGather = milliseconds(150);
 // Entry hosts that come and go are told of together: when hundreds start, each
 // would else make the whole list go to all the others.
 constexpr Duration kEntryHostsInterval = milliseconds(400);
@@ -59,6 +62,8 @@
   bool HasNews(const WatchCall& call) const;
   // Of the list of outliers that the follower is told.
   uint64_t OutliersRevision(FollowerRole role) const;
+  // How long news for the follower is gathered before it is told.
+  Duration GatherTime(const WatchCall& call) const;
   WatchReply MakeReply(const WatchCall& call) const;
   ReplyKey KeyOf(const WatchCall& call) const;
   std::string EncodeReply(const WatchCall& call);
@@ -100,6 +105,12 @@
          call.agreed_version < this->options.agreed_version();
 }
 
+Duration WatchHub::State::GatherTime(const WatchCall& call) const {
+  const bool is_near = call.zone == this->options.zone;
+  const bool is_hurried = call.agreed_version < this->options.agreed_version();
+  return is_near || is_hurried ? kGather : kFarGather;
+}
+
 std::vector<EntryHostRecord> WatchHub::State::OwnEntryHosts() const {
   std::vector<EntryHostRecord> hosts;
   for (const auto& [host, follower] : this->entry_followers) {
@@ -232,7 +243,7 @@
     self->waiting.erase(event);
   }
   if (self->HasNews(call) && call.epoch == self->epoch) {
-    Runtime::SleepFor(kGather);
+    Runtime::SleepFor(self->GatherTime(call));
   }
   return self->EncodeReply(call);
 }
