Outcomes of a zone are collected, passed on and judged in a class of their own, tested in virtual time

Cause: what makes news of failing targets fast stood in the control host beside its sockets, without a test of its load.

Change: registry/outcome_collector (the detector, what the zone's other control hosts are still to hear, when to judge); outcome_recorder moves beside it. Its test plays a zone that asks 36 targets 25 times a second while half of them refuse two of five: both control hosts list nine of ten of them within half a second, from reports that reach either. Behaviour as before.

Ruled out: reports of each entry host to both control hosts, a second connection a host.

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -23,9 +23,9 @@
 #include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/announce_plan.h"
+#include "knapweedroad/registry/outcome_collector.h"
 #include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/rollout/rollout_orders.h"
-#include "knapweedroad/routing/outcome_recorder.h"
 
 namespace knapweedroad {
 namespace {
@@ -36,12 +36,6 @@
 // Ticks between judgements of targets. Each change wakes all followers, so this
 // also bounds their calls.
 constexpr int kOutlierTicks = 3;
-// Between two judgements, however much there is to tell: at the least, and for
-// each target, so that judging many takes a small part of a processor.
-constexpr Duration kDetectSpacing = milliseconds(50);
-constexpr Duration kDetectSpacingATarget = std::chrono::microseconds(30);
-// Targets whose outcomes go to a control host of the zone in one call.
-constexpr size_t kMostPassedOn = 1000;
 // Announcements missed before a target counts as silent.
 constexpr int kMissedHeartbeats = 3;
 // Calls that are running at a stop get this long.
@@ -58,11 +52,10 @@
   void TakeAgreed(uint64_t version, const std::string& text);
   void OnNews(const HostId& from, const WatchReply& reply);
   void Tick();
-  void TakeOutcomes(const OutcomeReport& report);
+  // Takes outcomes that didn't wait for a watch call.
+  void TakeUrgent(const OutcomeReport& report);
   // Makes the list of outliers anew.
-  void DetectOutliers();
-  // The same before the next tick that would, as there is news of failures.
-  void DetectSoon();
+  void JudgeTargets();
   std::string PrintMetrics() const;
   std::shared_ptr<RolloutOwner> MakeRolloutOwner();
   // Live ones, this one among them.
@@ -75,11 +68,8 @@
   ControlLinks links;
   ZoneConnectivity connectivity;
   TargetRegistry registry;
-  OutlierDetector detector;
-  // What the other control hosts of the zone are still to hear.
-  OutcomeRecorder heard_outcomes;
-  TimePoint detected;
-  bool is_detecting_soon = false;
+  OutcomeCollector outcomes;
+  bool is_judging_soon = false;
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
@@ -106,9 +96,7 @@
       connectivity(this->options.settings.zone),
       registry({.self = this->self,
                 .silent_after = this->options.settings.heartbeat_interval *
-                                kMissedHeartbeats}),
-      heard_outcomes(
-          {.most_reported = kMostPassedOn, .enough_alone = UINT32_MAX}) {}
+                                kMissedHeartbeats}) {}
 
 std::vector<ControlHostRecord> ControlHost::State::ControlHosts() const {
   std::vector<ControlHostRecord> hosts = this->follower->LiveRecords();
@@ -128,9 +116,10 @@
 void ControlHost::State::OnNews(const HostId& from, const WatchReply& reply) {
   if (reply.zone != this->options.settings.zone) {
     if (reply.has_outliers) {
-      this->detector.LearnOthers(from, reply.outliers, Runtime::Now());
+      this->outcomes.detector().LearnOthers(from, reply.outliers,
+                                            Runtime::Now());
     } else {
-      this->detector.HearOthers(from, Runtime::Now());
+      this->outcomes.detector().HearOthers(from, Runtime::Now());
     }
   }
   const uint64_t before = this->registry.revision();
@@ -145,50 +134,40 @@
   }
 }
 
-void ControlHost::State::TakeOutcomes(const OutcomeReport& report) {
-  this->detector.Add(report.outcomes, Runtime::Now());
+void ControlHost::State::TakeUrgent(const OutcomeReport& report) {
+  const TimePoint due = this->outcomes.AddUrgent(report, Runtime::Now());
   if (report.role == FollowerRole::kEntry) {
-    for (const TargetOutcomes& seen : report.outcomes) {
-      this->heard_outcomes.Count(seen);
-    }
+    this->follower->ReportSoon();
   }
-}
-
-void ControlHost::State::DetectSoon() {
-  if (std::exchange(this->is_detecting_soon, true)) {
+  if (std::exchange(this->is_judging_soon, true)) {
     return;
   }
-  const auto targets = static_cast<int64_t>(this->detector.size());
-  const TimePoint due =
-      this->detected +
-      std::max<Duration>(kDetectSpacing, kDetectSpacingATarget * targets);
   this->runtime.Spawn([self = this->shared_from_this(), due] {
     Runtime::SleepFor(std::max(Duration::zero(), due - Runtime::Now()));
-    self->is_detecting_soon = false;
+    self->is_judging_soon = false;
     if (!self->is_stopped) {
-      self->DetectOutliers();
+      self->JudgeTargets();
     }
   });
 }
 
-void ControlHost::State::DetectOutliers() {
-  const TimePoint now = Runtime::Now();
-  this->detected = now;
-  const bool is_changed = this->detector.Refresh(
+void ControlHost::State::JudgeTargets() {
+  const bool is_changed = this->outcomes.Judge(
       [this](const TargetId& target) {
         const TargetRecord* const record = this->registry.Find(target);
         return record == nullptr || record->phase == TargetPhase::kGone
                    ? ServiceId()
                    : record->service;
       },
-      now);
+      Runtime::Now());
   if (!is_changed) {
     return;
   }
+  const OutlierDetector& detector = this->outcomes.detector();
   LogLine("outliers_changed")
-      .Add("count", this->detector.outliers().size())
-      .Add("revision", this->detector.revision())
-      .Add("worst", DescribeOutliers(this->detector.outliers()))
+      .Add("count", detector.outliers().size())
+      .Add("revision", detector.revision())
+      .Add("worst", DescribeOutliers(detector.outliers()))
       .Info();
   this->hub->Wake();
 }
@@ -212,7 +191,7 @@
     this->hub->Wake();
   }
   if (++this->ticks % kOutlierTicks == 0) {
-    this->DetectOutliers();
+    this->JudgeTargets();
   }
   if (this->options.on_tick) {
     this->options.on_tick();
@@ -304,7 +283,7 @@
           .held_version = [&self] { return self.agreed.version(); },
           .take_outcomes =
               [&self](const HostId& to) {
-                return self.heard_outcomes.Take(to, Runtime::Now());
+                return self.outcomes.TakeFor(to, Runtime::Now());
               },
           .on_reply =
               [&self](const HostId& from, const WatchReply& reply) {
@@ -320,14 +299,14 @@
           .self = self.self,
           .zone = settings.zone,
           .registry = self.registry,
-          .detector = self.detector,
+          .detector = self.outcomes.detector(),
           .agreed_version = [&self] { return self.agreed.version(); },
           .control_hosts = [&self] { return self.ControlHosts(); },
           .is_cut_off = [&self] { return self.connectivity.is_cut_off(); },
           .hears_all = [&self] { return self.connectivity.hears_all(); },
           .on_outcomes =
               [&self](const OutcomeReport& report) {
-                self.TakeOutcomes(report);
+                self.outcomes.Add(report, Runtime::Now());
               },
           .on_control_follower =
               [&self](const HostId& host) { self.follower->Hear(host); }});
@@ -386,20 +365,15 @@
       PeerServerOptions{
           .endpoint = settings.peer_address,
           .handler = [&self](PeerMessageType type, const std::string& body) {
-            return AnswerPeerCall(
-                {.replica = *self.replica,
-                 .hub = *self.hub,
-                 .agreed = self.agreed,
-                 .rollouts = *self.rollouts,
-                 .on_outcomes =
-                     [&self](const OutcomeReport& report) {
-                       self.TakeOutcomes(report);
-                       if (report.role == FollowerRole::kEntry) {
-                         self.follower->ReportSoon();
-                       }
-                       self.DetectSoon();
-                     }},
-                type, body);
+            return AnswerPeerCall({.replica = *self.replica,
+                                   .hub = *self.hub,
+                                   .agreed = self.agreed,
+                                   .rollouts = *self.rollouts,
+                                   .on_outcomes =
+                                       [&self](const OutcomeReport& report) {
+                                         self.TakeUrgent(report);
+                                       }},
+                                  type, body);
           }});
   if (const auto port = self.peers->Start(); !port) {
     return tl::unexpected(port.error().detail);
--- /dev/null
+++ b/knapweedroad/registry/outcome_collector_test.cc
@@ -0,0 +1,144 @@
+#include "knapweedroad/registry/outcome_collector.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+const HostId kSibling("c2");
+
+ServiceId OneService(const TargetId&) {
+  return ServiceId("s");
+}
+
+OutcomeReport Failures(uint32_t count,
+                       FollowerRole role = FollowerRole::kEntry) {
+  return {.role = role, .outcomes = {{TargetId("bad"), 0, count, 0, 0}}};
+}
+
+Test(outcome_collector, what_entry_hosts_report_is_passed_on_once) {
+  OutcomeCollector collector;
+  collector.TakeFor(kSibling, kStart);
+  collector.Add(Failures(2), kStart);
+  collector.AddUrgent(Failures(1), kStart);
+  const auto passed_on = collector.TakeFor(kSibling, kStart);
+  cr_assert(passed_on.size() == 1);
+  cr_expect(passed_on[0].failed == 3);
+  cr_expect(collector.TakeFor(kSibling, kStart).empty());
+}
+
+// Guards against outcomes that two control hosts send to and fro for ever.
+Test(outcome_collector, what_a_control_host_passed_on_is_not_passed_back) {
+  OutcomeCollector collector;
+  collector.TakeFor(kSibling, kStart);
+  collector.Add(Failures(2, FollowerRole::kControl), kStart);
+  cr_expect(collector.TakeFor(kSibling, kStart).empty());
+}
+
+Test(outcome_collector, urgent_reports_are_judged_at_once_but_not_each) {
+  OutcomeCollector collector;
+  cr_expect(collector.AddUrgent(Failures(10), kStart) == kStart);
+  cr_expect(collector.Judge(OneService, kStart));
+  const TimePoint soon = kStart + milliseconds(10);
+  cr_expect(collector.AddUrgent(Failures(1), soon) > soon);
+  cr_expect(collector.AddUrgent(Failures(1), soon) < soon + milliseconds(100));
+}
+
+// The pattern: the hosts of a zone each ask dozens of targets once or twice a
+// second, and half of the targets begin to refuse two of five requests.
+class RefusingZone {
+ public:
+  // How long until both control hosts list nine of ten refusing targets.
+  Duration TimeToKnow() {
+    for (OutcomeCollector& collector : this->control) {
+      collector.TakeFor(kSibling, kStart);
+    }
+    for (TimePoint now = kStart; now < kStart + seconds(5);
+         now += milliseconds(1)) {
+      this->AskAll(now);
+      this->JudgeWhereDue(now);
+      if (this->Knows(0) && this->Knows(1)) {
+        return now - kStart;
+      }
+    }
+    return seconds(5);
+  }
+
+ private:
+  static constexpr size_t kTargets = 36;
+  static constexpr size_t kRefusing = kTargets / 2;
+  static constexpr double kRefusedShare = 0.4;
+  // Requests a second of the zone, each asking all of its targets.
+  static constexpr double kRate = 25;
+
+  static TargetId Target(size_t index) {
+    return TargetId("t" + std::to_string(index));
+  }
+
+  void AskAll(TimePoint now) {
+    std::uniform_real_distribution<double> lot(0, 1);
+    if (lot(this->random) >= kRate / 1000) {
+      return;
+    }
+    const size_t to = this->random() % 2;
+    OutcomeReport report;
+    for (size_t i = 0; i < kTargets; ++i) {
+      const bool fails = i < kRefusing && lot(this->random) < kRefusedShare;
+      report.outcomes.push_back({Target(i), fails ? 0U : 1U, fails ? 1U : 0U,
+                                 fails ? 0U : 1U, fails ? 0U : 10'000U});
+    }
+    this->due[to] = this->control[to].AddUrgent(report, now);
+    this->due[1 - to] = this->control[1 - to].AddUrgent(
+        {.role = FollowerRole::kControl,
+         .outcomes = this->control[to].TakeFor(kSibling, now)},
+        now);
+  }
+
+  void JudgeWhereDue(TimePoint now) {
+    for (size_t i = 0; i < this->control.size(); ++i) {
+      if (this->due[i] != TimePoint() && now >= this->due[i]) {
+        this->due[i] = TimePoint();
+        this->control[i].Judge(OneService, now);
+      }
+    }
+  }
+
+  bool Knows(size_t index) const {
+    const auto& listed = this->control[index].detector().outliers();
+    const auto known = std::ranges::count_if(listed, [](const auto& outlier) {
+      for (size_t i = 0; i < kRefusing; ++i) {
+        if (outlier.target == Target(i)) {
+          return true;
+        }
+      }
+      return false;
+    });
+    return static_cast<double>(known) >= 0.9 * kRefusing;
+  }
+
+  std::array<OutcomeCollector, 2> control;
+  std::array<TimePoint, 2> due;
+  std::mt19937 random{1};
+};
+
+// Guards against targets that refuse for a second before a zone's hosts, each
+// of which has met few of the refusals, know of them.
+Test(outcome_collector, a_zone_knows_refusing_targets_within_half_a_second) {
+  const Duration took = RefusingZone().TimeToKnow();
+  cr_expect(took < milliseconds(500), "%lld ms",
+            static_cast<long long>(took / milliseconds(1)));
+}
+
+}  // namespace
+}  // namespace knapweedroad
--- a/knapweedroad/routing/outcome_recorder.h
+++ b/knapweedroad/registry/outcome_recorder.h
@@ -5,8 +5,8 @@
 //   recorder.Count({.target = id, .answered = 1});
 //   std::vector<TargetOutcomes> report = recorder.Take(control_host, now);
 
-#ifndef KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
-#define KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
+#ifndef KNAPWEEDROAD_REGISTRY_OUTCOME_RECORDER_H_
+#define KNAPWEEDROAD_REGISTRY_OUTCOME_RECORDER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -53,4 +53,4 @@
 
 }  // namespace knapweedroad
 
-#endif  // KNAPWEEDROAD_ROUTING_OUTCOME_RECORDER_H_
+#endif  // KNAPWEEDROAD_REGISTRY_OUTCOME_RECORDER_H_
--- a/knapweedroad/routing/outcome_recorder_test.cc
+++ b/knapweedroad/registry/outcome_recorder_test.cc
@@ -1,4 +1,4 @@
-#include "knapweedroad/routing/outcome_recorder.h"
+#include "knapweedroad/registry/outcome_recorder.h"
 
 #include <criterion/criterion.h>
 
