Tests of the agreement's service don't depend on how fast the disk syncs

Cause: beside the build of another clone AHostIsReplacedByItselfAfterItsDiskWasLost failed once, then OfTwoHostsWithOneBaseOneWins and AReplicaStartsFromItsOwnMembersAndFormsNoOthers in one of twelve runs: changes gave up after 5 s.

Change: attempts of 2 s, 60 s for what must succeed, and a replica's failed sync is waited for. Every assertion stays.

--- a/knapweedroad/host/control_service_test.cc
+++ b/knapweedroad/host/control_service_test.cc
@@ -50,7 +50,7 @@
                              TimePoint) {
                   return this->Call(host, to.str(), message);
                 },
-            .attempt_timeout = 50ms});
+            .attempt_timeout = 2s});
   }
 
   void Stop(const std::string& host) {
@@ -100,8 +100,9 @@
   runtime.Run();
 }
 
+// For what must succeed, also where a sync of the disk takes half a second.
 TimePoint Soon() {
-  return Runtime::Now() + 5s;
+  return Runtime::Now() + 60s;
 }
 
 // For what must fail.
@@ -164,6 +165,11 @@
     hosts.bad_disks = {"b", "c"};
     const auto unknown = hosts.At("a").Change(Request("r-2", 1), VerySoon());
     cr_assert(unknown.result == ChangeResult::kUnknown);
+    const TimePoint give_up = Soon();
+    while (!(hosts.Replica("b").broken() && hosts.Replica("c").broken()) &&
+           Runtime::Now() < give_up) {
+      Runtime::SleepFor(1ms);
+    }
     hosts.bad_disks.clear();
     cr_assert(hosts.Replica("b").broken() && hosts.Replica("c").broken());
     cr_assert(!hosts.At("a").Read(VerySoon()).has_value());
