--- a/knapweedroad/control/acceptor.cc
+++ b/knapweedroad/control/acceptor.cc
@@ -29,7 +29,12 @@
   if (this->state.accepted != held) {
     reply.value = this->state.value;
   }
-  if (this->learned.has_value()) {
+  // Who holds the same value knows its members.
+  const bool is_known =
+      held == this->state.accepted && this->state.value.has_value() &&
+      this->learned.has_value() &&
+      this->learned->epoch <= this->state.value->members.epoch;
+  if (this->learned.has_value() && !is_known) {
     reply.known_members = this->learned->Everyone();
   }
   return reply;
--- a/knapweedroad/control/control_messages.h
+++ b/knapweedroad/control/control_messages.h
@@ -69,7 +69,8 @@
   Ballot accepted;
   // Absent if blank, held by the asker, or if the status isn't kDone.
   std::optional<ControlValue> value;
-  // Members that a blank replica's host has heard of.
+  // Members that the replica's host has heard of; absent where the asker holds
+  // them with the value.
   std::vector<MemberId> known_members;
 
   // For cereal.
