Stacks of fibers are mapped by themselves and used again: less memory, and an overflow ends the process

Stacks of 128 KB came from the heap: of each some pages are touched, and once freed, small blocks settle in it and the next stack touches other pages.

--- a/knapweedroad/net/runtime.cc
+++ b/knapweedroad/net/runtime.cc
@@ -14,11 +14,11 @@
 
 #include "knapweedroad/net/asio_scheduler.h"
 #include "knapweedroad/net/fiber_event.h"
+#include "knapweedroad/net/fiber_stacks.h"
 
 namespace knapweedroad {
 namespace {
 
-constexpr size_t kFiberStackBytes = 128 << 10;
 // How long a runtime that ends waits for its fibers.
 constexpr Duration kFibersGrace = std::chrono::seconds(5);
 constexpr Duration kFibersPoll = std::chrono::milliseconds(1);
@@ -61,7 +61,7 @@
   State* const running = this->state.get();
   ++running->fibers;
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                       boost::fibers::default_stack(kFiberStackBytes),
+                       FiberStacks(),
                        [running, task = std::move(task)] {
                          task();
                          --running->fibers;
