Lists of outliers and of entry hosts are told by their changes

Each change of the list of outliers, and each host that comes or goes, told the whole list to every follower.

Change: registry/told_list keeps a list's last changes by revision; a follower that has an earlier revision hears what differs now, one that has none or lags too far hears all. Followers make whole lists of it, so nothing else changes. A follower that isn't told of outliers yet no longer passes for one that has the list.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -49,6 +49,24 @@
 // A host that has just started hasn't heard of all others yet.
 constexpr Duration kStartSettles = std::chrono::seconds(3);
 
+// What is known of lists that a control host tells.
+struct HeardLists {
+  HeardList<EntryHostRecord, HostId> entry_hosts;
+  HeardList<TargetOutlier, TargetId> outliers;
+
+  // Makes whole lists of what has changed in them.
+  void Complete(WatchReply& reply) {
+    if (reply.has_hosts) {
+      this->entry_hosts.Take(std::move(reply.entry_hosts));
+      reply.entry_hosts = {.is_whole = true, .put = this->entry_hosts.items()};
+    }
+    if (reply.has_outliers) {
+      this->outliers.Take(std::move(reply.outliers));
+      reply.outliers = {.is_whole = true, .put = this->outliers.items()};
+    }
+  }
+};
+
 struct Known {
   TimePoint heard;
   TimePoint failed;
@@ -103,7 +121,10 @@
   std::vector<HostId> Wanted(TimePoint now) const;
   void Choose();
   void Follow(const HostId& host);
-  bool Ask(PeerClient& peer, const HostId& host, WatchCall& call);
+  bool Ask(PeerClient& peer,
+           const HostId& host,
+           WatchCall& call,
+           HeardLists& lists);
   void PullFromNearest(PeerClient& peer, const HostId& host);
   void Pull(PeerClient& peer, const HostId& host);
   Duration CallTimeout() const {
@@ -199,7 +220,8 @@
 
 bool ControlFollower::State::Ask(PeerClient& peer,
                                  const HostId& host,
-                                 WatchCall& call) {
+                                 WatchCall& call,
+                                 HeardLists& lists) {
   call.agreed_version = this->options.held_version();
   call.shares_outcomes =
       this->options.take_outcomes != nullptr && this->IsNear(host);
@@ -216,11 +238,12 @@
     this->Failed(host, bytes.error().detail);
     return false;
   }
-  const auto reply = DecodePacked<WatchReply>(*bytes);
+  auto reply = DecodePacked<WatchReply>(*bytes);
   if (!reply) {
     this->Failed(host, reply.error());
     return false;
   }
+  lists.Complete(*reply);
   Known& facts = this->known[host];
   facts.heard = Runtime::Now();
   facts.failed = TimePoint();
@@ -340,9 +363,10 @@
                  .role = this->options.role,
                  .zone = this->options.zone,
                  .peer_address = this->options.peer_address};
+  HeardLists lists;
   Duration pause = kFirstPause;
   while (!this->is_stopped && this->wanted.contains(host)) {
-    if (this->Ask(*peer, host, call)) {
+    if (this->Ask(*peer, host, call, lists)) {
       pause = kFirstPause;
       continue;
     }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -38,6 +38,7 @@
   std::function<uint64_t()> held_version;
   // What `to`, of the same zone, is still to hear of targets; absent: nothing.
   std::function<std::vector<TargetOutcomes>(const HostId& to)> take_outcomes;
+  // Lists in the reply are whole.
   std::function<void(const HostId& from, const WatchReply& reply)> on_reply;
   std::function<void(uint64_t version, const std::string& text)> on_agreed;
 };
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -116,7 +116,7 @@
 void ControlHost::State::OnNews(const HostId& from, const WatchReply& reply) {
   if (reply.zone != this->options.settings.zone) {
     if (reply.has_outliers) {
-      this->outcomes.detector().LearnOthers(from, reply.outliers,
+      this->outcomes.detector().LearnOthers(from, reply.outliers.put,
                                             Runtime::Now());
     } else {
       this->outcomes.detector().HearOthers(from, Runtime::Now());
@@ -127,7 +127,7 @@
     this->registry.Merge(record, Runtime::Now());
   }
   if (reply.has_hosts) {
-    this->hub->LearnEntryHosts(from, reply.own_entry_hosts);
+    this->hub->LearnEntryHosts(from, reply.entry_hosts.put);
   }
   if (this->registry.revision() != before) {
     this->hub->Wake();
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -231,10 +231,11 @@
   }
   LearnTargets(this->balancer, from, reply, now);
   if (reply.has_hosts) {
-    this->LearnEntryHosts(reply.entry_hosts);
+    this->LearnEntryHosts(reply.entry_hosts.put);
   }
   this->balancer.LearnOutliers(
-      from, reply.has_outliers ? std::optional(reply.outliers) : std::nullopt,
+      from,
+      reply.has_outliers ? std::optional(reply.outliers.put) : std::nullopt,
       now);
 }
 
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -60,7 +60,10 @@
       : runtime(runtime), options(std::move(options)), epoch(RandomEpoch()) {}
 
   bool HasNews(const WatchCall& call) const;
-  // Of the list of outliers that the follower is told.
+  // Whether the follower is told of outliers, and the revision of its list.
+  static bool HearsOutliers(const WatchCall& call) {
+    return call.shares_outcomes || call.role == FollowerRole::kControl;
+  }
   uint64_t OutliersRevision(FollowerRole role) const;
   // How long news for the follower is gathered before it is told.
   Duration GatherTime(const WatchCall& call) const;
@@ -78,7 +81,9 @@
   uint64_t hosts_revision = 1;
   std::map<HostId, EntryFollower> entry_followers;
   std::map<HostId, OtherEntryHosts> others;
-  std::vector<EntryHostRecord> told_entry_hosts;
+  // As of `hosts_revision`: all, and those that follow this control host.
+  ToldList<EntryHostRecord, HostId> told_entry_hosts;
+  ToldList<EntryHostRecord, HostId> told_own_entry_hosts;
   std::vector<ControlHostRecord> told_control_hosts;
   TimePoint hosts_told;
   std::unordered_set<std::shared_ptr<TimedEvent>> waiting;
@@ -95,11 +100,10 @@
 
 bool WatchHub::State::HasNews(const WatchCall& call) const {
   const bool is_entry = call.role == FollowerRole::kEntry;
-  const bool hears_outliers = call.shares_outcomes || !is_entry;
   return call.epoch != this->epoch ||
          call.revision < this->options.registry.revision() ||
          call.hosts_revision < this->hosts_revision ||
-         (hears_outliers &&
+         (HearsOutliers(call) &&
           call.outliers_revision != this->OutliersRevision(call.role)) ||
          (is_entry && call.shares_outcomes &&
           call.knows_cut_off != this->options.is_cut_off()) ||
@@ -157,7 +161,9 @@
     return;
   }
   std::vector<EntryHostRecord> entry = this->AllEntryHosts();
-  if (is_control_same && entry == this->told_entry_hosts) {
+  std::vector<EntryHostRecord> own = this->OwnEntryHosts();
+  if (is_control_same && entry == this->told_entry_hosts.items() &&
+      own == this->told_own_entry_hosts.items()) {
     return;
   }
   this->hosts_told = now;
@@ -165,9 +171,10 @@
       .Add("entry_hosts", entry.size())
       .Add("control_hosts", control.size())
       .Info();
-  this->told_entry_hosts = std::move(entry);
-  this->told_control_hosts = std::move(control);
   ++this->hosts_revision;
+  this->told_entry_hosts.Set(std::move(entry), this->hosts_revision);
+  this->told_own_entry_hosts.Set(std::move(own), this->hosts_revision);
+  this->told_control_hosts = std::move(control);
 }
 
 WatchReply WatchHub::State::MakeReply(const WatchCall& call) const {
@@ -179,25 +186,28 @@
                    .agreed_version = this->options.agreed_version()};
   reply.targets = this->options.registry.ChangedSince(
       is_same ? call.revision : 0, Runtime::Now());
+  const bool is_control = call.role == FollowerRole::kControl;
   reply.has_hosts = !is_same || call.hosts_revision < this->hosts_revision;
   if (reply.has_hosts) {
     reply.control_hosts = this->told_control_hosts;
-    if (call.role == FollowerRole::kControl) {
-      reply.own_entry_hosts = this->OwnEntryHosts();
-    } else {
-      reply.entry_hosts = this->told_entry_hosts;
-    }
+    reply.entry_hosts =
+        (is_control ? this->told_own_entry_hosts : this->told_entry_hosts)
+            .Since(is_same ? call.hosts_revision : 0);
   }
   reply.is_cut_off = this->options.is_cut_off();
   reply.hears_all = this->options.hears_all();
-  const OutlierDetector& detector = this->options.detector;
-  const bool is_control = call.role == FollowerRole::kControl;
-  reply.outliers_revision = this->OutliersRevision(call.role);
+  const uint64_t outliers_revision = this->OutliersRevision(call.role);
   reply.has_outliers =
-      (call.shares_outcomes || is_control) &&
-      (!is_same || call.outliers_revision != reply.outliers_revision);
+      HearsOutliers(call) &&
+      (!is_same || call.outliers_revision != outliers_revision);
+  // A follower that isn't told has none, whatever the list's revision is.
+  reply.outliers_revision =
+      HearsOutliers(call) ? outliers_revision : uint64_t{0};
   if (reply.has_outliers) {
-    reply.outliers = is_control ? detector.own_outliers() : detector.outliers();
+    const OutlierDetector& detector = this->options.detector;
+    const uint64_t held = is_same ? call.outliers_revision : 0;
+    reply.outliers =
+        is_control ? detector.OwnNewsSince(held) : detector.NewsSince(held);
   }
   return reply;
 }
--- a/knapweedroad/registry/entry_host_record.h
+++ b/knapweedroad/registry/entry_host_record.h
@@ -25,6 +25,10 @@
   }
 };
 
+inline const HostId& KeyOf(const EntryHostRecord& record) {
+  return record.host;
+}
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_REGISTRY_ENTRY_HOST_RECORD_H_
--- a/knapweedroad/registry/outlier_detector.cc
+++ b/knapweedroad/registry/outlier_detector.cc
@@ -166,7 +166,7 @@
   SortAndBound(next);
   if (next != this->own_listed) {
     this->own_listed = next;
-    ++this->own_changes;
+    this->own_told.Set(next, ++this->own_changes);
   }
   this->AddOthers(next, now);
   SortAndBound(next);
@@ -174,7 +174,7 @@
     return false;
   }
   this->listed = std::move(next);
-  ++this->changes;
+  this->told.Set(this->listed, ++this->changes);
   return true;
 }
 
--- a/knapweedroad/registry/outlier_detector.h
+++ b/knapweedroad/registry/outlier_detector.h
@@ -25,6 +25,7 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/target_outcomes.h"
+#include "knapweedroad/registry/told_list.h"
 
 namespace knapweedroad {
 
@@ -56,6 +57,13 @@
   const std::vector<TargetOutlier>& own_outliers() const {
     return this->own_listed;
   }
+  // What a host with that revision of a list is to hear of it.
+  ListNews<TargetOutlier, TargetId> NewsSince(uint64_t revision) const {
+    return this->told.Since(revision);
+  }
+  ListNews<TargetOutlier, TargetId> OwnNewsSince(uint64_t own_revision) const {
+    return this->own_told.Since(own_revision);
+  }
   uint64_t own_revision() const { return this->own_changes; }
   size_t size() const { return this->targets.size(); }
 
@@ -100,8 +108,10 @@
   std::map<HostId, OthersList> others;
   std::vector<TargetOutlier> own_listed;
   uint64_t own_changes = 0;
+  ToldList<TargetOutlier, TargetId> own_told;
   std::vector<TargetOutlier> listed;
   uint64_t changes = 0;
+  ToldList<TargetOutlier, TargetId> told;
 };
 
 // "TARGET(failed_eighths:3,slowdown:1) " for the first few, for the log.
--- a/knapweedroad/registry/target_outcomes.h
+++ b/knapweedroad/registry/target_outcomes.h
@@ -70,6 +70,10 @@
   }
 };
 
+inline const TargetId& KeyOf(const TargetOutlier& outlier) {
+  return outlier.target;
+}
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_REGISTRY_TARGET_OUTCOMES_H_
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -14,6 +14,7 @@
 #include "knapweedroad/registry/entry_host_record.h"
 #include "knapweedroad/registry/target_outcomes.h"
 #include "knapweedroad/registry/target_record.h"
+#include "knapweedroad/registry/told_list.h"
 
 namespace knapweedroad {
 
@@ -78,28 +79,27 @@
   // Absent where the follower has this list.
   bool has_hosts = false;
   std::vector<ControlHostRecord> control_hosts;
-  // For control hosts: entry hosts that follow this control host itself.
-  std::vector<EntryHostRecord> own_entry_hosts;
-  // For entry hosts: all that this control host has heard of.
-  std::vector<EntryHostRecord> entry_hosts;
+  // For control hosts the entry hosts that follow this control host itself, for
+  // entry hosts all that it has heard of.
+  ListNews<EntryHostRecord, HostId> entry_hosts;
   // Whether this control host has lost those of all other zones.
   bool is_cut_off = false;
   // Whether it hears all other control hosts, so that its news is whole.
   bool hears_all = false;
   // Absent where the follower has this list, or doesn't share outcomes. For
-  // entry hosts the whole list; for control hosts what this zone has seen.
+  // entry hosts all that is listed; for control hosts what this zone has seen.
   bool has_outliers = false;
   uint64_t outliers_revision = 0;
-  std::vector<TargetOutlier> outliers;
+  ListNews<TargetOutlier, TargetId> outliers;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->zone, this->epoch, this->revision, this->hosts_revision,
             this->agreed_version, this->targets, this->has_hosts,
-            this->control_hosts, this->own_entry_hosts, this->entry_hosts,
-            this->is_cut_off, this->hears_all, this->has_outliers,
-            this->outliers_revision, this->outliers);
+            this->control_hosts, this->entry_hosts, this->is_cut_off,
+            this->hears_all, this->has_outliers, this->outliers_revision,
+            this->outliers);
   }
 };
 
