A host that gathers is told a caller's request once; its later parts name it

Change: calls name their request; the first to a host tells it, the host keeps it until the caller's deadline, and further attempts of the request in that zone go to the same host. One that doesn't know the request (it has started anew) says so, and the host with the caller asks the targets itself.

Ruled out: packing each call (more processor time than it saved), hedges together in one call (their records can't be merged).

--- a/knapweedroad/edge/gather_links.cc
+++ b/knapweedroad/edge/gather_links.cc
@@ -53,6 +53,10 @@
       return;
     }
     this->relays.OnReplied(this->order.relay.host, this->due);
+    if (reply->is_unknown) {
+      this->EndAsLost(/*may_have_run=*/false);
+      return;
+    }
     this->is_running = reply->running > 0;
     this->Tell(*std::move(reply));
     while (this->is_running && !this->is_over &&
@@ -62,7 +66,7 @@
                      EncodeCompact(GatherMoreCall{this->order.call.token}),
                      Runtime::Now() + kMoreTimeout);
       if (!more) {
-        this->LoseRest();
+        this->EndAsLost(/*may_have_run=*/true);
         return;
       }
       this->is_running = more->running > 0;
@@ -109,25 +113,22 @@
     }
   }
 
-  void LoseRest() {
+  void EndAsLost(bool may_have_run) {
     this->is_running = false;
     if (!this->is_over) {
-      this->order.on_lost(/*may_have_run=*/true);
+      this->order.on_lost(may_have_run);
     }
   }
 
   void Lose(bool may_have_run) {
     this->relays.OnFailed(this->order.relay.host, this->due, Runtime::Now());
     LogLine("gather_lost")
-        .Add("id", this->order.call.id)
+        .Add("request", this->order.request_id)
         .Add("host", this->order.relay.host)
         .Add("targets", this->order.call.targets.size())
         .Add("may_have_run", may_have_run)
         .Info();
-    this->is_running = false;
-    if (!this->is_over) {
-      this->order.on_lost(may_have_run);
-    }
+    this->EndAsLost(may_have_run);
   }
 
   Runtime& runtime;
--- a/knapweedroad/edge/gather_links.h
+++ b/knapweedroad/edge/gather_links.h
@@ -29,6 +29,8 @@
 struct GatherOrder {
   EntryHostRecord relay;
   GatherCall call;
+  // For the log.
+  std::string request_id;
   TimePoint deadline;
   // Called with each reply, from another turn of the loop.
   std::function<void(GatherReply reply)> on_reply;
--- a/knapweedroad/edge/gather_messages.h
+++ b/knapweedroad/edge/gather_messages.h
@@ -6,6 +6,7 @@
 #define KNAPWEEDROAD_EDGE_GATHER_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,35 +14,47 @@
 
 namespace knapweedroad {
 
-// One attempt on each of the targets, and nothing beyond that: whoever gathers
-// for another sends no hedge and no retry.
-struct GatherCall {
-  // Names the call for GatherMoreCall and GatherEndCall.
-  uint64_t token = 0;
-  // The caller's request, see CallerRequest.
+// The caller's request, see CallerRequest.
+struct GatheredRequest {
   std::string method;
   std::string path;
   std::string host;
   std::string id;
   std::string header;
   std::string body;
+  // Of the caller's answer, and how many parts that has in all: by these some
+  // records are held back.
+  uint32_t top_records = 0;
+  uint32_t shards = 0;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->method, this->path, this->host, this->id, this->header,
+            this->body, this->top_records, this->shards);
+  }
+};
+
+// One attempt on each of the targets, and nothing beyond that: whoever gathers
+// for another sends no hedge and no retry.
+struct GatherCall {
+  // Names the call for GatherMoreCall and GatherEndCall.
+  uint64_t token = 0;
+  // Names the request, which is told with the first of its calls only.
+  uint64_t request_token = 0;
+  std::optional<GatheredRequest> request;
   int64_t time_left_us = 0;
   // What has come by then is told, the rest with GatherMoreCall.
   int64_t reply_within_us = 0;
-  // Of the caller's answer, and how many parts that has in all: by these, and a
-  // factor on what is enough by chance, some records are held back.
-  uint32_t top_records = 0;
-  uint32_t shards = 0;
-  double record_factor = 1;
+  // On the number of records that are enough by chance, in percent.
+  uint32_t record_percent = 100;
   std::vector<TargetId> targets;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->token, this->method, this->path, this->host, this->id,
-            this->header, this->body, this->time_left_us, this->reply_within_us,
-            this->top_records, this->shards, this->record_factor,
-            this->targets);
+    archive(this->token, this->request_token, this->request, this->time_left_us,
+            this->reply_within_us, this->record_percent, this->targets);
   }
 };
 
@@ -76,6 +89,8 @@
 struct GatherReply {
   // Nothing was sent: the host is leaving, or gathers too much already.
   bool is_refused = false;
+  // Nothing was sent: the call names a request that the host doesn't have.
+  bool is_unknown = false;
   // Attempts that haven't ended.
   uint16_t running = 0;
   // Those that have ended since the last reply.
@@ -89,8 +104,8 @@
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->is_refused, this->running, this->parts, this->records,
-            this->held, this->batch);
+    archive(this->is_refused, this->is_unknown, this->running, this->parts,
+            this->records, this->held, this->batch);
   }
 };
 
--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -32,6 +32,8 @@
 // An answer is made within its deadline, most of them much sooner.
 constexpr Duration kHeldFor = std::chrono::seconds(2);
 
+constexpr double kPercent = 100;
+
 GatheredPart PartOf(size_t index, const TargetReply& reply) {
   GatheredPart part{
       .target = static_cast<uint16_t>(index),
@@ -57,13 +59,18 @@
   std::shared_ptr<TargetExchange> exchange;
 };
 
+struct GatherRelay::KnownRequest {
+  CallerRequest request;
+  size_t top_records = 0;
+  size_t shards = 1;
+  TimePoint until;
+};
+
 struct GatherRelay::Run {
   explicit Run(Runtime& runtime) : changed(runtime) {}
 
-  CallerRequest request;
+  std::shared_ptr<const KnownRequest> of;
   TimePoint deadline;
-  size_t top_records = 0;
-  size_t shards = 1;
   RecordCut cut;
   uint16_t batches = 0;
   std::vector<Attempt> attempts;
@@ -107,10 +114,10 @@
            .bytes =
                [this, run, target] {
                  return MakeTargetMessage(this->options.header_names,
-                                          run->request, target,
+                                          run->of->request, target,
                                           run->deadline - Runtime::Now());
                },
-           .request_id = run->request.id,
+           .request_id = run->of->request.id,
            .wants_header = false,
            .keep_connection = !balancer.GivesBackConnections(now),
            .deadline = run->deadline},
@@ -144,10 +151,11 @@
                     .parts = std::exchange(run.ended, {})};
   const std::vector<std::string> bodies = std::exchange(run.bodies, {});
   const std::vector<std::string_view> views(bodies.begin(), bodies.end());
-  reply.records = MergeRecords(views, run.top_records);
-  const size_t wanted = kRecordBytes * run.cut.Wanted({.parts = views.size(),
-                                                       .shards = run.shards,
-                                                       .top = run.top_records});
+  reply.records = MergeRecords(views, run.of->top_records);
+  const size_t wanted =
+      kRecordBytes * run.cut.Wanted({.parts = views.size(),
+                                     .shards = run.of->shards,
+                                     .top = run.of->top_records});
   if (reply.records.size() <= wanted) {
     return reply;
   }
@@ -173,24 +181,43 @@
   }
 }
 
+std::shared_ptr<const GatherRelay::KnownRequest> GatherRelay::FindRequest(
+    const GatherCall& call) {
+  if (!call.request) {
+    const auto found = this->requests.find(call.request_token);
+    return found == this->requests.end() ? nullptr : found->second;
+  }
+  const GatheredRequest& told = *call.request;
+  const TimePoint now = Runtime::Now();
+  auto known = std::make_shared<const KnownRequest>(
+      KnownRequest{.request = {.method = told.method,
+                               .path = told.path,
+                               .host = told.host,
+                               .id = told.id,
+                               .header = told.header,
+                               .body = told.body,
+                               .received = now},
+                   .top_records = told.top_records,
+                   .shards = told.shards,
+                   .until = now + microseconds(call.time_left_us)});
+  this->requests.insert_or_assign(call.request_token, known);
+  return known;
+}
+
 GatherReply GatherRelay::Gather(const GatherCall& call) {
   if (this->is_draining || this->runs.size() >= this->options.most_running ||
       this->runs.contains(call.token)) {
     return {.is_refused = true};
   }
+  const auto known = this->FindRequest(call);
+  if (known == nullptr) {
+    return {.is_unknown = true};
+  }
   const TimePoint now = Runtime::Now();
   const auto run = std::make_shared<Run>(this->options.runtime);
-  run->request = {.method = call.method,
-                  .path = call.path,
-                  .host = call.host,
-                  .id = call.id,
-                  .header = call.header,
-                  .body = call.body,
-                  .received = now};
+  run->of = known;
   run->deadline = now + microseconds(call.time_left_us);
-  run->top_records = call.top_records;
-  run->shards = call.shards;
-  run->cut = RecordCut(call.record_factor);
+  run->cut = RecordCut(call.record_percent / kPercent);
   run->attempts.resize(call.targets.size());
   this->runs.emplace(call.token, run);
   for (size_t i = 0; i < call.targets.size(); ++i) {
@@ -226,6 +253,8 @@
   std::erase_if(this->runs, [now](const auto& entry) {
     return now > entry.second->deadline + kForgetAfter;
   });
+  std::erase_if(this->requests,
+                [now](const auto& entry) { return now > entry.second->until; });
   std::erase_if(this->held,
                 [now](const auto& entry) { return now > entry.second.until; });
 }
--- a/knapweedroad/edge/gather_relay.h
+++ b/knapweedroad/edge/gather_relay.h
@@ -58,9 +58,8 @@
   // The records that were held back from that reply; nothing: they are gone.
   std::optional<std::string> Held(uint64_t token, uint16_t batch) const;
 
-  // Forgets records that are held, and runs that nobody has asked for since
-  // their deadline. Called every
-  // few hundred milliseconds.
+  // Forgets records that are held, requests past their deadline, and runs that
+  // nobody has asked for since theirs. Called every few hundred milliseconds.
   void Sweep(TimePoint now);
 
   // From now on calls are refused; those that run go on.
@@ -69,8 +68,12 @@
 
  private:
   struct Attempt;
+  struct KnownRequest;
   struct Run;
 
+  // The request that the call names; null: it isn't known.
+  std::shared_ptr<const KnownRequest> FindRequest(const GatherCall& call);
+
   void Send(const std::shared_ptr<Run>& run,
             const GatherCall& call,
             size_t index);
@@ -81,6 +84,8 @@
   void ForgetIfOver(uint64_t token, const Run& run);
 
   GatherRelayOptions options;
+  // By GatherCall::request_token, until their callers are gone.
+  std::unordered_map<uint64_t, std::shared_ptr<const KnownRequest>> requests;
   std::unordered_map<uint64_t, std::shared_ptr<Run>> runs;
   // Records that were held back, by token and batch.
   struct HeldBatch {
--- a/knapweedroad/edge/gather_relay_test.cc
+++ b/knapweedroad/edge/gather_relay_test.cc
@@ -81,14 +81,15 @@
   static GatherCall Call(const std::vector<std::string>& targets,
                          Duration reply_within) {
     GatherCall call{.token = 7,
-                    .method = "GET",
-                    .path = "/q/",
-                    .host = "h",
-                    .id = "id",
+                    .request_token = 1,
+                    .request = GatheredRequest{.method = "GET",
+                                               .path = "/q/",
+                                               .host = "h",
+                                               .id = "id",
+                                               .top_records = 2,
+                                               .shards = 3},
                     .time_left_us = 60'000'000,
-                    .reply_within_us = reply_within / 1us,
-                    .top_records = 2,
-                    .shards = 3};
+                    .reply_within_us = reply_within / 1us};
     for (const std::string& target : targets) {
       call.targets.emplace_back(target);
     }
@@ -132,6 +133,26 @@
   cr_expect(world.relay.running() == 0);
 }
 
+// Guards against a request whose every hedge carries its heads once more.
+Test(gather_relay,
+     a_later_call_names_the_request_of_an_earlier_one,
+     .timeout = 60) {
+  World world;
+  world.relay.Gather(World::Call({"t0"}, World::kLong));
+  GatherCall later = World::Call({"t1"}, World::kLong);
+  later.request.reset();
+  const GatherReply reply = world.relay.Gather(later);
+  cr_expect(reply.parts.size() == 1 && reply.records == std::string(16, 'b'));
+}
+
+Test(gather_relay, a_request_that_was_never_told_is_unknown, .timeout = 60) {
+  World world;
+  GatherCall call = World::Call({"t0"}, World::kLong);
+  call.request.reset();
+  cr_expect(world.relay.Gather(call).is_unknown);
+  cr_expect(world.targets[0]->requests == 0);
+}
+
 // Guards against a shard that is asked again only when its hedge is due
 // although its target has refused long before.
 Test(gather_relay, a_failure_is_told_at_once, .timeout = 60) {
@@ -166,8 +187,8 @@
     target->record = records;
   }
   GatherCall call = World::Call({"t0", "t1", "t2"}, World::kLong);
-  call.top_records = 50;
-  call.shards = 60;
+  call.request->top_records = 50;
+  call.request->shards = 60;
   const GatherReply reply = world.relay.Gather(call);
   const size_t sent = reply.records.size() / 16;
   cr_expect(sent < 20, "%zu", sent);
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -1,5 +1,6 @@
 #include "knapweedroad/edge/request_attempts.h"
 
+#include <cmath>
 #include <utility>
 
 #include "knapweedroad/edge/caller_message.h"
@@ -106,23 +107,33 @@
       std::move(on_reply));
 }
 
-GatherCall RequestAttempts::MakeGatherCall(std::span<const AttemptStart> starts,
-                                           Duration reply_within) const {
-  const CallerRequest& request = *this->options.request;
+GatherCall RequestAttempts::MakeGatherCall(const HostId& relay,
+                                           std::span<const AttemptStart> starts,
+                                           Duration reply_within) {
+  constexpr double kPercent = 100;
+  if (this->request_token == 0) {
+    this->request_token = this->options.parts.NextToken();
+  }
+  const double factor = this->options.memory.record_cut.factor();
   GatherCall call{
       .token = this->options.parts.NextToken(),
-      .method = request.method,
-      .path = request.path,
-      .host = request.host,
-      .id = request.id,
-      .header = request.header,
-      .body = request.body,
+      .request_token = this->request_token,
       .time_left_us =
           (this->options.deadline - Runtime::Now()) / microseconds(1),
       .reply_within_us = reply_within / microseconds(1),
-      .top_records = static_cast<uint32_t>(this->options.route.top_records),
-      .shards = static_cast<uint32_t>(this->options.route.services.size()),
-      .record_factor = this->options.memory.record_cut.factor()};
+      .record_percent = static_cast<uint32_t>(std::ceil(factor * kPercent))};
+  if (this->told.insert(relay).second) {
+    const CallerRequest& request = *this->options.request;
+    const RouteConfig& route = this->options.route;
+    call.request = {.method = request.method,
+                    .path = request.path,
+                    .host = request.host,
+                    .id = request.id,
+                    .header = request.header,
+                    .body = request.body,
+                    .top_records = static_cast<uint32_t>(route.top_records),
+                    .shards = static_cast<uint32_t>(route.services.size())};
+  }
   for (const AttemptStart& start : starts) {
     call.targets.push_back(start.target);
   }
@@ -140,11 +151,12 @@
   const auto self = this->shared_from_this();
   const auto made =
       std::make_shared<std::vector<AttemptStart>>(starts.begin(), starts.end());
-  GatherCall call = this->MakeGatherCall(starts, reply_within);
+  GatherCall call = this->MakeGatherCall(relay.host, starts, reply_within);
   const HeldRecords held{.relay = relay, .token = call.token};
   this->gathers.push_back(this->options.parts.gather_links.Start(
       {.relay = relay,
        .call = std::move(call),
+       .request_id = this->options.request->id,
        .deadline = this->options.deadline,
        .on_reply =
            [self, made, held, on_gathered](GatherReply reply) {
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -114,8 +115,9 @@
   // Counts an attempt that is about to be sent.
   void Register(const AttemptStart& start);
   void Dispatch(const AttemptStart& start, OnReply on_reply);
-  GatherCall MakeGatherCall(std::span<const AttemptStart> starts,
-                            Duration reply_within) const;
+  GatherCall MakeGatherCall(const HostId& relay,
+                            std::span<const AttemptStart> starts,
+                            Duration reply_within);
   std::string Bytes(const TargetId& target) const;
   void Sample(const Attempt& attempt,
               const TargetOutcome& outcome,
@@ -132,6 +134,9 @@
   RequestAttemptsOptions options;
   std::vector<Attempt> attempts;
   std::vector<std::shared_ptr<GatherExchange>> gathers;
+  // Hosts that have been told the request, and its name there.
+  std::set<HostId> told;
+  uint64_t request_token = 0;
   AttemptLog attempt_log;
 };
 
--- a/knapweedroad/edge/request_gathers.cc
+++ b/knapweedroad/edge/request_gathers.cc
@@ -72,10 +72,13 @@
     if (there.empty() || !this->IsCheaper(may_merge ? there.size() : 1)) {
       continue;
     }
-    const auto relay = this->parts.relays.Choose(zone, now);
+    const auto relay = this->parts.relays.Choose(zone, this->used, now);
     if (!relay) {
       continue;
     }
+    if (std::ranges::find(this->used, relay->host) == this->used.end()) {
+      this->used.push_back(relay->host);
+    }
     std::erase_if(starts, [&](const AttemptStart& start) {
       return std::ranges::find(there, start.attempt, &AttemptStart::attempt) !=
              there.end();
--- a/knapweedroad/edge/request_gathers.h
+++ b/knapweedroad/edge/request_gathers.h
@@ -86,6 +86,8 @@
   size_t request_bytes = 0;
   std::vector<ZoneId> zones;
   std::vector<HeldRecords> held;
+  // Hosts that gather for the request already.
+  std::vector<HostId> used;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/relay_choice.cc
+++ b/knapweedroad/routing/relay_choice.cc
@@ -62,12 +62,19 @@
   return zones;
 }
 
-std::optional<EntryHostRecord> RelayChoice::Choose(const ZoneId& zone,
-                                                   TimePoint now) {
+std::optional<EntryHostRecord> RelayChoice::Choose(
+    const ZoneId& zone,
+    std::span<const HostId> known,
+    TimePoint now) {
   const Relay* best = nullptr;
   for (const auto& [host, relay] : this->relays) {
-    if (relay.record.zone == zone && MayCall(relay, now) &&
-        (best == nullptr || relay.due.size() < best->due.size())) {
+    if (relay.record.zone != zone || !MayCall(relay, now)) {
+      continue;
+    }
+    if (std::ranges::find(known, host) != known.end()) {
+      return relay.record;
+    }
+    if (best == nullptr || relay.due.size() < best->due.size()) {
       best = &relay;
     }
   }
--- a/knapweedroad/routing/relay_choice.h
+++ b/knapweedroad/routing/relay_choice.h
@@ -3,7 +3,7 @@
 //   RelayChoice relays({.self = name, .zone = zone});
 //   relays.SetHosts(entry_hosts);
 //   std::vector<ZoneId> zones = relays.Zones(now);
-//   if (const auto relay = relays.Choose(zones.front(), now)) ...
+//   if (const auto relay = relays.Choose(zones.front(), known, now)) ...
 //   relays.OnCalled(relay->host, due, now);
 //   relays.OnReplied(relay->host, due);
 
@@ -46,9 +46,11 @@
   // so each zone's targets get their share.
   std::vector<ZoneId> Zones(TimePoint now);
 
-  // Of that zone's hosts the one with the fewest calls out; nothing if none
-  // may be called.
-  std::optional<EntryHostRecord> Choose(const ZoneId& zone, TimePoint now);
+  // Of that zone's hosts one of those `known` already to the request, else the
+  // one with the fewest calls out; nothing if none may be called.
+  std::optional<EntryHostRecord> Choose(const ZoneId& zone,
+                                        std::span<const HostId> known,
+                                        TimePoint now);
 
   // Each call is OnCalled() once, then one of the others once. One that has no
   // reply when it is `due` keeps its host from being chosen.
--- a/knapweedroad/routing/relay_choice_test.cc
+++ b/knapweedroad/routing/relay_choice_test.cc
@@ -39,14 +39,14 @@
   RelayChoice relays = MakeChoice();
   std::set<HostId> used;
   for (int i = 0; i < 50; ++i) {
-    const auto relay = relays.Choose(kB, kStart);
+    const auto relay = relays.Choose(kB, {}, kStart);
     cr_assert(relay.has_value());
     cr_expect(relay->zone == kB);
     used.insert(relay->host);
     relays.OnCalled(relay->host, kStart + seconds(1));
   }
   cr_expect(used.size() == 2);
-  cr_expect(!relays.Choose(kA, kStart).has_value());
+  cr_expect(!relays.Choose(kA, {}, kStart).has_value());
 }
 
 // Guards against a few hosts that gather for all the others.
@@ -54,10 +54,10 @@
   std::set<HostId> used;
   for (int i = 0; i < 40; ++i) {
     RelayChoice relays = MakeChoice(("a" + std::to_string(i)).c_str());
-    const auto first = relays.Choose(kB, kStart);
+    const auto first = relays.Choose(kB, {}, kStart);
     relays.OnCalled(first->host, kStart + seconds(1));
     used.insert(first->host);
-    used.insert(relays.Choose(kB, kStart)->host);
+    used.insert(relays.Choose(kB, {}, kStart)->host);
   }
   cr_expect(used.size() == 8, "%zu", used.size());
 }
@@ -77,27 +77,28 @@
 // and no reply comes.
 Test(relay_choice, a_host_that_owes_a_reply_is_not_called) {
   RelayChoice relays = MakeChoice();
-  const HostId hanging = relays.Choose(kB, kStart)->host;
+  const HostId hanging = relays.Choose(kB, {}, kStart)->host;
   const TimePoint due = kStart + milliseconds(70);
   relays.OnCalled(hanging, due);
   for (int i = 0; i < 10; ++i) {
-    cr_expect(relays.Choose(kB, kStart + milliseconds(80))->host != hanging);
+    cr_expect(relays.Choose(kB, {}, kStart + milliseconds(80))->host !=
+              hanging);
   }
   relays.OnReplied(hanging, due);
-  cr_expect(relays.Choose(kB, kStart + milliseconds(90)).has_value());
+  cr_expect(relays.Choose(kB, {}, kStart + milliseconds(90)).has_value());
 }
 
 // Guards against calls into a zone that is cut off, or to a host that is gone.
 Test(relay_choice, a_host_that_failed_is_left_alone_for_a_while) {
   RelayChoice relays = MakeChoice();
   for (int i = 0; i < 2; ++i) {
-    const HostId host = relays.Choose(kB, kStart)->host;
+    const HostId host = relays.Choose(kB, {}, kStart)->host;
     relays.OnCalled(host, kStart + seconds(1));
     relays.OnFailed(host, kStart + seconds(1), kStart);
   }
-  cr_expect(!relays.Choose(kB, kStart + milliseconds(500)).has_value());
+  cr_expect(!relays.Choose(kB, {}, kStart + milliseconds(500)).has_value());
   cr_expect(relays.Zones(kStart + milliseconds(500)) == std::vector{kC});
-  cr_expect(relays.Choose(kB, kStart + milliseconds(1100)).has_value());
+  cr_expect(relays.Choose(kB, {}, kStart + milliseconds(1100)).has_value());
 }
 
 Test(relay_choice, a_host_that_left_the_list_is_not_called) {
