A hedge that the bound on extra attempts refused is tried again, as a retry once the answer is late

Tests: request_run/a_hedge_that_the_bound_refused_is_tried_again (failed before), an_answer_that_is_late_may_spend_what_retries_may.

--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -11,6 +11,8 @@
 // A second attempt for which no target promised to be in time is looked for
 // again after this.
 constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
+// The same where the bound on extra attempts didn't allow it.
+constexpr Duration kRefusedHedgeRetry = std::chrono::milliseconds(30);
 // How often a service whose targets are all busy here is asked again.
 constexpr Duration kBusyRetry = std::chrono::milliseconds(4);
 // One whose targets all turned a new connection away is asked again after about
@@ -390,9 +392,16 @@
     }
     const bool due = this->options.idempotent && shard.out > 0 &&
                      shard.sent < this->options.max_attempts &&
-                     !shard.hedge_refused && now >= shard.hedge_at;
-    if (due && !this->Begin(i, /*is_hedge=*/true, now, step)) {
-      shard.hedge_at = now + kHedgeRetry;
+                     now >= shard.hedge_at;
+    if (!due) {
+      continue;
+    }
+    shard.hedge_refused = false;
+    // An answer that is late and still waits can't do without the shard.
+    const bool is_hedge = now < this->options.target_at;
+    if (!this->Begin(i, is_hedge, now, step)) {
+      shard.hedge_at =
+          now + (shard.hedge_refused ? kRefusedHedgeRetry : kHedgeRetry);
     }
   }
 }
@@ -495,7 +504,7 @@
       const bool is_late = now >= this->options.target_at;
       const Duration pause = is_late ? kLateBusyRetry : kBusyRetry;
       wake = std::min(wake, std::max(now + pause, shard.wait_until));
-    } else if (this->options.idempotent && !shard.hedge_refused &&
+    } else if (this->options.idempotent &&
                shard.sent < this->options.max_attempts) {
       wake = std::min(wake, std::max(now, shard.hedge_at));
     }
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -460,6 +460,36 @@
   cr_expect(!late.end && late.start.empty());
 }
 
+// Guards against a request that waits until its deadline for one silent target
+// because the bound on extra attempts was used up when its hedge was due.
+Test(request_run, a_hedge_that_the_bound_refused_is_tried_again) {
+  World world(1);
+  world.budget = 0;
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  const RunStep refused = run.OnWake(kStart + milliseconds(20));
+  cr_expect(refused.start.empty());
+  cr_assert(refused.wake_at.has_value());
+  cr_expect(*refused.wake_at <= kStart + milliseconds(60));
+  world.budget = 1;
+  cr_expect(run.OnWake(*refused.wake_at).start.size() == 1);
+}
+
+Test(request_run, an_answer_that_is_late_may_spend_what_retries_may) {
+  World world(1);
+  std::vector<bool> asked;
+  world.hooks.spend_extra = [&](const ServiceId&, bool is_hedge) {
+    asked.push_back(is_hedge);
+    return false;
+  };
+  RequestRun run = world.Make();
+  run.Start(kStart);
+  run.OnWake(kStart + milliseconds(20));
+  run.OnWake(kStart + milliseconds(150));
+  const std::vector<bool> wanted = {true, false};
+  cr_expect(asked == wanted);
+}
+
 // Guards against hedges for each part that another host gathers, sent while
 // the parts are on their way.
 Test(request_run, an_attempt_on_a_longer_way_is_hedged_later) {
