--- a/knapweedroad/routing/load_balancer.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -38,10 +36,6 @@
 constexpr std::array kNearZoneCosts = {1.3, 1.6};
 constexpr double kFarZoneCost = 2.1;
 
-// An attempt that takes so many times as long as usual is told of at once.
-constexpr double kBadLatency = 3;
-constexpr double kNsInUs = 1e3;
-
 // One pick in so many passes over what others say of a target, so that somebody
 // finds out that it is well again.
 constexpr unsigned kIgnoreOutliersOneIn = 300;
@@ -76,17 +70,6 @@
       split == this->splits.end() ? std::nullopt : std::optional(split->second);
 }
 
-void LoadBalancer::SetVersionSplits(
-    std::unordered_map<ServiceId, VersionSplit> next) {
-  if (next == this->splits) {
-    return;
-  }
-  this->splits = std::move(next);
-  for (auto& [id, service] : this->services) {
-    this->TakeConfigured(id, service);
-  }
-}
-
 BalancedService& LoadBalancer::ServiceOf(const ServiceId& id) {
   const auto [place, is_new] = this->services.try_emplace(id);
   if (is_new) {
@@ -158,44 +141,6 @@
   ChooseVersion(*known->service, now);
 }
 
-// A version that nobody has ordered gets nothing while targets of the one in
-// use are there, however ill they are. All of a batch of news has one time:
-// among the first targets heard of, those that started first decide.
-void LoadBalancer::ChooseVersion(BalancedService& service, TimePoint now) {
-  const auto is_there = [](const BalancedTarget* target) {
-    return target->record.phase == TargetPhase::kServing ||
-           target->record.phase == TargetPhase::kSilent;
-  };
-  const bool is_kept =
-      service.version_chosen != now &&
-      std::ranges::any_of(service.targets, [&](const BalancedTarget* target) {
-        return is_there(target) && target->record.version == service.version;
-      });
-  if (is_kept) {
-    return;
-  }
-  const BalancedTarget* first = nullptr;
-  for (const BalancedTarget* const target : service.targets) {
-    const bool is_earlier =
-        first == nullptr ||
-        std::tie(target->record.started_ms, target->record.version) <
-            std::tie(first->record.started_ms, first->record.version);
-    if (is_there(target) && is_earlier) {
-      first = target;
-    }
-  }
-  if (first != nullptr) {
-    service.version = first->record.version;
-    service.version_chosen = now;
-  }
-}
-
-bool LoadBalancer::MayRunVersion(const BalancedTarget& target) {
-  const BalancedService& service = *target.service;
-  return service.split ? service.split->Allows(target.record.version)
-                       : target.record.version == service.version;
-}
-
 bool LoadBalancer::IsCold(const BalancedTarget& target, TimePoint now) const {
   return target.cold_until > now;
 }
@@ -277,20 +222,6 @@
          now >= target.next_trial;
 }
 
-void LoadBalancer::LearnOutliers(const HostId& control_host,
-                                 std::optional<std::vector<TargetOutlier>> told,
-                                 TimePoint now) {
-  if (this->outliers.Learn(control_host, std::move(told), now)) {
-    this->ApplyOutliers();
-  }
-}
-
-void LoadBalancer::ForgetOldOutliers(TimePoint now) {
-  if (this->outliers.ForgetOld(now)) {
-    this->ApplyOutliers();
-  }
-}
-
 void LoadBalancer::ForgetSilent(TimePoint now) {
   std::vector<TargetId> forgotten;
   for (const auto& [id, target] : this->targets) {
@@ -306,20 +237,6 @@
   }
 }
 
-void LoadBalancer::ApplyOutliers() {
-  for (auto& [id, target] : this->targets) {
-    target.shared_failures = 0;
-    target.shared_slowdown = 1;
-  }
-  for (const auto& [id, outlier] : this->outliers.Worst()) {
-    if (BalancedTarget* const target = this->Get(id)) {
-      target->shared_failures =
-          static_cast<double>(outlier.failed) / TargetOutlier::kFailedUnits;
-      target->shared_slowdown = static_cast<double>(outlier.slowdown);
-    }
-  }
-}
-
 bool LoadBalancer::IsOutside(const BalancedTarget& target) const {
   return target.record.zone != this->options.zone;
 }
@@ -339,22 +256,6 @@
   }
 }
 
-// Failure: two zones can't reach each other, and their hosts report each
-// other's targets; hosts of a third zone, which reach both, would avoid them as
-// well and crowd their own. So only what a target itself has done is shared:
-// answers, refusals, broken answers and late ones, never that it can't be
-// reached.
-void LoadBalancer::ShareOutcome(const BalancedTarget& target,
-                                TargetOutcomes seen) {
-  if (this->options.on_outcomes) {
-    seen.target = target.record.id;
-    const bool is_slow =
-        seen.timed > 0 && static_cast<double>(seen.latency_us) * kNsInUs >
-                              kBadLatency * target.service->latency;
-    this->options.on_outcomes(seen, seen.failed > 0 || is_slow);
-  }
-}
-
 double LoadBalancer::ZoneCost(const BalancedTarget& target,
                               std::span<const ZoneId> near_zones) const {
   if (!this->IsOutside(target)) {
@@ -387,31 +288,6 @@
                   static_cast<double>(std::minstd_rand::max()));
 }
 
-bool LoadBalancer::PrefersCandidate(const VersionSplit& split, bool is_first) {
-  if (!split.allows_stable) {
-    return true;
-  }
-  const double drawn = static_cast<double>(this->random()) /
-                       static_cast<double>(std::minstd_rand::max());
-  return is_first && drawn < split.candidate_share;
-}
-
-// By lot, not by cost: a cost that rises with bad answers would hide them.
-BalancedTarget* LoadBalancer::PickCandidate(const BalancedService& service,
-                                            TimePoint now) {
-  BalancedTarget* drawn = nullptr;
-  unsigned seen = 0;
-  for (BalancedTarget* const target : service.targets) {
-    const bool may = target->record.version == service.split->candidate &&
-                     !target->is_ejected && !this->IsCold(*target, now) &&
-                     this->MayTry(*target, now);
-    if (may && this->random() % ++seen == 0) {
-      drawn = target;
-    }
-  }
-  return drawn;
-}
-
 std::optional<TargetId> LoadBalancer::Pick(const ServiceId& service_id,
                                            std::span<const TargetId> tried,
                                            TimePoint now,
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -40,6 +40,10 @@
 // Targets notice within this that the hosts of their connections are gone.
 constexpr Duration kOldConnectionsHeld = std::chrono::seconds(12);
 
+// An attempt that takes so many times as long as usual is told of at once.
+constexpr double kBadLatency = 3;
+constexpr double kNsInUs = 1e3;
+
 }  // namespace
 
 void LoadBalancer::OnSent(const TargetId& id, TimePoint now) {
@@ -91,7 +95,6 @@
                        ? taken
                        : target.latency * (1 - weight) + taken * weight;
   target.latency_at = now;
-  constexpr double kNsInUs = 1e3;
   seen.timed = 1;
   seen.latency_us = static_cast<uint64_t>(taken / kNsInUs);
   this->ShareOutcome(target, std::move(seen));
@@ -327,4 +330,48 @@
   // One that was never ejected and can be reached stays in use.
 }
 
+void LoadBalancer::LearnOutliers(const HostId& control_host,
+                                 std::optional<std::vector<TargetOutlier>> told,
+                                 TimePoint now) {
+  if (this->outliers.Learn(control_host, std::move(told), now)) {
+    this->ApplyOutliers();
+  }
+}
+
+void LoadBalancer::ForgetOldOutliers(TimePoint now) {
+  if (this->outliers.ForgetOld(now)) {
+    this->ApplyOutliers();
+  }
+}
+
+void LoadBalancer::ApplyOutliers() {
+  for (auto& [id, target] : this->targets) {
+    target.shared_failures = 0;
+    target.shared_slowdown = 1;
+  }
+  for (const auto& [id, outlier] : this->outliers.Worst()) {
+    if (BalancedTarget* const target = this->Get(id)) {
+      target->shared_failures =
+          static_cast<double>(outlier.failed) / TargetOutlier::kFailedUnits;
+      target->shared_slowdown = static_cast<double>(outlier.slowdown);
+    }
+  }
+}
+
+// Failure: two zones can't reach each other, and their hosts report each
+// other's targets; hosts of a third zone, which reach both, would avoid them as
+// well and crowd their own. So only what a target itself has done is shared:
+// answers, refusals, broken answers and late ones, never that it can't be
+// reached.
+void LoadBalancer::ShareOutcome(const BalancedTarget& target,
+                                TargetOutcomes seen) {
+  if (this->options.on_outcomes) {
+    seen.target = target.record.id;
+    const bool is_slow =
+        seen.timed > 0 && static_cast<double>(seen.latency_us) * kNsInUs >
+                              kBadLatency * target.service->latency;
+    this->options.on_outcomes(seen, seen.failed > 0 || is_slow);
+  }
+}
+
 }  // namespace knapweedroad
