Control host: how its parts are joined stands apart from what it does

Change: control_host_state.h (what it is made of), control_host_wiring.cc (one function a part, in the order in which each needs those before it). Behaviour as before.

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -6,24 +6,10 @@
 #include <vector>
 
 #include "knapweedroad/base/log_line.h"
-#include "knapweedroad/edge/agreed_editor.h"
-#include "knapweedroad/edge/agreed_value.h"
-#include "knapweedroad/edge/control_follower.h"
-#include "knapweedroad/edge/control_links.h"
-#include "knapweedroad/edge/directory_cache.h"
-#include "knapweedroad/edge/peer_calls.h"
-#include "knapweedroad/edge/replica_membership.h"
+#include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/role_parts.h"
-#include "knapweedroad/edge/rollout_owner.h"
-#include "knapweedroad/edge/watch_hub.h"
-#include "knapweedroad/edge/zone_connectivity.h"
-#include "knapweedroad/host/control_replica.h"
-#include "knapweedroad/host/control_service.h"
-#include "knapweedroad/net/http_server.h"
-#include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/announce_plan.h"
-#include "knapweedroad/registry/outcome_collector.h"
 #include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/rollout/rollout_orders.h"
 
@@ -32,7 +18,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kTick = milliseconds(100);
 // Ticks between judgements of targets. Each change wakes all followers, so this
 // also bounds their calls.
 constexpr int kOutlierTicks = 3;
@@ -40,53 +25,9 @@
 constexpr int kMissedHeartbeats = 3;
 // Calls that are running at a stop get this long.
 constexpr Duration kStopWait = milliseconds(300);
-constexpr Duration kAgreeTimeout = milliseconds(2000);
-// Larger bodies than any configuration of thousands of routes.
-constexpr size_t kMaxBodyBytes = 8 << 20;
 
 }  // namespace
 
-struct ControlHost::State : std::enable_shared_from_this<ControlHost::State> {
-  State(Runtime& runtime, ControlHostOptions given);
-
-  void TakeAgreed(uint64_t version, const std::string& text);
-  void OnNews(const HostId& from, const WatchReply& reply);
-  void Tick();
-  // Takes outcomes that didn't wait for a watch call.
-  void TakeUrgent(const OutcomeReport& report);
-  // Makes the list of outliers anew.
-  void JudgeTargets();
-  std::string PrintMetrics() const;
-  std::shared_ptr<RolloutOwner> MakeRolloutOwner();
-  // Live ones, this one among them.
-  std::vector<ControlHostRecord> ControlHosts() const;
-
-  Runtime& runtime;
-  ControlHostOptions options;
-  HostId self;
-  std::vector<HostId> seeds;
-  ControlLinks links;
-  ZoneConnectivity connectivity;
-  TargetRegistry registry;
-  OutcomeCollector outcomes;
-  bool is_judging_soon = false;
-  std::shared_ptr<ControlReplica> replica;
-  std::unique_ptr<ControlService> service;
-  std::unique_ptr<AgreedEditor> editor;
-  std::unique_ptr<ReplicaMembership> membership;
-  std::unique_ptr<WatchHub> hub;
-  std::unique_ptr<DirectoryCache> directory;
-  std::unique_ptr<ControlFollower> follower;
-  std::shared_ptr<RolloutOwner> rollouts;
-  std::unique_ptr<PeerServer> peers;
-  std::unique_ptr<HttpServer> server;
-  std::unique_ptr<HttpServer> metrics_server;
-  AgreedValue agreed;
-  int ticks = 0;
-  uint64_t announcements = 0;
-  bool is_stopped = false;
-};
-
 ControlHost::State::State(Runtime& runtime, ControlHostOptions given)
     : runtime(runtime),
       options(std::move(given)),
@@ -215,39 +156,6 @@
   return std::move(out).str();
 }
 
-std::shared_ptr<RolloutOwner> ControlHost::State::MakeRolloutOwner() {
-  const RoleSettings& settings = this->options.settings;
-  return std::make_shared<RolloutOwner>(
-      this->runtime,
-      RolloutOwnerOptions{
-          .self = this->self,
-          .exposure = {.share = settings.exposure_share,
-                       .slack = settings.exposure_slack},
-          .registry = this->registry,
-          .entry_hosts =
-              [this] {
-                std::vector<HostId> hosts;
-                for (const EntryHostRecord& record : this->hub->EntryHosts()) {
-                  hosts.push_back(record.host);
-                }
-                return hosts;
-              },
-          .live_control_hosts =
-              [this] {
-                std::vector<HostId> live = this->follower->LiveHosts();
-                live.push_back(this->self);
-                return live;
-              },
-          .known_control_hosts =
-              [this] { return this->follower->KnownHosts().size() + 1; },
-          .agree =
-              [this](const std::string& name,
-                     std::function<void(std::vector<RolloutRecord>&)> edit) {
-                return this->editor->EditRollouts(
-                    name, std::move(edit), Runtime::Now() + kAgreeTimeout);
-              }});
-}
-
 ControlHost::ControlHost(Runtime& runtime, ControlHostOptions options)
     : state(std::make_shared<State>(runtime, std::move(options))) {}
 
@@ -269,162 +177,19 @@
 
 tl::expected<void, std::string> ControlHost::Start() {
   State& self = *this->state;
-  const RoleSettings& settings = self.options.settings;
-  if (!settings.control_address || !settings.data_folder) {
-    return tl::unexpected(
-        std::string("the settings give no control_address and data_folder: a "
-                    "control host needs both"));
-  }
-  auto replica = ControlReplica::Open(
-      self.runtime, {.host = self.self, .folder = *settings.data_folder});
-  if (!replica) {
-    return tl::unexpected(replica.error().path + ": " + replica.error().detail);
-  }
-  self.replica = std::move(*replica);
-  self.follower = std::make_unique<ControlFollower>(
-      self.runtime,
-      ControlFollowerOptions{
-          .self = self.self,
-          .zone = settings.zone,
-          .role = FollowerRole::kControl,
-          .most_links = 0,
-          .seeds = [&self] { return self.seeds; },
-          .held_version = [&self] { return self.agreed.version(); },
-          .take_outcomes =
-              [&self](const HostId& to) {
-                return self.outcomes.TakeFor(to, Runtime::Now());
-              },
-          .on_reply =
-              [&self](const HostId& from, const WatchReply& reply) {
-                self.OnNews(from, reply);
-              },
-          .on_agreed =
-              [&self](uint64_t version, const std::string& text) {
-                self.TakeAgreed(version, text);
-              }});
-  self.hub = std::make_unique<WatchHub>(
-      self.runtime,
-      WatchHubOptions{
-          .self = self.self,
-          .zone = settings.zone,
-          .registry = self.registry,
-          .detector = self.outcomes.detector(),
-          .agreed_version = [&self] { return self.agreed.version(); },
-          .control_hosts = [&self] { return self.ControlHosts(); },
-          .is_cut_off = [&self] { return self.connectivity.is_cut_off(); },
-          .hears_all = [&self] { return self.connectivity.hears_all(); },
-          .on_outcomes =
-              [&self](const OutcomeReport& report) {
-                self.outcomes.Add(report, Runtime::Now());
-              },
-          .on_control_follower =
-              [&self](const HostId& host) { self.follower->Hear(host); }});
-  self.directory =
-      std::make_unique<DirectoryCache>(self.runtime, *settings.data_folder);
-  const DirectorySnapshot known = self.directory->Load();
-  for (const TargetRecord& record : known.targets) {
-    self.registry.Merge(record, Runtime::Now());
+  if (auto opened = self.OpenReplica(); !opened) {
+    return opened;
   }
-  self.hub->RememberEntryHosts(known.entry_hosts);
-  LogLine("directory_read")
-      .Add("targets", known.targets.size())
-      .Add("entry_hosts", known.entry_hosts.size())
-      .Info();
-  self.service = std::make_unique<ControlService>(
-      self.runtime,
-      ControlServiceOptions{
-          .self = self.self,
-          .first_hosts =
-              settings.first_start ? self.seeds : std::vector<HostId>(),
-          .replica = self.replica,
-          .call =
-              [&self](const HostId& host, const std::string& message,
-                      TimePoint deadline) {
-                return self.links.Call(host, message, deadline);
-              },
-          .on_chosen =
-              [&self](const ControlValue& value) {
-                self.TakeAgreed(value.version, value.configuration);
-              }});
-  self.editor = std::make_unique<AgreedEditor>(AgreedEditorOptions{
-      .author = OperatorId("control-" + self.self.str()),
-      .service = *self.service,
-      .on_chosen = [&self](uint64_t version, const std::string& text) {
-        self.TakeAgreed(version, text);
-      }});
+  self.MakeFollower();
+  self.MakeHub();
+  self.ReadDirectory();
+  self.MakeAgreement();
   self.rollouts = self.MakeRolloutOwner();
-  self.membership =
-      std::make_unique<ReplicaMembership>(ReplicaMembershipOptions{
-          .self = self.replica->id(),
-          .first_start = settings.first_start,
-          .service = *self.service,
-          .hosts =
-              [&self] {
-                std::vector<HostId> hosts = self.follower->KnownHosts();
-                hosts.push_back(self.self);
-                return hosts;
-              },
-          .has_version = [&self] { return self.agreed.version() > 0; },
-          .on_chosen =
-              [&self](uint64_t version, const std::string& text) {
-                self.TakeAgreed(version, text);
-              }});
-  self.peers = std::make_unique<PeerServer>(
-      self.runtime,
-      PeerServerOptions{
-          .endpoint = settings.peer_address,
-          .handler = [&self](PeerMessageType type, const std::string& body) {
-            return AnswerPeerCall({.replica = *self.replica,
-                                   .hub = *self.hub,
-                                   .agreed = self.agreed,
-                                   .rollouts = *self.rollouts,
-                                   .on_outcomes =
-                                       [&self](const OutcomeReport& report) {
-                                         self.TakeUrgent(report);
-                                       }},
-                                  type, body);
-          }});
-  if (const auto port = self.peers->Start(); !port) {
-    return tl::unexpected(port.error().detail);
-  }
-  self.server = std::make_unique<HttpServer>(
-      self.runtime,
-      HttpServerOptions{.endpoint = *settings.control_address,
-                        .handler =
-                            [&self](const HttpRequest& request, HttpExchange&) {
-                              return self.options.on_request(request);
-                            },
-                        .max_body_bytes = kMaxBodyBytes});
-  if (const auto port = self.server->Start(); !port) {
-    return tl::unexpected(port.error().detail);
-  }
-  auto metrics_server = StartMetricsServer(
-      self.runtime, settings, [&self] { return self.PrintMetrics(); });
-  if (!metrics_server) {
-    return tl::unexpected(metrics_server.error());
+  self.MakeMembership();
+  if (auto served = self.Serve(); !served) {
+    return served;
   }
-  self.metrics_server = *std::move(metrics_server);
-  self.follower->Start();
-  self.runtime.Spawn([state = this->state] { state->membership->Run(); });
-  self.runtime.Spawn([state = this->state] {
-    state->directory->KeepSaved(
-        [&state] {
-          return std::pair(state->registry.revision(),
-                           state->hub->hosts_revision());
-        },
-        [&state] {
-          return DirectorySnapshot{
-              .targets = state->registry.ChangedSince(0, Runtime::Now()),
-              .entry_hosts = state->hub->EntryHosts()};
-        },
-        [&state] { return state->is_stopped; });
-  });
-  RepeatEvery(self.runtime, kTick, [state = this->state] {
-    if (!state->is_stopped) {
-      state->Tick();
-    }
-    return !state->is_stopped;
-  });
+  self.BeginWork();
   return {};
 }
 
--- /dev/null
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -0,0 +1,242 @@
+// How the parts of a control host are made and joined.
+
+#include <utility>
+#include <vector>
+
+#include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/control_host_state.h"
+#include "knapweedroad/edge/peer_calls.h"
+#include "knapweedroad/edge/role_parts.h"
+#include "knapweedroad/net/runtime.h"
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTick = milliseconds(100);
+constexpr Duration kAgreeTimeout = milliseconds(2000);
+// Larger bodies than any configuration of thousands of routes.
+constexpr size_t kMaxBodyBytes = 8 << 20;
+
+}  // namespace
+
+tl::expected<void, std::string> ControlHost::State::OpenReplica() {
+  if (!this->options.settings.control_address ||
+      !this->options.settings.data_folder) {
+    return tl::unexpected(
+        std::string("the settings give no control_address and data_folder: a "
+                    "control host needs both"));
+  }
+  auto replica = ControlReplica::Open(
+      this->runtime,
+      {.host = this->self, .folder = *this->options.settings.data_folder});
+  if (!replica) {
+    return tl::unexpected(replica.error().path + ": " + replica.error().detail);
+  }
+  this->replica = std::move(*replica);
+  return {};
+}
+
+void ControlHost::State::MakeFollower() {
+  this->follower = std::make_unique<ControlFollower>(
+      this->runtime,
+      ControlFollowerOptions{
+          .self = this->self,
+          .zone = this->options.settings.zone,
+          .role = FollowerRole::kControl,
+          .most_links = 0,
+          .seeds = [this] { return this->seeds; },
+          .held_version = [this] { return this->agreed.version(); },
+          .take_outcomes =
+              [this](const HostId& to) {
+                return this->outcomes.TakeFor(to, Runtime::Now());
+              },
+          .on_reply =
+              [this](const HostId& from, const WatchReply& reply) {
+                this->OnNews(from, reply);
+              },
+          .on_agreed =
+              [this](uint64_t version, const std::string& text) {
+                this->TakeAgreed(version, text);
+              }});
+}
+
+void ControlHost::State::MakeHub() {
+  this->hub = std::make_unique<WatchHub>(
+      this->runtime,
+      WatchHubOptions{
+          .self = this->self,
+          .zone = this->options.settings.zone,
+          .registry = this->registry,
+          .detector = this->outcomes.detector(),
+          .agreed_version = [this] { return this->agreed.version(); },
+          .control_hosts = [this] { return this->ControlHosts(); },
+          .is_cut_off = [this] { return this->connectivity.is_cut_off(); },
+          .hears_all = [this] { return this->connectivity.hears_all(); },
+          .on_outcomes =
+              [this](const OutcomeReport& report) {
+                this->outcomes.Add(report, Runtime::Now());
+              },
+          .on_control_follower =
+              [this](const HostId& host) { this->follower->Hear(host); }});
+}
+
+void ControlHost::State::ReadDirectory() {
+  this->directory = std::make_unique<DirectoryCache>(
+      this->runtime, *this->options.settings.data_folder);
+  const DirectorySnapshot known = this->directory->Load();
+  for (const TargetRecord& record : known.targets) {
+    this->registry.Merge(record, Runtime::Now());
+  }
+  this->hub->RememberEntryHosts(known.entry_hosts);
+  LogLine("directory_read")
+      .Add("targets", known.targets.size())
+      .Add("entry_hosts", known.entry_hosts.size())
+      .Info();
+}
+
+void ControlHost::State::MakeAgreement() {
+  this->service = std::make_unique<ControlService>(
+      this->runtime,
+      ControlServiceOptions{
+          .self = this->self,
+          .first_hosts = this->options.settings.first_start
+                             ? this->seeds
+                             : std::vector<HostId>(),
+          .replica = this->replica,
+          .call =
+              [this](const HostId& host, const std::string& message,
+                     TimePoint deadline) {
+                return this->links.Call(host, message, deadline);
+              },
+          .on_chosen =
+              [this](const ControlValue& value) {
+                this->TakeAgreed(value.version, value.configuration);
+              }});
+  this->editor = std::make_unique<AgreedEditor>(AgreedEditorOptions{
+      .author = OperatorId("control-" + this->self.str()),
+      .service = *this->service,
+      .on_chosen = [this](uint64_t version, const std::string& text) {
+        this->TakeAgreed(version, text);
+      }});
+}
+
+std::shared_ptr<RolloutOwner> ControlHost::State::MakeRolloutOwner() {
+  const RoleSettings& settings = this->options.settings;
+  return std::make_shared<RolloutOwner>(
+      this->runtime,
+      RolloutOwnerOptions{
+          .self = this->self,
+          .exposure = {.share = settings.exposure_share,
+                       .slack = settings.exposure_slack},
+          .registry = this->registry,
+          .entry_hosts =
+              [this] {
+                std::vector<HostId> hosts;
+                for (const EntryHostRecord& record : this->hub->EntryHosts()) {
+                  hosts.push_back(record.host);
+                }
+                return hosts;
+              },
+          .live_control_hosts =
+              [this] {
+                std::vector<HostId> live = this->follower->LiveHosts();
+                live.push_back(this->self);
+                return live;
+              },
+          .known_control_hosts =
+              [this] { return this->follower->KnownHosts().size() + 1; },
+          .agree =
+              [this](const std::string& name,
+                     std::function<void(std::vector<RolloutRecord>&)> edit) {
+                return this->editor->EditRollouts(
+                    name, std::move(edit), Runtime::Now() + kAgreeTimeout);
+              }});
+}
+
+void ControlHost::State::MakeMembership() {
+  this->membership =
+      std::make_unique<ReplicaMembership>(ReplicaMembershipOptions{
+          .self = this->replica->id(),
+          .first_start = this->options.settings.first_start,
+          .service = *this->service,
+          .hosts =
+              [this] {
+                std::vector<HostId> hosts = this->follower->KnownHosts();
+                hosts.push_back(this->self);
+                return hosts;
+              },
+          .has_version = [this] { return this->agreed.version() > 0; },
+          .on_chosen =
+              [this](uint64_t version, const std::string& text) {
+                this->TakeAgreed(version, text);
+              }});
+}
+
+tl::expected<void, std::string> ControlHost::State::Serve() {
+  this->peers = std::make_unique<PeerServer>(
+      this->runtime,
+      PeerServerOptions{
+          .endpoint = this->options.settings.peer_address,
+          .handler = [this](PeerMessageType type, const std::string& body) {
+            return AnswerPeerCall({.replica = *this->replica,
+                                   .hub = *this->hub,
+                                   .agreed = this->agreed,
+                                   .rollouts = *this->rollouts,
+                                   .on_outcomes =
+                                       [this](const OutcomeReport& report) {
+                                         this->TakeUrgent(report);
+                                       }},
+                                  type, body);
+          }});
+  if (const auto port = this->peers->Start(); !port) {
+    return tl::unexpected(port.error().detail);
+  }
+  this->server = std::make_unique<HttpServer>(
+      this->runtime,
+      HttpServerOptions{.endpoint = *this->options.settings.control_address,
+                        .handler =
+                            [this](const HttpRequest& request, HttpExchange&) {
+                              return this->options.on_request(request);
+                            },
+                        .max_body_bytes = kMaxBodyBytes});
+  if (const auto port = this->server->Start(); !port) {
+    return tl::unexpected(port.error().detail);
+  }
+  auto metrics_server =
+      StartMetricsServer(this->runtime, this->options.settings,
+                         [this] { return this->PrintMetrics(); });
+  if (!metrics_server) {
+    return tl::unexpected(metrics_server.error());
+  }
+  this->metrics_server = *std::move(metrics_server);
+  return {};
+}
+
+void ControlHost::State::BeginWork() {
+  this->follower->Start();
+  this->runtime.Spawn(
+      [state = this->shared_from_this()] { state->membership->Run(); });
+  this->runtime.Spawn([state = this->shared_from_this()] {
+    state->directory->KeepSaved(
+        [&state] {
+          return std::pair(state->registry.revision(),
+                           state->hub->hosts_revision());
+        },
+        [&state] {
+          return DirectorySnapshot{
+              .targets = state->registry.ChangedSince(0, Runtime::Now()),
+              .entry_hosts = state->hub->EntryHosts()};
+        },
+        [&state] { return state->is_stopped; });
+  });
+  RepeatEvery(this->runtime, kTick, [state = this->shared_from_this()] {
+    if (!state->is_stopped) {
+      state->Tick();
+    }
+    return !state->is_stopped;
+  });
+}
+
+}  // namespace knapweedroad
