--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -8,16 +8,16 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/edge/caller_refusal.h"
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/header_names.h"
-#include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/parts_answer.h"
 #include "knapweedroad/edge/request_attempts.h"
 #include "knapweedroad/edge/request_gathers.h"
+#include "knapweedroad/edge/request_log.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/edge/unserved_services.h"
@@ -41,25 +41,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-std::string Seconds(Duration duration) {
-  const auto ms = std::chrono::ceil<milliseconds>(duration).count();
-  std::string fraction = std::to_string(ms % 1000);
-  fraction.insert(0, 3 - fraction.size(), '0');
-  return std::to_string(ms / 1000) + "." + fraction;
-}
-
-int64_t Ms(Duration duration) {
-  return std::chrono::floor<milliseconds>(duration).count();
-}
-
-CallerAnswer Refusal(int status, std::optional<Duration> retry_after) {
-  CallerAnswer answer{.status = status};
-  if (retry_after) {
-    AppendLine(answer.header, "Retry-After", Seconds(*retry_after));
-  }
-  return answer;
-}
-
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
  public:
   EntryRequest(EntryParts& parts,
@@ -96,6 +77,7 @@
   void RefuseRun(int status, std::optional<Duration> retry_after);
   // Learns how long the host took to send the answer.
   void WatchFinish(TimePoint decided);
+  RequestLogContext LogContext() const;
   void Log(const RunEnd& end, int status);
   void Abandon();
 
@@ -130,16 +112,9 @@
   const std::string_view route_name =
       this->route == nullptr ? "none" : std::string_view(this->route->name);
   this->parts.metrics.CountRequest(route_name, cause, Duration::zero());
-  LogLine("request_refused")
-      .Add("id", this->request->id)
-      .Add("route", route_name)
-      .Add("status", status)
-      .Add("cause", cause)
-      .Add("host", this->request->host)
-      .Add("path", this->request->path)
-      .Add("version", this->table == nullptr ? 0 : this->table->version())
-      .Info();
-  this->exchange->Answer(Refusal(status, retry_after));
+  LogRequestRefused(*this->request, route_name, status, cause,
+                    this->table == nullptr ? 0 : this->table->version());
+  this->exchange->Answer(MakeRefusal(status, retry_after));
 }
 
 RequestRunOptions EntryRequest::RunOptions(const RouteConfig& to) {
@@ -362,34 +337,22 @@
   }
 }
 
+RequestLogContext EntryRequest::LogContext() const {
+  return {.request = *this->request,
+          .route = *this->route,
+          .version = this->table->version(),
+          .run = *this->run,
+          .allowed = this->deadline - this->request->received,
+          .attempt_log = this->attempts->log()};
+}
+
 void EntryRequest::Log(const RunEnd& end, int status) {
   const Duration took = Runtime::Now() - this->request->received;
   this->parts.metrics.CountRequest(this->route->name, ToString(end.kind), took);
-  const bool is_served =
-      end.kind == RunEndKind::kParts || end.kind == RunEndKind::kAnswer;
-  const bool is_plain = is_served && status < 300 && end.missing == 0 &&
-                        took <= this->route->latency_target;
-  if (is_plain) {
-    return;
-  }
-  LogLine("request_ended")
-      .Add("id", this->request->id)
-      .Add("route", this->route->name)
-      .Add("outcome", ToString(end.kind))
-      .Add("cause", end.cause)
-      .Add("status", status)
-      .Add("took_ms", Ms(took))
-      .Add("allowed_ms", Ms(this->deadline - this->request->received))
-      .Add("missing", end.missing)
-      .Add("attempts", this->run->attempts())
-      .Add("extra", this->run->extra_attempts())
-      .Add("version", this->table->version())
-      .Add("attempt_log", this->attempts->log())
-      .Add("unserved", is_served && end.missing == 0
-                           ? std::string()
-                           : DescribeUnserved(this->parts.balancer,
-                                              this->services, Runtime::Now()))
-      .Info();
+  LogRequestEnd(this->LogContext(), end, status, took, [this] {
+    return DescribeUnserved(this->parts.balancer, this->services,
+                            Runtime::Now());
+  });
 }
 
 int EntryRequest::AnswerCaller(RunEnd& end) {
@@ -419,7 +382,7 @@
 }
 
 void EntryRequest::RefuseRun(int status, std::optional<Duration> retry_after) {
-  CallerAnswer answer = Refusal(status, retry_after);
+  CallerAnswer answer = MakeRefusal(status, retry_after);
   answer.closes = this->parts.balancer.reachability().is_sending_away();
   this->exchange->Answer(std::move(answer));
 }
@@ -489,14 +452,7 @@
   const Duration took = Runtime::Now() - this->request->received;
   this->attempts->ReleaseAfterCallerLeft();
   this->parts.metrics.CountRequest(this->route->name, "caller_left", took);
-  LogLine("caller_left")
-      .Add("id", this->request->id)
-      .Add("route", this->route->name)
-      .Add("took_ms", Ms(took))
-      .Add("allowed_ms", Ms(this->deadline - this->request->received))
-      .Add("attempts", this->run->attempts())
-      .Add("attempt_log", this->attempts->log())
-      .Info();
+  LogCallerLeft(this->LogContext(), took);
 }
 
 }  // namespace
--- /dev/null
+++ b/knapweedroad/edge/request_log.cc
@@ -0,0 +1,75 @@
+#include "knapweedroad/edge/request_log.h"
+
+#include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/routing/request_run.h"
+#include "knapweedroad/routing/route_config.h"
+
+namespace knapweedroad {
+namespace {
+
+constexpr int kLeastNoSuccess = 300;
+
+int64_t Ms(Duration duration) {
+  return std::chrono::floor<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+void LogRequestRefused(const CallerRequest& request,
+                       std::string_view route,
+                       int status,
+                       std::string_view cause,
+                       uint64_t version) {
+  LogLine("request_refused")
+      .Add("id", request.id)
+      .Add("route", route)
+      .Add("status", status)
+      .Add("cause", cause)
+      .Add("host", request.host)
+      .Add("path", request.path)
+      .Add("version", version)
+      .Info();
+}
+
+void LogRequestEnd(const RequestLogContext& context,
+                   const RunEnd& end,
+                   int status,
+                   Duration took,
+                   const std::function<std::string()>& unserved) {
+  const bool is_served =
+      end.kind == RunEndKind::kParts || end.kind == RunEndKind::kAnswer;
+  const bool is_whole = is_served && end.missing == 0;
+  if (is_whole && status < kLeastNoSuccess &&
+      took <= context.route.latency_target) {
+    return;
+  }
+  LogLine("request_ended")
+      .Add("id", context.request.id)
+      .Add("route", context.route.name)
+      .Add("outcome", ToString(end.kind))
+      .Add("cause", end.cause)
+      .Add("status", status)
+      .Add("took_ms", Ms(took))
+      .Add("allowed_ms", Ms(context.allowed))
+      .Add("missing", end.missing)
+      .Add("attempts", context.run.attempts())
+      .Add("extra", context.run.extra_attempts())
+      .Add("version", context.version)
+      .Add("attempt_log", context.attempt_log)
+      .Add("unserved", is_whole ? std::string() : unserved())
+      .Info();
+}
+
+void LogCallerLeft(const RequestLogContext& context, Duration took) {
+  LogLine("caller_left")
+      .Add("id", context.request.id)
+      .Add("route", context.route.name)
+      .Add("took_ms", Ms(took))
+      .Add("allowed_ms", Ms(context.allowed))
+      .Add("attempts", context.run.attempts())
+      .Add("attempt_log", context.attempt_log)
+      .Info();
+}
+
+}  // namespace knapweedroad
