Logs and metrics say whom a host follows, whom a control host misses, and how old a majority's answer is

An entry host didn't log whom it follows; 'control_hosts_all_heard' gave a count without saying who is left out of it; nothing showed how long a control host has been without a majority.

Change: event control_hosts_followed (hosts, whether each answers and says that it hears all, the version held); lost and quorum_age_ms in control_hosts_missed and control_hosts_all_heard; gauges control_hosts, quorum_age_ms and control_hosts_followed. For that, what a follower knows of control hosts stands in registry/control_host_table, without I/O, tested in virtual time; each rule is the one that control_follower had. No decision changes.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -12,6 +12,8 @@
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
+#include "knapweedroad/registry/control_host_table.h"
+#include "knapweedroad/registry/control_hosts_view.h"
 #include "knapweedroad/registry/follow_plan.h"
 #include "knapweedroad/wire/codec.h"
 
@@ -37,17 +39,8 @@
 // Outcomes of one moment are reported together: a question has dozens.
 constexpr Duration kReportGather = milliseconds(10);
 constexpr Duration kReportTimeout = milliseconds(500);
-// A control host that failed is tried again after this long, and another one
-// is followed meanwhile.
-constexpr Duration kAvoidAfterFailure = milliseconds(1000);
-// A control host that hasn't answered for this long, and isn't named by
-// another, has been taken away.
-constexpr Duration kForgetAfter = std::chrono::seconds(90);
-constexpr Duration kLiveWithin = milliseconds(2500);
-// One that nobody has heard for this long is down or has been taken away.
-constexpr Duration kMissedWithin = std::chrono::seconds(10);
-// A host that has just started hasn't heard of all others yet.
-constexpr Duration kStartSettles = std::chrono::seconds(3);
+// A host that reports nothing for this long looks whether it is still wanted.
+constexpr Duration kReportWait = std::chrono::seconds(90);
 
 // What is known of lists that a control host tells.
 struct HeardLists {
@@ -67,19 +60,6 @@
   }
 };
 
-struct Known {
-  TimePoint heard;
-  TimePoint failed;
-  bool was_live = false;
-  bool hears_all = false;
-  // Empty: not heard yet.
-  ZoneId zone;
-
-  bool is_live(TimePoint now) const {
-    return this->was_live && now - this->heard < kLiveWithin;
-  }
-};
-
 // That there is something to report at once.
 struct ReportWish {
   explicit ReportWish(Runtime& runtime) : is_wanted(runtime) {}
@@ -115,11 +95,14 @@
 struct ControlFollower::State
     : std::enable_shared_from_this<ControlFollower::State> {
   State(Runtime& runtime, ControlFollowerOptions options)
-      : runtime(runtime), options(std::move(options)) {}
+      : runtime(runtime),
+        options(std::move(options)),
+        table({.self = this->options.self, .started = Runtime::Now()}) {}
 
   std::vector<HostId> Candidates() const;
   std::vector<HostId> Wanted(TimePoint now) const;
   void Choose();
+  void NoteWanted(std::set<HostId> next, TimePoint now);
   void Follow(const HostId& host);
   bool Ask(PeerClient& peer,
            const HostId& host,
@@ -135,17 +118,16 @@
   // Reports to the host between its calls, until it isn't followed any more.
   void Report(PeerClient& peer, const HostId& host, ReportWish& wish);
   bool IsNear(const HostId& host) {
-    return this->known[host].zone == this->options.zone;
+    return this->table.ZoneOf(host) == this->options.zone;
   }
 
   Runtime& runtime;
   ControlFollowerOptions options;
-  std::map<HostId, Known> known;
+  ControlHostTable table;
   std::set<HostId> followed;
   std::set<HostId> wanted;
   // For each host followed.
   std::map<HostId, std::shared_ptr<ReportWish>> report_wishes;
-  TimePoint started;
   bool is_pulling = false;
   // The newest version that a control host told of.
   uint64_t told_version = 0;
@@ -157,9 +139,8 @@
   for (const HostId& seed : this->options.seeds()) {
     hosts.insert(seed);
   }
-  for (const auto& [host, facts] : this->known) {
-    hosts.insert(host);
-  }
+  const std::vector<HostId> known = this->table.Hosts();
+  hosts.insert(known.begin(), known.end());
   hosts.erase(this->options.self);
   return {hosts.begin(), hosts.end()};
 }
@@ -171,31 +152,39 @@
   }
   std::vector<FollowCandidate> candidates;
   for (const HostId& host : hosts) {
-    FollowCandidate candidate{.host = host,
-                              .rank = RankOf(this->options.self, host)};
-    const auto found = this->known.find(host);
-    if (found != this->known.end()) {
-      const Known& facts = found->second;
-      candidate.zone = facts.zone;
-      candidate.is_live = facts.is_live(now);
-      candidate.failed_lately = now - facts.failed < kAvoidAfterFailure;
-      candidate.hears_all = facts.hears_all;
-    }
+    FollowCandidate candidate = this->table.Candidate(host, now);
+    candidate.rank = RankOf(this->options.self, host);
     candidates.push_back(std::move(candidate));
   }
   return PlanFollowing(candidates, {.zone = this->options.zone,
                                     .most = this->options.most_links});
 }
 
+void ControlFollower::State::NoteWanted(std::set<HostId> next, TimePoint now) {
+  if (next == this->wanted) {
+    return;
+  }
+  this->wanted = std::move(next);
+  std::string hosts;
+  for (const HostId& host : this->wanted) {
+    const FollowCandidate facts = this->table.Candidate(host, now);
+    hosts += hosts.empty() ? "" : " ";
+    hosts += host.str();
+    hosts += facts.is_live ? "(live" : "(silent";
+    hosts += facts.hears_all ? ",hears_all)" : ")";
+  }
+  LogLine("control_hosts_followed")
+      .Add("hosts", hosts)
+      .Add("held_version", this->options.held_version())
+      .Info();
+}
+
 void ControlFollower::State::Choose() {
   while (!this->is_stopped) {
     const TimePoint now = Runtime::Now();
-    std::erase_if(this->known, [now](const auto& entry) {
-      const TimePoint last = std::max(entry.second.heard, TimePoint());
-      return last != TimePoint() && now - last > kForgetAfter;
-    });
+    this->table.Forget(now);
     const std::vector<HostId> hosts = this->Wanted(now);
-    this->wanted = {hosts.begin(), hosts.end()};
+    this->NoteWanted({hosts.begin(), hosts.end()}, now);
     for (const HostId& host : this->wanted) {
       if (this->followed.insert(host).second) {
         this->runtime.Spawn(
@@ -208,9 +197,7 @@
 
 void ControlFollower::State::Failed(const HostId& host,
                                     const std::string& detail) {
-  Known& facts = this->known[host];
-  facts.failed = Runtime::Now();
-  if (std::exchange(facts.was_live, false)) {
+  if (this->table.OnFailure(host, Runtime::Now())) {
     LogLine("control_host_lost")
         .Add("host", host)
         .Add("detail", detail)
@@ -244,23 +231,15 @@
     return false;
   }
   lists.Complete(*reply);
-  Known& facts = this->known[host];
-  facts.heard = Runtime::Now();
-  facts.failed = TimePoint();
-  if (!std::exchange(facts.was_live, true)) {
+  const TimePoint now = Runtime::Now();
+  if (this->table.OnReply(host, reply->zone, reply->hears_all, now)) {
     LogLine("control_host_found")
         .Add("host", host)
         .Add("agreed_version", reply->agreed_version)
         .Info();
   }
-  facts.zone = reply->zone;
-  facts.hears_all = reply->hears_all;
   for (const ControlHostRecord& other : reply->control_hosts) {
-    if (other.host != this->options.self) {
-      Known& heard_of = this->known[other.host];
-      heard_of.heard = Runtime::Now();
-      heard_of.zone = other.zone;
-    }
+    this->table.OnNamed(other.host, other.zone, now);
   }
   call.epoch = reply->epoch;
   call.revision = reply->revision;
@@ -282,15 +261,12 @@
 void ControlFollower::State::PullFromNearest(PeerClient& peer,
                                              const HostId& host) {
   const bool is_near = this->IsNear(host);
-  const bool has_near =
-      std::ranges::any_of(this->known, [&](const auto& entry) {
-        return entry.second.was_live && entry.second.zone == this->options.zone;
-      });
+  const bool has_near = this->table.HasAnswering(this->options.zone);
   const bool can_wait = this->options.held_version() > 0;
   if (!is_near && has_near && can_wait) {
     Runtime::SleepFor(kNearPull);
   }
-  if (!this->is_stopped && this->known[host].was_live) {
+  if (!this->is_stopped && this->table.IsAnswering(host)) {
     this->Pull(peer, host);
   }
 }
@@ -325,7 +301,7 @@
                                     const HostId& host,
                                     ReportWish& wish) {
   while (!this->is_stopped && !wish.is_over) {
-    if (!wish.is_wanted.WaitUntil(Runtime::Now() + kForgetAfter)) {
+    if (!wish.is_wanted.WaitUntil(Runtime::Now() + kReportWait)) {
       continue;
     }
     Runtime::SleepFor(kReportGather);
@@ -389,7 +365,6 @@
 }
 
 void ControlFollower::Start() {
-  this->state->started = Runtime::Now();
   this->state->runtime.Spawn([state = this->state] { state->Choose(); });
 }
 
@@ -400,41 +375,39 @@
 }
 
 std::vector<HostId> ControlFollower::LiveHosts() const {
-  std::vector<HostId> live;
-  const TimePoint now = Runtime::Now();
-  for (const auto& [host, facts] : this->state->known) {
-    if (facts.is_live(now)) {
-      live.push_back(host);
-    }
+  std::vector<HostId> hosts;
+  for (const ControlHostRecord& record : this->LiveRecords()) {
+    hosts.push_back(record.host);
   }
-  return live;
+  return hosts;
 }
 
 std::vector<ControlHostRecord> ControlFollower::LiveRecords() const {
-  std::vector<ControlHostRecord> records;
-  for (const HostId& host : this->LiveHosts()) {
-    records.push_back({.host = host, .zone = this->state->known[host].zone});
-  }
-  return records;
+  return this->state->table.Live(Runtime::Now());
 }
 
 std::vector<HostId> ControlFollower::KnownHosts() const {
   return this->state->Candidates();
 }
 
-bool ControlFollower::HearsAll() const {
+size_t ControlFollower::followed() const {
+  return this->state->wanted.size();
+}
+
+ControlHostsView ControlFollower::View() const {
+  const ControlHostTable& table = this->state->table;
   const TimePoint now = Runtime::Now();
-  if (now - this->state->started < kStartSettles) {
-    return false;
-  }
-  return std::ranges::none_of(this->state->known, [now](const auto& entry) {
-    const Known& facts = entry.second;
-    return !facts.is_live(now) && now - facts.heard < kMissedWithin;
-  });
+  return {.hears_all = table.HearsAll(now),
+          .lost = table.DescribeLost(now),
+          .quorum_age = table.QuorumAge(now)};
 }
 
 void ControlFollower::Hear(const HostId& host) {
-  this->state->known[host].heard = Runtime::Now();
+  this->state->table.OnCall(host, Runtime::Now());
+}
+
+void ControlFollower::HearQuorum(TimePoint asked) {
+  this->state->table.OnQuorum(asked);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -15,12 +15,14 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
 #include "knapweedroad/config/host_settings.h"
 #include "knapweedroad/registry/watch_messages.h"
 
 namespace knapweedroad {
 
 class Runtime;
+struct ControlHostsView;
 
 struct ControlFollowerOptions {
   HostId self;
@@ -59,10 +61,14 @@
   std::vector<ControlHostRecord> LiveRecords() const;
   // All control hosts known, seeds included.
   std::vector<HostId> KnownHosts() const;
-  // Whether every control host that anybody has heard lately is live here.
-  bool HearsAll() const;
+  // How many control hosts are followed now.
+  size_t followed() const;
+  // What a control host makes of the others.
+  ControlHostsView View() const;
   // A control host that this host has heard of by another way.
   void Hear(const HostId& host);
+  // A quorum of the replicas has answered a question asked at this time.
+  void HearQuorum(TimePoint asked);
 
  private:
   struct State;
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -10,6 +10,7 @@
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/announce_plan.h"
+#include "knapweedroad/registry/control_hosts_view.h"
 #include "knapweedroad/registry/outlier_detector.h"
 #include "knapweedroad/rollout/rollout_orders.h"
 
@@ -128,7 +129,7 @@
   }
   this->hub->Sweep();
   this->rollouts->Tick();
-  if (this->connectivity.Update(live, this->follower->HearsAll())) {
+  if (this->connectivity.Update(live, this->follower->View())) {
     this->hub->Wake();
   }
   if (++this->ticks % kOutlierTicks == 0) {
@@ -141,7 +142,7 @@
 
 std::string ControlHost::State::PrintMetrics() const {
   std::ostringstream out;
-  const auto add = [&](const char* name, const char* type, uint64_t value) {
+  const auto add = [&](const char* name, const char* type, auto value) {
     out << "# TYPE knapweedroad_control_" << name << " " << type
         << "\nknapweedroad_control_" << name << " " << value << "\n";
   };
@@ -151,6 +152,8 @@
   add("targets", "gauge", this->registry.size());
   add("entry_hosts", "gauge", this->hub->EntryHosts().size());
   add("agreed_version", "gauge", this->agreed.version());
+  add("control_hosts", "gauge", this->ControlHosts().size());
+  add("quorum_age_ms", "gauge", QuorumAgeMs(this->follower->View()));
   add("rollouts_owned", "gauge", this->rollouts->owned());
   add("disk_failed", "gauge", this->replica->broken() ? 1 : 0);
   return std::move(out).str();
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -168,6 +168,8 @@
                 return hosts;
               },
           .has_version = [this] { return this->agreed.version() > 0; },
+          .on_quorum =
+              [this](TimePoint asked) { this->follower->HearQuorum(asked); },
           .on_chosen =
               [this](uint64_t version, const std::string& text) {
                 this->TakeAgreed(version, text);
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -217,6 +217,10 @@
                          static_cast<double>(this->links.opened()));
   this->metrics.SetGauge("agreed_version",
                          static_cast<double>(this->routing.agreed_version()));
+  if (this->follower != nullptr) {
+    this->metrics.SetGauge("control_hosts_followed",
+                           static_cast<double>(this->follower->followed()));
+  }
   this->metrics.SetGauge("entry_hosts",
                          static_cast<double>(this->balancer.entry_hosts()));
   return this->metrics.Print();
--- a/knapweedroad/edge/replica_membership.cc
+++ b/knapweedroad/edge/replica_membership.cc
@@ -77,11 +77,13 @@
     }
     const Duration timeout =
         this->LooksForFirstVersion() ? kFirstPeekTimeout : kPeekTimeout;
-    const ControlPeek peek = service.Peek(Runtime::Now() + timeout);
+    const TimePoint asked = Runtime::Now();
+    const ControlPeek peek = service.Peek(asked + timeout);
     MemberView view{.is_formed = peek.is_formed, .reachable = peek.reachable};
     if (peek.chosen) {
       view.members = peek.chosen->value.members;
       service.Learn(*peek.chosen);
+      this->options.on_quorum(asked);
       this->options.on_chosen(peek.chosen->value.version,
                               peek.chosen->value.configuration);
     }
--- a/knapweedroad/edge/replica_membership.h
+++ b/knapweedroad/edge/replica_membership.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/time.h"
 #include "knapweedroad/control/member_id.h"
 
 namespace knapweedroad {
@@ -30,6 +31,8 @@
   std::function<std::vector<HostId>()> hosts;
   // Whether this host knows an agreed version.
   std::function<bool()> has_version;
+  // A quorum has answered a question asked at this time.
+  std::function<void(TimePoint asked)> on_quorum;
   std::function<void(uint64_t version, const std::string& text)> on_chosen;
 };
 
--- a/knapweedroad/edge/zone_connectivity.h
+++ b/knapweedroad/edge/zone_connectivity.h
@@ -1,7 +1,7 @@
 // Whether a control host reaches other zones, and all other control hosts.
 //
 //   ZoneConnectivity connectivity(own_zone);
-//   if (connectivity.Update(live, hears_all)) { tell the followers }
+//   if (connectivity.Update(live, view)) { tell the followers }
 
 #ifndef KNAPWEEDROAD_EDGE_ZONE_CONNECTIVITY_H_
 #define KNAPWEEDROAD_EDGE_ZONE_CONNECTIVITY_H_
@@ -14,6 +14,7 @@
 namespace knapweedroad {
 
 struct ControlHostRecord;
+struct ControlHostsView;
 
 class ZoneConnectivity {
  public:
@@ -21,7 +22,8 @@
 
   // `live`: the control hosts that are heard. True: one of the answers below
   // has changed, and the log has a line on it.
-  bool Update(std::span<const ControlHostRecord> live, bool hears_all_now);
+  bool Update(std::span<const ControlHostRecord> live,
+              const ControlHostsView& view);
 
   // Control hosts of other zones were reached before, and none is now.
   bool is_cut_off() const { return this->cut_off; }
--- a/knapweedroad/edge/zone_connectivity_test.cc
+++ b/knapweedroad/edge/zone_connectivity_test.cc
@@ -4,6 +4,7 @@
 
 #include <vector>
 
+#include "knapweedroad/registry/control_hosts_view.h"
 #include "knapweedroad/registry/watch_messages.h"
 
 namespace knapweedroad {
@@ -16,7 +17,7 @@
 // sends its callers away.
 Test(zone_connectivity, a_zone_that_never_reached_others_is_not_cut_off) {
   ZoneConnectivity connectivity(ZoneId("a"));
-  cr_expect(not connectivity.Update(std::vector{kSelf}, false));
+  cr_expect(not connectivity.Update(std::vector{kSelf}, {}));
   cr_expect(not connectivity.is_cut_off());
 }
 
@@ -24,11 +25,11 @@
 // that it is reached again.
 Test(zone_connectivity, a_cut_and_its_end_are_told) {
   ZoneConnectivity connectivity(ZoneId("a"));
-  cr_expect(not connectivity.Update(std::vector{kSelf, kOther}, false));
-  cr_expect(connectivity.Update(std::vector{kSelf}, false));
+  cr_expect(not connectivity.Update(std::vector{kSelf, kOther}, {}));
+  cr_expect(connectivity.Update(std::vector{kSelf}, {}));
   cr_expect(connectivity.is_cut_off());
-  cr_expect(not connectivity.Update(std::vector{kSelf}, false));
-  cr_expect(connectivity.Update(std::vector{kSelf, kOther}, false));
+  cr_expect(not connectivity.Update(std::vector{kSelf}, {}));
+  cr_expect(connectivity.Update(std::vector{kSelf, kOther}, {}));
   cr_expect(not connectivity.is_cut_off());
 }
 
@@ -36,9 +37,10 @@
 // when that misses news of others.
 Test(zone_connectivity, missing_a_control_host_is_told) {
   ZoneConnectivity connectivity(ZoneId("a"));
-  cr_expect(connectivity.Update(std::vector{kSelf, kOther}, true));
+  cr_expect(
+      connectivity.Update(std::vector{kSelf, kOther}, {.hears_all = true}));
   cr_expect(connectivity.hears_all());
-  cr_expect(connectivity.Update(std::vector{kSelf, kOther}, false));
+  cr_expect(connectivity.Update(std::vector{kSelf, kOther}, {}));
   cr_expect(not connectivity.hears_all());
 }
 
