A control host says that it hears all others only while a quorum answers it

Cause: a control host forgets others that nobody has heard for 10 s, so that one that was taken away isn't missed for good. One that is cut off from all others hears nobody who could name them: after 10 s it missed none, told its followers that its news is whole, and the entry hosts of its zone dropped all others and kept the version of before the cut. After a restart inside the cut it took 3 s.

Change: hearing all takes a question that a quorum of the newest value's members has answered within 2.5 s, beside nobody being missed. A quorum is never in a minority, however long the cut and whoever is forgotten. The question is the one that looks for new versions already, about twice a second; no call is added.

Ruled out: a version that can't be fetched or is held back; the logs have neither line.

--- a/knapweedroad/registry/control_host_table.cc
+++ b/knapweedroad/registry/control_host_table.cc
@@ -18,6 +18,8 @@
 constexpr Duration kLiveWithin = std::chrono::milliseconds(2500);
 // One that nobody has heard for this long is down or has been taken away.
 constexpr Duration kMissedWithin = std::chrono::seconds(10);
+// A quorum is asked at least twice in this time.
+constexpr Duration kQuorumWithin = std::chrono::milliseconds(2500);
 // A host that has just started hasn't heard of all others yet.
 constexpr Duration kStartSettles = std::chrono::seconds(3);
 
@@ -129,8 +131,10 @@
   return candidate;
 }
 
+// Silence alone doesn't tell a host that has lost the others from one whose
+// others were taken away. A quorum does: it is never in a minority.
 bool ControlHostTable::HearsAll(TimePoint now) const {
-  if (now - this->options.started < kStartSettles) {
+  if (now - this->options.started < kStartSettles || !this->HasQuorum(now)) {
     return false;
   }
   return std::ranges::none_of(this->known, [now](const auto& entry) {
@@ -139,6 +143,10 @@
   });
 }
 
+bool ControlHostTable::HasQuorum(TimePoint now) const {
+  return this->quorum && now - *this->quorum < kQuorumWithin;
+}
+
 std::optional<Duration> ControlHostTable::QuorumAge(TimePoint now) const {
   if (!this->quorum) {
     return std::nullopt;
--- a/knapweedroad/registry/control_host_table.h
+++ b/knapweedroad/registry/control_host_table.h
@@ -60,9 +60,11 @@
   // `host` as a host to follow, but for its rank.
   FollowCandidate Candidate(const HostId& host, TimePoint now) const;
 
-  // Whether news from this host is whole: it hears every control host that
-  // could know more.
+  // Whether news from this host is whole: a quorum answers it, and so does
+  // every control host that anybody has heard lately.
   bool HearsAll(TimePoint now) const;
+  // Whether a quorum has answered lately.
+  bool HasQuorum(TimePoint now) const;
   // Since the last question that a quorum has answered; nothing: never.
   std::optional<Duration> QuorumAge(TimePoint now) const;
 
