A roll-out's owner without a quorum exposes no callers, whomever it has forgotten

The owner of a roll-out answers 'expose nothing' unless it hears more than half of the control hosts that it knows, as another may have taken over. It forgets others after 90 s: two that are cut off together and are both seeds then hear two of three, and two owners expose callers, each within the whole bound.

Change: it also takes a quorum's answer within 2.5 s. The count stays, as it is lost sooner than the quorum's answer ages. An accepted change of members counts as a quorum's answer, as the loop that asks waits for it.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -398,6 +398,7 @@
   const ControlHostTable& table = this->state->table;
   const TimePoint now = Runtime::Now();
   return {.hears_all = table.HearsAll(now),
+          .has_quorum = table.HasQuorum(now),
           .lost = table.DescribeLost(now),
           .quorum_age = table.QuorumAge(now)};
 }
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -8,6 +8,7 @@
 #include "knapweedroad/edge/peer_calls.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/registry/control_hosts_view.h"
 
 namespace knapweedroad {
 namespace {
@@ -147,6 +148,7 @@
               },
           .known_control_hosts =
               [this] { return this->follower->KnownHosts().size() + 1; },
+          .has_quorum = [this] { return this->follower->View().has_quorum; },
           .agree =
               [this](const std::string& name,
                      std::function<void(std::vector<RolloutRecord>&)> edit) {
--- a/knapweedroad/edge/replica_membership.cc
+++ b/knapweedroad/edge/replica_membership.cc
@@ -57,6 +57,9 @@
                             .give_up = action.step == MemberStep::kGiveUp},
                            now + kMoveTimeout);
   }
+  if (outcome.result == ChangeResult::kAccepted) {
+    this->options.on_quorum(now);
+  }
   LogLine("members_changed")
       .Add("step", static_cast<int>(action.step))
       .Add("leaving", action.leaving.value_or(HostId("none")))
--- a/knapweedroad/edge/rollout_owner.cc
+++ b/knapweedroad/edge/rollout_owner.cc
@@ -108,9 +108,10 @@
   });
 }
 
-bool RolloutOwner::HearsMost() const {
-  return this->options.live_control_hosts().size() * 2 >
-         this->options.known_control_hosts();
+bool RolloutOwner::MayExpose() const {
+  const bool hears_most = this->options.live_control_hosts().size() * 2 >
+                          this->options.known_control_hosts();
+  return hears_most && this->options.has_quorum();
 }
 
 RolloutReportReply RolloutOwner::Answer(const RolloutReport& report) {
@@ -128,7 +129,7 @@
   reporter.answers_number =
       std::max(reporter.answers_number, report.answers_number);
   const TimePoint now = Runtime::Now();
-  const bool may_expose = this->HearsMost();
+  const bool may_expose = this->MayExpose();
   Duration next = std::chrono::seconds(1);
   for (const RolloutProgress& progress : report.rollouts) {
     const auto found = this->controllers.find(progress.service);
--- a/knapweedroad/edge/rollout_owner.h
+++ b/knapweedroad/edge/rollout_owner.h
@@ -37,6 +37,8 @@
   // Control hosts in touch, this one among them, and all that are known.
   std::function<std::vector<HostId>()> live_control_hosts;
   std::function<size_t()> known_control_hosts;
+  // Whether a quorum of the replicas has answered this host lately.
+  std::function<bool()> has_quorum;
   // Changes the agreed roll-outs; false: not known, to be tried again. Blocks
   // the calling fiber.
   std::function<bool(
@@ -70,8 +72,10 @@
     size_t stable = 0;
   };
 
-  // Whether it hears most control hosts: else others may have taken over.
-  bool HearsMost() const;
+  // Whether no other control host can have taken over: this one hears most of
+  // those that it knows, and a quorum answers it. The first is lost sooner; the
+  // second doesn't change with whom it has forgotten.
+  bool MayExpose() const;
   RolloutController MakeController(const RolloutRecord& record) const;
   std::map<ServiceId, Slots> CountSlots(TimePoint now) const;
   // Agrees on what has ended here, all at once.
