A control host that is cut off hides no entry hosts from those that share with them

An entry host took the list of entry hosts that was told last, from whichever control host. An entry host divides the retry budget's slack, connections to targets and cold targets by that count; ConnectionShare remembers the longer list for one change only, so that a second change more than 10 s later left a host with the whole slack.

Change: routing/entry_host_lists keeps the list of each control host that is followed; a host that any of them names counts. A silent one's list is left out after 4 s, the last list stands, and a list whose owner replies again still holds.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -27,6 +27,7 @@
 #include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/outcome_recorder.h"
+#include "knapweedroad/routing/entry_host_lists.h"
 #include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/route_table.h"
@@ -73,7 +74,7 @@
   // Whether the own zone's targets could serve every route.
   bool ZoneServesAll(TimePoint now) const;
   void OnNews(const HostId& from, const WatchReply& reply);
-  void LearnEntryHosts(const std::vector<EntryHostRecord>& records);
+  void UseEntryHosts(TimePoint now);
   void PutInForce(const std::shared_ptr<const RouteTable>& table);
   HttpResponse AnswerPlatform(const HttpRequest& request);
   bool IsReady() const;
@@ -86,6 +87,7 @@
   OutcomeRecorder outcomes;
   LoadBalancer balancer;
   TargetLinks links;
+  EntryHostLists entry_hosts;
   RelayChoice relays;
   GatherLinks gather_links;
   GatherRelay gather_relay;
@@ -234,8 +236,11 @@
     this->balancer.reachability().OnTold(reply.is_cut_off, now);
   }
   LearnTargets(this->balancer, from, reply, now);
-  if (reply.has_hosts) {
-    this->LearnEntryHosts(reply.entry_hosts.put);
+  if (this->entry_hosts.Learn(
+          from,
+          reply.has_hosts ? std::optional(reply.entry_hosts.put) : std::nullopt,
+          now)) {
+    this->UseEntryHosts(now);
   }
   this->balancer.LearnOutliers(
       from,
@@ -243,14 +248,14 @@
       now);
 }
 
-void EntryHost::State::LearnEntryHosts(
-    const std::vector<EntryHostRecord>& records) {
+void EntryHost::State::UseEntryHosts(TimePoint now) {
+  const std::vector<EntryHostRecord>& records = this->entry_hosts.All();
   std::vector<HostId> hosts;
   hosts.reserve(records.size());
   for (const EntryHostRecord& record : records) {
     hosts.push_back(record.host);
   }
-  this->balancer.SetEntryHosts(std::move(hosts), Runtime::Now());
+  this->balancer.SetEntryHosts(std::move(hosts), now);
   this->relays.SetHosts(records);
 }
 
@@ -312,6 +317,9 @@
   this->routing.Adopt(now);
   this->WatchReachability(now);
   this->balancer.ForgetOldOutliers(now);
+  if (this->entry_hosts.ForgetOld(now)) {
+    this->UseEntryHosts(now);
+  }
   this->balancer.ForgetSilent(now);
   this->rollouts->ApplySplits();
   if (!stood_still) {
--- /dev/null
+++ b/knapweedroad/routing/entry_host_lists_test.cc
@@ -0,0 +1,77 @@
+#include "knapweedroad/routing/entry_host_lists.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace knapweedroad {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kNow = TimePoint(std::chrono::hours(1));
+const HostId kCutOff("control-d");
+const HostId kOther("control-a");
+
+std::vector<EntryHostRecord> Hosts(int count) {
+  std::vector<EntryHostRecord> hosts;
+  hosts.reserve(count);
+  for (int i = 0; i < count; ++i) {
+    hosts.push_back({.host = HostId("entry-" + std::to_string(i))});
+  }
+  return hosts;
+}
+
+// Guards against an entry host that takes the whole retry budget for its own
+// part because a cut off control host lists it alone.
+Test(entry_host_lists, the_list_of_a_cut_off_control_host_hides_no_hosts) {
+  EntryHostLists lists;
+  cr_expect(lists.Learn(kOther, Hosts(8), kNow));
+  cr_expect(not lists.Learn(kCutOff, Hosts(1), kNow));
+  cr_expect(lists.All().size() == 8);
+}
+
+// Guards against hosts that left and are counted for good.
+Test(entry_host_lists, a_shorter_list_of_the_only_control_host_counts) {
+  EntryHostLists lists;
+  lists.Learn(kOther, Hosts(8), kNow);
+  cr_expect(lists.Learn(kOther, Hosts(7), kNow + seconds(1)));
+  cr_expect(lists.All().size() == 7);
+}
+
+// Guards against the list of a control host that is no longer followed.
+Test(entry_host_lists, the_list_of_a_silent_control_host_is_forgotten) {
+  EntryHostLists lists;
+  lists.Learn(kOther, Hosts(8), kNow);
+  lists.Learn(kCutOff, Hosts(7), kNow);
+  for (int i = 1; i <= 10; ++i) {
+    lists.Learn(kCutOff, std::nullopt, kNow + milliseconds(500 * i));
+  }
+  cr_expect(lists.ForgetOld(kNow + seconds(5)));
+  cr_expect(lists.All().size() == 7);
+}
+
+// Guards against a control host that stood still, and whose list is lost when
+// it replies again that nothing has changed.
+Test(entry_host_lists, the_list_of_one_that_replies_again_still_holds) {
+  EntryHostLists lists;
+  lists.Learn(kOther, Hosts(8), kNow);
+  lists.Learn(kCutOff, Hosts(1), kNow + seconds(4));
+  cr_expect(lists.ForgetOld(kNow + seconds(5)));
+  cr_expect(lists.All().size() == 1);
+  cr_expect(lists.Learn(kOther, std::nullopt, kNow + seconds(6)));
+  cr_expect(lists.All().size() == 8);
+}
+
+// Guards against a host that loses all control hosts and takes everything that
+// entry hosts share.
+Test(entry_host_lists, the_last_list_stands_while_no_control_host_replies) {
+  EntryHostLists lists;
+  lists.Learn(kOther, Hosts(8), kNow);
+  cr_expect(not lists.ForgetOld(kNow + seconds(60)));
+  cr_expect(lists.All().size() == 8);
+}
+
+}  // namespace
+}  // namespace knapweedroad
