Entry hosts look beyond three control hosts while none that they follow has a quorum

Three control hosts are followed while none hears all; with seven or eight of them three may be cut off from the majority together, and be the three that come first in an entry host's order. It would go by their old configuration while it reaches the others.

Change: a control host says whether a quorum answers it. While none of those that an entry host follows says so, it follows one more a second, until one does; with a quorum it is three as before. A second each, as an election takes less, and hundreds of hosts look together.

Evidence: follow_plan, a_minority_that_comes_first_hides_no_majority (seven hosts, the three first ones cut off) fails without the change, as does the bound on it.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -36,6 +36,9 @@
 // one of the own zone has told of it, too.
 constexpr Duration kNearPull = milliseconds(150);
 constexpr Duration kChooseInterval = milliseconds(150);
+// While nobody has a quorum, one more control host is followed each time: an
+// election takes less, and all hosts look for it together.
+constexpr Duration kMoreLinksAfter = milliseconds(1000);
 // Outcomes of one moment are reported together: a question has dozens.
 constexpr Duration kReportGather = milliseconds(10);
 constexpr Duration kReportTimeout = milliseconds(500);
@@ -101,6 +104,10 @@
 
   std::vector<HostId> Candidates() const;
   std::vector<HostId> Wanted(TimePoint now) const;
+  // How many more may be followed while none of those followed has a quorum.
+  size_t MoreLinks(TimePoint now) const {
+    return static_cast<size_t>((now - this->quorum_heard) / kMoreLinksAfter);
+  }
   void Choose();
   void NoteWanted(std::set<HostId> next, TimePoint now);
   void Follow(const HostId& host);
@@ -128,6 +135,8 @@
   std::set<HostId> wanted;
   // For each host followed.
   std::map<HostId, std::shared_ptr<ReportWish>> report_wishes;
+  // When a control host last said that it has a quorum.
+  TimePoint quorum_heard = Runtime::Now();
   bool is_pulling = false;
   // The newest version that a control host told of.
   uint64_t told_version = 0;
@@ -156,8 +165,11 @@
     candidate.rank = RankOf(this->options.self, host);
     candidates.push_back(std::move(candidate));
   }
-  return PlanFollowing(candidates, {.zone = this->options.zone,
-                                    .most = this->options.most_links});
+  return PlanFollowing(
+      candidates,
+      {.zone = this->options.zone,
+       .most = this->options.most_links,
+       .most_without_quorum = this->options.most_links + this->MoreLinks(now)});
 }
 
 void ControlFollower::State::NoteWanted(std::set<HostId> next, TimePoint now) {
@@ -232,7 +244,7 @@
   }
   lists.Complete(*reply);
   const TimePoint now = Runtime::Now();
-  if (this->table.OnReply(host, reply->zone, reply->hears_all, now)) {
+  if (this->table.OnReply(host, *reply, now)) {
     LogLine("control_host_found")
         .Add("host", host)
         .Add("agreed_version", reply->agreed_version)
@@ -241,6 +253,9 @@
   for (const ControlHostRecord& other : reply->control_hosts) {
     this->table.OnNamed(other.host, other.zone, now);
   }
+  if (reply->has_quorum) {
+    this->quorum_heard = now;
+  }
   call.epoch = reply->epoch;
   call.revision = reply->revision;
   call.hosts_revision = reply->hosts_revision;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -75,6 +75,7 @@
           .control_hosts = [this] { return this->ControlHosts(); },
           .is_cut_off = [this] { return this->connectivity.is_cut_off(); },
           .hears_all = [this] { return this->connectivity.hears_all(); },
+          .has_quorum = [this] { return this->follower->View().has_quorum; },
           .on_outcomes =
               [this](const OutcomeReport& report) {
                 this->outcomes.Add(report, Runtime::Now());
--- a/knapweedroad/edge/reply_cache.h
+++ b/knapweedroad/edge/reply_cache.h
@@ -33,6 +33,7 @@
   bool shares_outcomes = false;
   bool is_cut_off = false;
   bool hears_all = false;
+  bool has_quorum = false;
   // What the follower has, and what it gets.
   Revisions from;
   Revisions to;
--- a/knapweedroad/edge/watch_hub.cc
+++ b/knapweedroad/edge/watch_hub.cc
@@ -196,6 +196,7 @@
   }
   reply.is_cut_off = this->options.is_cut_off();
   reply.hears_all = this->options.hears_all();
+  reply.has_quorum = this->options.has_quorum();
   const uint64_t outliers_revision = this->OutliersRevision(call.role);
   reply.has_outliers =
       HearsOutliers(call) &&
@@ -218,6 +219,7 @@
           .shares_outcomes = call.shares_outcomes,
           .is_cut_off = this->options.is_cut_off(),
           .hears_all = this->options.hears_all(),
+          .has_quorum = this->options.has_quorum(),
           .from = {.targets = is_same ? call.revision : 0,
                    .hosts = is_same ? call.hosts_revision : 0,
                    .outliers = is_same ? call.outliers_revision : 0},
--- a/knapweedroad/edge/watch_hub.h
+++ b/knapweedroad/edge/watch_hub.h
@@ -35,6 +35,8 @@
   std::function<bool()> is_cut_off;
   // Whether this control host hears all others.
   std::function<bool()> hears_all;
+  // Whether a quorum of the replicas answers it.
+  std::function<bool()> has_quorum;
   // Outcomes that came with a call.
   std::function<void(const OutcomeReport&)> on_outcomes;
   // A control host follows this one: it may not have been known.
--- a/knapweedroad/registry/control_host_cut_test.cc
+++ b/knapweedroad/registry/control_host_cut_test.cc
@@ -4,6 +4,7 @@
 
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/control_host_table.h"
+#include "knapweedroad/registry/watch_messages.h"
 
 namespace knapweedroad {
 namespace {
@@ -18,7 +19,7 @@
   for (TimePoint now = from; now < to; now += milliseconds(300)) {
     for (const char* const zone : {"a", "b", "c"}) {
       const HostId host(std::string("control-") + zone);
-      table.OnReply(host, ZoneId(zone), /*hears_all=*/true, now);
+      table.OnReply(host, {.zone = ZoneId(zone), .hears_all = true}, now);
     }
     table.OnQuorum(now);
   }
@@ -63,7 +64,7 @@
   const TimePoint cut = kStart + seconds(10);
   AnswerAll(table, kStart, cut);
   for (TimePoint now = cut; now < cut + seconds(60); now += milliseconds(300)) {
-    table.OnReply(HostId("control-a"), ZoneId("a"), /*hears_all=*/false, now);
+    table.OnReply(HostId("control-a"), {.zone = ZoneId("a")}, now);
     table.OnFailure(HostId("control-b"), now);
     table.OnFailure(HostId("control-c"), now);
   }
--- a/knapweedroad/registry/control_host_table.cc
+++ b/knapweedroad/registry/control_host_table.cc
@@ -33,14 +33,14 @@
     : options(std::move(options)) {}
 
 bool ControlHostTable::OnReply(const HostId& host,
-                               const ZoneId& zone,
-                               bool hears_all,
+                               const WatchReply& reply,
                                TimePoint now) {
   Known& facts = this->known[host];
   facts.heard = now;
   facts.failed = TimePoint();
-  facts.zone = zone;
-  facts.hears_all = hears_all;
+  facts.zone = reply.zone;
+  facts.hears_all = reply.hears_all;
+  facts.has_quorum = reply.has_quorum;
   return !std::exchange(facts.is_answering, true);
 }
 
@@ -127,6 +127,7 @@
     candidate.is_live = facts.IsLive(now);
     candidate.failed_lately = now - facts.failed < kAvoidAfterFailure;
     candidate.hears_all = facts.hears_all;
+    candidate.has_quorum = facts.has_quorum;
   }
   return candidate;
 }
--- a/knapweedroad/registry/control_host_table.h
+++ b/knapweedroad/registry/control_host_table.h
@@ -20,6 +20,7 @@
 
 struct ControlHostRecord;
 struct FollowCandidate;
+struct WatchReply;
 
 struct ControlHostTableOptions {
   // Left out of all lists.
@@ -32,10 +33,7 @@
   explicit ControlHostTable(ControlHostTableOptions options);
 
   // The host has answered a call. True: it was not live before.
-  bool OnReply(const HostId& host,
-               const ZoneId& zone,
-               bool hears_all,
-               TimePoint now);
+  bool OnReply(const HostId& host, const WatchReply& reply, TimePoint now);
   // A call to it has failed. True: it was live before.
   bool OnFailure(const HostId& host, TimePoint now);
   // Another host has named it, or it has called this one.
@@ -74,6 +72,7 @@
     TimePoint failed;
     bool is_answering = false;
     bool hears_all = false;
+    bool has_quorum = false;
     // Empty: not heard yet.
     ZoneId zone;
 
--- a/knapweedroad/registry/control_host_table_test.cc
+++ b/knapweedroad/registry/control_host_table_test.cc
@@ -33,7 +33,7 @@
   for (TimePoint now = from; now < to; now += milliseconds(300)) {
     for (const std::string& zone : kOthers) {
       if (std::ranges::find(answering, zone) != answering.end()) {
-        table.OnReply(ControlHost(zone), ZoneId(zone), false, now);
+        table.OnReply(ControlHost(zone), {.zone = ZoneId(zone)}, now);
       } else {
         table.OnFailure(ControlHost(zone), now);
       }
--- a/knapweedroad/registry/follow_plan.cc
+++ b/knapweedroad/registry/follow_plan.cc
@@ -16,11 +16,14 @@
                       candidate->rank);
   });
   std::vector<HostId> followed;
+  bool has_quorum = false;
   for (const FollowCandidate* const candidate : order) {
     followed.push_back(candidate->host);
     const bool is_enough =
         candidate->is_live && candidate->hears_all && !candidate->failed_lately;
-    if (is_enough || followed.size() == options.most) {
+    has_quorum |= candidate->is_live && candidate->has_quorum;
+    const size_t most = has_quorum ? options.most : options.most_without_quorum;
+    if (is_enough || followed.size() >= most) {
       break;
     }
   }
--- a/knapweedroad/registry/follow_plan.h
+++ b/knapweedroad/registry/follow_plan.h
@@ -23,6 +23,8 @@
   bool failed_lately = false;
   // It says that it hears all other control hosts, so that its news is whole.
   bool hears_all = false;
+  // It says that a quorum of the replicas answers it.
+  bool has_quorum = false;
   // Orders candidates that are alike, differently on each follower.
   uint64_t rank = 0;
 };
@@ -32,6 +34,9 @@
   ZoneId zone;
   // Followed at a time while none is fit to be the only one.
   size_t most = 3;
+  // The same while none of them has a quorum: those that are cut off together
+  // may come first in the order.
+  size_t most_without_quorum = 3;
 };
 
 // In order of preference. One that hears all others is enough; those that are
--- a/knapweedroad/registry/follow_plan_test.cc
+++ b/knapweedroad/registry/follow_plan_test.cc
@@ -64,6 +64,41 @@
   cr_expect(PlanIn("d", known).size() == 3);
 }
 
+// Guards against entry hosts that go by an old configuration because those that
+// they follow are cut off from the majority together.
+Test(follow_plan, a_minority_that_comes_first_hides_no_majority) {
+  std::vector<FollowCandidate> known = SixZones();
+  known.push_back({.host = HostId("control-g"),
+                   .zone = ZoneId("g"),
+                   .is_live = true,
+                   .rank = 0});
+  for (FollowCandidate& candidate : known) {
+    candidate.hears_all = false;
+    candidate.has_quorum = true;
+  }
+  // The own zone's, and the first two by rank.
+  for (const int minority : {3, 6, 5}) {
+    known[minority].has_quorum = false;
+  }
+  const std::vector<HostId> plan = PlanFollowing(
+      known, {.zone = ZoneId("d"), .most = 3, .most_without_quorum = 7});
+  cr_expect(plan.size() == 4);
+  cr_expect(plan.back() == HostId("control-e"));
+}
+
+// Guards against hundreds of hosts that follow all control hosts at once while
+// there is no quorum anywhere.
+Test(follow_plan, without_any_quorum_no_more_than_allowed_are_followed) {
+  std::vector<FollowCandidate> known = SixZones();
+  for (FollowCandidate& candidate : known) {
+    candidate.hears_all = false;
+  }
+  cr_expect(
+      PlanFollowing(known,
+                    {.zone = ZoneId("d"), .most = 3, .most_without_quorum = 4})
+          .size() == 4);
+}
+
 // Guards against a start at which the only one followed is down.
 Test(follow_plan, several_are_followed_until_one_has_answered) {
   std::vector<FollowCandidate> known = SixZones();
--- a/knapweedroad/registry/watch_messages.h
+++ b/knapweedroad/registry/watch_messages.h
@@ -86,6 +86,8 @@
   bool is_cut_off = false;
   // Whether it hears all other control hosts, so that its news is whole.
   bool hears_all = false;
+  // Whether a quorum of the replicas answers it.
+  bool has_quorum = false;
   // Absent where the follower has this list, or doesn't share outcomes. For
   // entry hosts all that is listed; for control hosts what this zone has seen.
   bool has_outliers = false;
@@ -98,8 +100,8 @@
     archive(this->zone, this->epoch, this->revision, this->hosts_revision,
             this->agreed_version, this->targets, this->has_hosts,
             this->control_hosts, this->entry_hosts, this->is_cut_off,
-            this->hears_all, this->has_outliers, this->outliers_revision,
-            this->outliers);
+            this->hears_all, this->has_quorum, this->has_outliers,
+            this->outliers_revision, this->outliers);
   }
 };
 
