--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -309,8 +309,8 @@
 
 void EntryHost::State::Tick() {
   const TimePoint now = Runtime::Now();
-  // Failure: the process stood still for seconds; all that it waited for then
-  // looks late, and every target would be taken for silent.
+  // After a standstill of the process all that it waited for looks late, and
+  // every target would be taken for silent.
   const bool stood_still = now - this->last_tick > kStandstill;
   this->last_tick = now;
   this->links.Sweep(now);
--- a/knapweedroad/edge/message_reader.h
+++ b/knapweedroad/edge/message_reader.h
@@ -47,9 +47,8 @@
   // after is_done() belongs to the next one. Sets `error` for bytes that are
   // no message; nothing may be put after that.
   //
-  // Failure: a message comes in pieces, the parser leaves the beginning of an
-  // unfinished line to be given again, and without it the next piece is read
-  // from the middle of a line. So that beginning is kept here.
+  // The parser leaves the beginning of an unfinished line to be given again
+  // with the next piece, so it is kept here.
   size_t Put(std::string_view bytes, Error& error) {
     if (this->unfinished.empty()) {
       const size_t used = this->Parse(bytes, error);
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -22,8 +22,7 @@
 using std::chrono::milliseconds;
 
 // What is still out when the answer has gone may end within this, so that its
-// connection can be used again. Failure: a shard is short of room, and attempts
-// that nobody waits for any more run on in the very queue that is too long.
+// connection can be used again, but doesn't fill the queue of a busy target.
 constexpr Duration kStragglerGrace = milliseconds(20);
 // After the caller has left, work on targets is cut within this: under the
 // half second that callers' work may outlive them.
--- a/knapweedroad/edge/socket_options.cc
+++ b/knapweedroad/edge/socket_options.cc
@@ -12,9 +12,9 @@
 using UserTimeout =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-// Failure: the other end loses its power or is cut off, no packet says so, and
-// the connection hangs for minutes. It shows as bytes that are never
-// acknowledged; the kernel then ends the connection after this long.
+// Without a bound a connection to a host that lost its power, or is cut off,
+// hangs for minutes: no packet says so. The kernel ends one whose bytes aren't
+// acknowledged for this long.
 constexpr int kCallerUserTimeoutMs = 8000;
 constexpr int kTargetUserTimeoutMs = 3000;
 
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -149,9 +149,8 @@
     return;
   }
   if (!this->is_busy) {
-    // Failure: a target closes a connection while it is idle, or sends what
-    // nobody asked for; the next request on it would be lost or get another
-    // one's answer.
+    // The target has closed an idle connection, or sent what nobody asked for:
+    // the next request would be lost, or get another one's answer.
     const auto closed = std::exchange(this->on_idle_closed, nullptr);
     this->Close();
     if (closed) {
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -131,9 +131,9 @@
             Runtime::Now() < found->second);
   }
 
-  // Failure: a target is at its cap and resets a connection after the request
-  // was written. It may have run, so it costs a retry, or the whole request
-  // where it must not run twice.
+  // A target at its cap resets a new connection, at times only after the
+  // request was written. It may then have run, and costs a retry, or the whole
+  // request where it must not run twice.
   void Settle() {
     this->connection->WatchIdle([self = this->shared_from_this()] {
       self->settle_timer.reset();
--- a/knapweedroad/registry/follow_plan.h
+++ b/knapweedroad/registry/follow_plan.h
@@ -42,8 +42,8 @@
 // In order of preference. One that hears all others is enough; those that are
 // preferred to it are tried again and again.
 //
-// Failure: each host hears of each change from several control hosts, most of
-// them in other zones, and their bytes grow with the hosts times the changes.
+// One control host of the own zone is enough while it hears all others:
+// following several brings each change as often, most of it between zones.
 std::vector<HostId> PlanFollowing(std::span<const FollowCandidate> known,
                                   const FollowPlanOptions& options);
 
--- a/knapweedroad/registry/outlier_detector.cc
+++ b/knapweedroad/registry/outlier_detector.cc
@@ -118,10 +118,9 @@
   }
 }
 
-// Failure: a zone's hosts send nearly all requests for a service to its target
-// in their own zone. It turns slow, the others get too few attempts to
-// compare it with, and it passes for the best there is. So it is compared with
-// what the service's targets did before, too.
+// A target that gets nearly all of a service's requests can't be compared with
+// the others now, so it is compared with what the service's targets did before,
+// too.
 void OutlierDetector::RememberBest(const ServiceId& service,
                                    double latency_us,
                                    TimePoint now) {
@@ -144,9 +143,8 @@
     }
     Fade(entry, now);
     services.emplace(at->first, service);
-    // Failure: a target that refuses half of its requests answers the others
-    // fast, as it has little to do; compared with it, those that have the rest
-    // of the work look slow.
+    // A target that refuses much of its work answers the rest fast and is no
+    // measure for those that do the work.
     const double attempts = entry.answered + entry.failed;
     const bool is_sound = entry.failed < kLeastFailedShare * attempts;
     if (is_sound && entry.timed >= kLeastAttempts) {
@@ -191,10 +189,7 @@
   }
 }
 
-// Failure: a target turns slow, and only its own zone asks it often enough to
-// see that soon. Hosts of other zones go on sending it a request each now and
-// then; with many hosts and many shards nearly every scatter meets one.
-//
+// Only a target's own zone asks it often enough to see soon that it is slow.
 // What this zone has seen itself goes before: a target may fail for the callers
 // of one zone alone.
 void OutlierDetector::AddOthers(std::vector<TargetOutlier>& list,
--- a/knapweedroad/registry/target_record.h
+++ b/knapweedroad/registry/target_record.h
@@ -54,9 +54,8 @@
 
 // Whether `left` is newer knowledge of the same target than `right`.
 //
-// Failure: an announcement that was held up arrives after its sender has
-// crashed and come back; taken as it comes it would bring the old life's state
-// back, and requests would go to a target that isn't there.
+// A delayed announcement of an earlier life doesn't supersede a later life,
+// whatever its sequence.
 inline bool Supersedes(const TargetRecord& left, const TargetRecord& right) {
   if (left.started_ms != right.started_ms) {
     return left.started_ms > right.started_ms;
--- a/knapweedroad/registry/target_registry.cc
+++ b/knapweedroad/registry/target_registry.cc
@@ -53,9 +53,9 @@
   return true;
 }
 
-// Failure: a crashed target's address is given to another service, a late
-// announcement of the first names it again, and requests go to the wrong
-// service. Of two targets at one address the one that started later is there.
+// Of two targets at one address the one that started later is there: addresses
+// of crashed targets are given to other services, and late announcements still
+// name the first.
 void TargetRegistry::SettleAddress(const TargetId& id, TimePoint) {
   Entry& entry = this->entries.at(id);
   if (entry.record.phase == TargetPhase::kGone) {
@@ -127,9 +127,9 @@
   if (this->Take(std::move(record), now)) {
     return;
   }
-  // Failure: a control host that was cut off from this one took this one's
-  // targets for silent and said so to others. Heartbeats that change nothing
-  // here aren't passed on, so nobody would ever hear that they go on.
+  // Heartbeats that change nothing aren't passed on. If another control host
+  // tells otherwise of a target that is heard here, this host tells of it
+  // again.
   Entry& entry = known->second;
   const bool is_own = entry.record.heard_by == this->options.self;
   if (is_own &&
--- a/knapweedroad/routing/answer_lead.h
+++ b/knapweedroad/routing/answer_lead.h
@@ -28,9 +28,9 @@
   Duration longest_finish = std::chrono::milliseconds(15);
 };
 
-// Failure: a scatter lacks a part when its answer is due and is answered
-// without it. On a host with a small share of a processor merging and writing
-// takes milliseconds, so the answer comes just too late, with a part missing.
+// Merging and writing an answer takes milliseconds on a host with a small share
+// of a processor: without a lead, an answer that waits for its last part is
+// late and still lacks it.
 class AnswerLead {
  public:
   explicit AnswerLead(AnswerLeadOptions options);
--- a/knapweedroad/routing/concurrency_limit.h
+++ b/knapweedroad/routing/concurrency_limit.h
@@ -14,11 +14,9 @@
 
 namespace knapweedroad {
 
-// Failure: a shard has lost targets, and all hosts fill the queue of the one
-// that is left. It answers in the order of arrival, so every answer is as late
-// as the queue is long. With a short queue those that are sent are in time, and
-// the others wait on their hosts, where they end without having cost the target
-// anything.
+// Keeps the queue at a target short. Targets serve in order of arrival, so a
+// long queue makes every answer late; with a short one what is sent is in time,
+// and the rest waits at its host, where giving it up costs the target nothing.
 class ConcurrencyLimit {
  public:
   // What the target reported with an answer or a refusal. `cap` bounds the
--- a/knapweedroad/routing/connection_share.cc
+++ b/knapweedroad/routing/connection_share.cc
@@ -37,10 +37,9 @@
   return !this->changed || now - *this->changed < kHostsSettle;
 }
 
-// Failure: all hosts have just started, each believes to be alone, and takes
-// all of a target's connections. The target resets what is over its cap, also
-// health questions, and looks broken to everybody. So a host that knows few
-// others yet takes one or two.
+// A host that has just started and knows few others takes one or two
+// connections: if all took what is due to a lone host, targets would reset what
+// is over their cap, health questions included.
 size_t ConnectionShare::CapOf(size_t max_connections, TimePoint now) const {
   const double part = static_cast<double>(max_connections) * kConnectionShare /
                       static_cast<double>(this->host_count());
--- a/knapweedroad/routing/load_balancer.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -145,9 +145,8 @@
   return target.cold_until > now;
 }
 
-// Failure: a cold target crashes under what all hosts together send it, while
-// each of them alone was polite. So only a few hosts, the same ones in every
-// host's reckoning, send to it at all.
+// Caps the number of senders so that the aggregate rate stays under the cold
+// limit; every host reckons the same ones.
 bool LoadBalancer::MaySendCold(const BalancedTarget& target,
                                TimePoint now) const {
   if (now < target.next_cold_send) {
@@ -181,10 +180,8 @@
   return most == 0 ? 1 : this->share.CapOf(most, now);
 }
 
-// Failure: with more hosts than a target takes connections, each host's one
-// connection is one too many, and targets reset what is over their cap. Each
-// host then keeps to a part of the targets, its own zone's first; every host
-// draws another part.
+// With more hosts than a target takes connections, each host keeps to a part of
+// the targets, its own zone's first, and every host to another part.
 bool LoadBalancer::IsInSubset(const BalancedTarget& target) const {
   const BalancedService& service = *target.service;
   const size_t most = service.max_connections;
@@ -241,9 +238,8 @@
   return target.record.zone != this->options.zone;
 }
 
-// Failure: a cut between zones has healed, but the targets beyond it stay under
-// suspicion until their next health question, seconds later where many hosts
-// share the asking, and callers are refused as long.
+// After a cut has healed, targets beyond it are asked for their health at once
+// instead of at their next regular turn.
 void LoadBalancer::OnOutsideAnswer(TimePoint now) {
   if (!this->zone_reachability.OnAnswered(now)) {
     return;
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -166,10 +166,9 @@
   }
 }
 
-// Failure: all hosts have lost their power, and targets still hold the
-// connections of before. The first hosts take the few places left and keep
-// them; the others can't ask those targets for seconds. Later, hosts that are
-// turned away are simply many, and each new connection costs its target time.
+// After a loss of power targets hold their old connections for a while. Keeping
+// new ones would lock other hosts out for as long; later, a host that is turned
+// away is one of many, and each new connection costs the target time.
 bool LoadBalancer::GivesBackConnections(TimePoint now) const {
   return now < this->connections_scarce_until &&
          now - this->options.started < kOldConnectionsHeld;
@@ -240,8 +239,8 @@
   }
 }
 
-// Failure: a target that never answers looks idle and fast as soon as the
-// attempts on it are given up, and gets the next ones.
+// Attempts that are given up count with the time they waited; otherwise a
+// target that never answers would look idle and fast.
 void LoadBalancer::OnAbandoned(const TargetId& id,
                                Duration waited,
                                TimePoint now) {
@@ -257,9 +256,8 @@
   }
 }
 
-// Failure: a target crashes, is back within a second under its old id, and is
-// cold; what is sent in good faith crashes it again. Its closed idle
-// connections are the first sign, so a health question goes first.
+// A target that restarts under its id is cold. Closed idle connections are the
+// first sign of it, so a health question goes before the next request.
 void LoadBalancer::OnIdleClosed(const TargetId& id, TimePoint now) {
   if (BalancedTarget* const target = this->Get(id)) {
     target->needs_probe = true;
@@ -358,11 +356,9 @@
   }
 }
 
-// Failure: two zones can't reach each other, and their hosts report each
-// other's targets; hosts of a third zone, which reach both, would avoid them as
-// well and crowd their own. So only what a target itself has done is shared:
-// answers, refusals, broken answers and late ones, never that it can't be
-// reached.
+// Only what a target itself did is shared: answers, refusals, broken and late
+// answers. That it can't be reached from here says nothing about the way from
+// another zone.
 void LoadBalancer::ShareOutcome(const BalancedTarget& target,
                                 TargetOutcomes seen) {
   if (this->options.on_outcomes) {
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -161,9 +161,8 @@
     served += this->hooks.is_served(service, {}) ? 1 : 0;
   }
   for (size_t i = 0; i < this->shards.size(); ++i) {
-    // Failure: too many services are without any target, and the others' work
-    // would be done for an answer that can't become a success. So nothing is
-    // sent, and the caller hears at once when to come back.
+    // Without enough services that have a target the answer can't become a
+    // success: nothing is sent, and the caller hears at once when to come back.
     if (served < this->needed && this->options.is_scatter) {
       this->Enter(this->shards[i], ShardState::kHopeless);
       continue;
@@ -348,13 +347,10 @@
   this->Enter(shard, ShardState::kHopeless);
 }
 
-// Failure: all hosts have lost their power, and targets that still hold the
-// connections of before turn new ones away. A request that gives up a shard
-// which it needs once each of its targets has done so fails within
-// milliseconds, while places come free all the time. So those targets are tried
-// again, more and more seldom: each try costs the target a connection and this
-// host the time of its other shards. The answer still goes without the shard if
-// it can.
+// After a loss of power targets still hold their old connections and turn new
+// ones away, while places come free all the time. Their shards are tried again
+// with increasing pauses, as each try costs the target a connection, and the
+// answer goes without them if it can.
 bool RequestRun::SetAside(Shard& shard, TimePoint now) {
   if (shard.arrived > 0 || shard.unreached.empty() ||
       now - this->started >= kUnreachedPatience) {
--- a/knapweedroad/routing/retry_budget.cc
+++ b/knapweedroad/routing/retry_budget.cc
@@ -51,11 +51,10 @@
   this->newest = std::max(this->newest, current);
 }
 
-// Failure: hosts are restarted in turn, each forgets what it has spent of the
-// slack, and together they spend it twice in one window. Failure: all of them
-// are restarted at once, and none may send anything beside its requests' share
-// for a whole window. So each host has a part of the slack for the first window
-// after a start, and one for later; two starts within a window are borne.
+// A host that restarts has forgotten what it spent. It has one part of the
+// slack for the first window after a start and another for later, so that two
+// starts within a window keep to the bound, and hosts that all start at once
+// can still retry.
 double RetryBudget::Allowance(size_t hosts) const {
   const bool has_just_started = this->newest < this->slack_from;
   const double slack = this->limits.slack * kSlackMargin *
--- a/knapweedroad/routing/retry_budget.h
+++ b/knapweedroad/routing/retry_budget.h
@@ -30,9 +30,9 @@
 // window in slices, the oldest of which counts in full, so that no window of
 // the bound's length sees more.
 //
-// Failure: many hosts share the bound, the part of each is less than one
-// attempt, and none may send any. So each part is rounded up on some hosts and
-// down on others: together they use what the bound allows, in every window.
+// With many hosts the part of each may be less than one attempt. Parts are
+// rounded up on some hosts and down on others, so that together they use what
+// the bound allows in every window.
 class RetryBudget {
  public:
   // `started`: when this host began to send. `rounding`: from 0 to 1, evenly
@@ -48,8 +48,8 @@
   // True: one more attempt may be sent beside one that is late. Leaves as much
   // as retries have used up lately, half of all at the most.
   //
-  // Failure: some targets are slow, others fail; attempts beside slow ones,
-  // whose answer may still come, use up what the failed ones are lost without.
+  // A hedge's first attempt may still be answered, a failed one is lost without
+  // a retry: hedges leave a part of the budget to retries.
   bool SpendHedge(size_t hosts, TimePoint now);
 
  private:
--- a/knapweedroad/routing/route_adoption.h
+++ b/knapweedroad/routing/route_adoption.h
@@ -24,11 +24,10 @@
   Duration most_hold = std::chrono::milliseconds(1200);
 };
 
-// Failure: an index is cut into other shards, and the version that names them
-// comes while their targets are still cold. Put in force at once, every
-// question is refused until they are warm, while the old shards still serve.
-// So a version that would lose a route its targets is held back for a moment.
-// Versions on a host only rise: the newest offered is the one that is taken.
+// A version that would leave a route without usable targets, as those of a new
+// set of shards are still cold, is held back for a moment while the old one
+// still serves. Versions on a host only rise: the newest offered is the one
+// that is taken.
 class RouteAdoption {
  public:
   using IsServed = std::function<bool(const ServiceId& service)>;
--- a/knapweedroad/routing/shard_shedding.h
+++ b/knapweedroad/routing/shard_shedding.h
@@ -34,11 +34,9 @@
   uint64_t seed = 1;
 };
 
-// Failure: a shard has lost targets and gets through half of what is asked of
-// it. All requests queue there, so all are late instead of half of them, and
-// with two such shards no answer reaches its least share in time. Load shedding
-// by shard: each request leaves out at most as many as its least share bears.
-// Those that still ask a short shard are few enough to be served in time.
+// Load shedding by shard: a shard that can't serve all gets fewer requests, so
+// that those it gets are in time. Each request leaves out at most as many
+// shards as its least share bears.
 class ShardShedding {
  public:
   explicit ShardShedding(ShardSheddingOptions options);
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -101,10 +101,9 @@
   const double slots = std::max<double>(1, target.record.slots);
   const double busy =
       std::max(told, static_cast<double>(target.in_flight)) / slots;
-  // Failure: a target that refuses half of its requests has little to do and
-  // answers the others at once; by its own latency alone it looks better than a
-  // sound one that has the rest of its shard's requests. A failure costs the
-  // time of another attempt, which the service's usual latency tells.
+  // A target that refuses much of its work is fast with the rest. A failure
+  // therefore costs at least the service's usual latency, the time of another
+  // attempt.
   const double answered = latency * (1 + busy);
   double cost = answered + failing * std::max(answered, context.usual_latency);
   cost += StallCost(target, latency, now);
--- a/knapweedroad/routing/zone_reachability.cc
+++ b/knapweedroad/routing/zone_reachability.cc
@@ -60,9 +60,8 @@
       this->unserved * (1 - kRequestWeight) + (is_served ? 0 : kRequestWeight);
 }
 
-// Failure: a control host has lost all others, but not its zone's hosts. They
-// reach other zones well, and believing it they would send callers away; those
-// without callers would do so in turns, at each of its replies.
+// A control host that has lost the others may tell of a cut while entry hosts
+// reach other zones well, so its word counts only with silence from there.
 bool ZoneReachability::is_cut_off(TimePoint now) const {
   const Duration silence = now - this->answered;
   return (this->told_cut_off && now - this->told >= kFirstAnswer &&
@@ -71,13 +70,12 @@
           silence >= kLeastSilence);
 }
 
-// Failure: a service is down everywhere, all hosts of all zones send their
-// callers away, and nobody serves what could still be served. So only a host
-// that hears nothing from outside its zone does.
+// Only a host that hears nothing from outside sends callers away: where a
+// service is down everywhere, hosts of all zones would otherwise send them in
+// circles.
 //
-// Failure: the balancer sends callers to another zone only once no host of this
-// one is ready; a host that no caller has reached lately would stay ready, and
-// get them all. So it decides by what its zone could serve.
+// The balancer leaves a zone only once none of its hosts is ready. A host that
+// no caller has reached lately therefore decides by what its zone could serve.
 bool ZoneReachability::should_send_away(bool zone_serves_all, TimePoint now) {
   if (!this->is_cut_off(now)) {
     this->sends_away = false;
