Targets in trouble stay listed when their control host stood still and replies that nothing has changed

A control host that hasn't replied for 4 s has its list of outliers dropped by entry hosts. If it then replies that nothing has changed, as its process went on, the list stayed empty until the next change: targets in trouble got their full share again.

Change: the list is left out while its owner is silent and counts again with its next reply. The same holds for lists of entry hosts: routing/lists_by_control_host serves both.

--- a/knapweedroad/routing/entry_host_lists.h
+++ b/knapweedroad/routing/entry_host_lists.h
@@ -1,5 +1,5 @@
 // Which entry hosts there are, as the control hosts that this host follows list
-// them: each tells its whole list, which counts while it replies.
+// them.
 //
 //   EntryHostLists lists;
 //   if (lists.Learn(control_host, std::move(list), now)) Use(lists.All());
@@ -11,20 +11,19 @@
 #ifndef KNAPWEEDROAD_ROUTING_ENTRY_HOST_LISTS_H_
 #define KNAPWEEDROAD_ROUTING_ENTRY_HOST_LISTS_H_
 
-#include <map>
 #include <optional>
 #include <vector>
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/entry_host_record.h"
+#include "knapweedroad/routing/lists_by_control_host.h"
 
 namespace knapweedroad {
 
 class EntryHostLists {
  public:
-  // Replaces what the control host listed before; nothing: that still holds.
-  // True: All() has changed.
+  // As ListsByControlHost::Learn(). True: All() has changed.
   bool Learn(const HostId& control_host,
              std::optional<std::vector<EntryHostRecord>> hosts,
              TimePoint now);
@@ -37,15 +36,9 @@
   const std::vector<EntryHostRecord>& All() const { return this->all; }
 
  private:
-  struct List {
-    std::vector<EntryHostRecord> hosts;
-    TimePoint heard;
-    bool counts = false;
-  };
-
   bool Join();
 
-  std::map<HostId, List> lists;
+  ListsByControlHost<EntryHostRecord> lists;
   std::vector<EntryHostRecord> all;
 };
 
--- a/knapweedroad/routing/outlier_lists.h
+++ b/knapweedroad/routing/outlier_lists.h
@@ -1,5 +1,5 @@
 // Which targets are outliers, as the control hosts of this host's zone list
-// them: each sends its whole list, and one that falls silent is forgotten.
+// them.
 //
 //   OutlierLists lists;
 //   if (lists.Learn(control_host, std::move(outliers), now)) Apply(lists);
@@ -9,36 +9,37 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/registry/target_outcomes.h"
+#include "knapweedroad/routing/lists_by_control_host.h"
 
 namespace knapweedroad {
 
 class OutlierLists {
  public:
-  // Replaces what the control host listed before; nothing: that still holds.
-  // True: Worst() may differ.
+  // As ListsByControlHost::Learn(). True: Worst() may differ.
   bool Learn(const HostId& control_host,
              std::optional<std::vector<TargetOutlier>> outliers,
-             TimePoint now);
+             TimePoint now) {
+    const bool is_changed =
+        this->lists.Learn(control_host, std::move(outliers), now);
+    return this->ForgetOld(now) || is_changed;
+  }
 
-  // Drops the lists of control hosts that no longer reply. True: there were.
-  bool ForgetOld(TimePoint now);
+  // Leaves out what control hosts that no longer reply have listed. True: there
+  // was something.
+  bool ForgetOld(TimePoint now) { return this->lists.ForgetOld(now); }
 
   // Each listed target once. The worst that any control host says counts: one
   // that has just started has heard little yet.
   std::map<TargetId, TargetOutlier> Worst() const;
 
  private:
-  struct List {
-    std::vector<TargetOutlier> outliers;
-    TimePoint heard;
-  };
-
-  std::map<HostId, List> lists;
+  ListsByControlHost<TargetOutlier> lists;
 };
 
 }  // namespace knapweedroad
