--- a/knapweedroad/base/event_log.cc
+++ b/knapweedroad/base/event_log.cc
@@ -9,9 +9,8 @@
 namespace knapweedroad {
 namespace {
 
-// Failure: whoever reads the log stops reading, the pipe fills, and a plain
-// write blocks every request of the process. So the pipe is asked first, and a
-// pipe that is writable takes at least this many bytes.
+// A write to a full pipe would block every request of the process. A pipe that
+// is writable takes at least this many bytes.
 constexpr size_t kPipeBytes = 4096;
 
 size_t WriteToStandardOutput(std::string_view bytes) {
--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -58,9 +58,8 @@
 
 // Ends a server's process after its last answer, with the logs written.
 //
-// Failure: a host has stopped, its log says so, and its process spins for ever:
-// its fibers still sleep, wake after its parts were destroyed, and run on freed
-// memory. So the parts are never destroyed.
+// The parts of a host are never destroyed: fibers that still sleep would wake on
+// freed memory.
 [[noreturn]] void EndServer(int code);
 
 // An error of usage: prints it and where help is; returns kExitUsage.
--- a/knapweedroad/control/change_run.cc
+++ b/knapweedroad/control/change_run.cc
@@ -88,9 +88,9 @@
 }
 
 void ChangeRun::NextAttempt(TimePoint now, RunActions& actions) {
-  // Failure: the known members may have been replaced since, and are silent.
-  // Ballots made once an attempt's time would be passed by other proposers'
-  // again and again; a query tells the members and the round of this moment.
+  // The known members may have been replaced since, and are silent. A query
+  // tells the members and the round of this moment; ballots made once an
+  // attempt's time would be passed by other proposers' again and again.
   if (this->options.known.has_value() && !this->query_first) {
     this->StartPrepare(now, actions);
   } else {
--- a/knapweedroad/control/membership_controller.cc
+++ b/knapweedroad/control/membership_controller.cc
@@ -36,10 +36,9 @@
                                          : now - found->second;
 }
 
-// Failure: a control host lost its disk, or a new one took a lost one's place;
-// it has no vote, and the next loss leaves too few replicas to decide. It
-// shows as changes that are never accepted any more. So whoever has no vote
-// asks for one, in the place of its own former life or of a lost member.
+// A host without a vote asks for one, in the place of its own former life or of
+// a lost member: after a lost disk or a replaced host the next loss would leave
+// too few replicas to decide.
 MemberAction MembershipController::Join(const Membership& members,
                                         TimePoint now) const {
   MemberAction action{.step = MemberStep::kMove,
@@ -63,9 +62,8 @@
   return action;
 }
 
-// Failure: a member is gone for good and counts on; with one more down there
-// is no majority, though as many hosts run as ever. One member, the first in
-// order that answers, takes it out.
+// A member that is gone for good still counts for majorities. One member, the
+// first in order that answers, takes it out.
 MemberAction MembershipController::DropLost(const Membership& members,
                                             const MemberView& view,
                                             TimePoint now) const {
--- a/knapweedroad/control/proposer.cc
+++ b/knapweedroad/control/proposer.cc
@@ -15,9 +15,8 @@
   std::vector<HostId> ask_hosts = this->ask_hosts;
   std::vector<HostId> first_hosts = this->options.first_hosts;
   if (!ask_hosts.empty()) {
-    // Failure: first hosts that came back blank would form a second
-    // membership, and an accepted version would be gone. Where members are
-    // known one has been formed; the first hosts are only asked.
+    // Where members are known a membership has been formed, and the first hosts
+    // are only asked: those that came back blank would form a second one.
     ask_hosts.insert(ask_hosts.end(), first_hosts.begin(), first_hosts.end());
     first_hosts.clear();
   }
--- a/knapweedroad/host/change_gateway.cc
+++ b/knapweedroad/host/change_gateway.cc
@@ -117,8 +117,7 @@
         return;
       }
     }
-    // Failure: with all replicas refusing connections the rounds would follow
-    // each other without a stop, and the fiber would never yield.
+    // While all replicas refuse connections the fiber would never yield.
     this->options.pause(this->options.round_pause);
   }
 }
--- a/knapweedroad/host/configuration_keeper.cc
+++ b/knapweedroad/host/configuration_keeper.cc
@@ -88,8 +88,8 @@
     uint64_t version,
     const std::string& text,
     TimePoint now) {
-  // Failure: two hosts serve under one version number with different texts for
-  // as long as no further change comes. What was agreed is right.
+  // Two texts under one version number would stay until the next change; what
+  // was agreed is right.
   if (!this->current_text.empty() && version != 0 &&
       version == this->current_version &&
       CanonicalText(text) != this->current_text) {
@@ -162,9 +162,9 @@
     }
     text = std::move(*patched);
   }
-  // Failure: two hosts serve under one version number with different texts,
-  // because a difference was applied to another base. The sum is of the text
-  // that the first host has in force.
+  // A difference that is applied to another base gives another text under the
+  // same version number. The sum is of the text that the first host has in
+  // force.
   if (ChecksumOf(CanonicalText(text).value_or("")) != push.checksum) {
     return tl::unexpected(std::string("the text's checksum differs"));
   }
--- a/knapweedroad/host/configuration_service.cc
+++ b/knapweedroad/host/configuration_service.cc
@@ -200,8 +200,8 @@
     }
   }
   this->pulling = false;
-  // Failure: a peer that speaks of a version and can't hand it over would be
-  // asked again with each heartbeat of any host.
+  // A peer that speaks of a version and can't hand it over isn't asked again
+  // with each heartbeat of any host.
   if (!this->Relays().empty()) {
     this->next_round = this->options.now() + this->options.retry_pause;
   }
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -230,10 +230,9 @@
          peer->unanswered_for(now) < kSlowHolder;
 }
 
-// Failure: a host freezes or is cut off, and until its leases have passed on,
-// every query waits in vain for the targets that it holds: answers came with a
-// tenth or two of the index missing for seconds. A target whose holder doesn't
-// answer is left aside while its service has another one.
+// A target whose holder doesn't answer is left aside while its service has
+// another one: until the leases of a frozen host have passed on, queries would
+// wait for its targets in vain.
 std::vector<TargetCandidate> Host::State::Candidates(const FrontId& front,
                                                      const ServiceId& service) {
   const TimePoint now = Runtime::Now();
--- a/knapweedroad/host/lookup_service.h
+++ b/knapweedroad/host/lookup_service.h
@@ -8,8 +8,7 @@
 // settings, alive or not: two hosts that lose each other never both begin a
 // key. While that host can't be reached its keys are refused.
 //
-// Failure: the host forgets its keys in a crash, a caller sends one again, and
-// the lookup runs twice. A host that has just started refuses every key as
+// A host that has just started has forgotten its keys, so it refuses every key as
 // `unknown` for the time that a resend may take to come (the table's window),
 // unless the caller says that it is the key's first send.
 
--- a/knapweedroad/net/peer_client.cc
+++ b/knapweedroad/net/peer_client.cc
@@ -56,12 +56,10 @@
   size_t silent = 0;
 };
 
-// Failure: something between the hosts forgets a connection, and every call on
-// it waits for ever while new connections work. It shows as calls that wait
-// with nothing coming in. The old connection is left to its calls, which end
-// at their deadlines, and all others go over a new one. Calls that follow one
-// another never wait beside a later one, so a call that times out gives the
-// connection up for the next.
+// A connection that something between the hosts has forgotten shows only by
+// silence. It is left to its calls, which end at their deadlines, and all others
+// go over a new one. Calls that follow one another never wait beside a later
+// one, so a call that times out gives the connection up for the next.
 bool PeerClient::State::IsSilent(const Link& link) const {
   return link.is_given_up ||
          (!link.pending.empty() &&
--- a/knapweedroad/query/front_gate.cc
+++ b/knapweedroad/query/front_gate.cc
@@ -46,10 +46,9 @@
     return this->Refuse(503, "it can't be done by its deadline", now);
   }
   if (this->running >= this->in_flight_limit) {
-    // Failure: one tenant fills the front and all others are shut out, as
-    // each slot that comes free goes to whoever asks most often. So those
-    // under their share have some room above the limit; while they use it,
-    // nobody else is let in.
+    // Tenants under their share have some room above the limit, and while they
+    // use it nobody else is let in: free slots would go to whoever asks most
+    // often.
     if (this->OverShare(key)) {
       return this->Refuse(429, "the tenant or class is over its share", now);
     }
--- a/knapweedroad/query/front_gate.h
+++ b/knapweedroad/query/front_gate.h
@@ -9,10 +9,9 @@
 //   gate.Finish({.tenant = tenant, .class_name = "normal", ...}, now);
 //   state.SetOverloaded(gate.Overloaded(now));
 //
-// Failure: at twice its capacity a front answers nothing. If targets refuse
-// sub-requests on their own, a query of 10 services that each refuse half
-// comes through whole once in a thousand, and all of the work is wasted. So
-// the refusing is done here, once a query.
+// Sheds whole queries. If targets shed sub-requests on their own, a query of 10
+// services that each refuse half comes through whole once in a thousand, and
+// the work on the others is wasted.
 //
 // The limit on queries in flight grows by about one in the time of a query
 // while it is used and queries are quick, and shrinks by a fifth when targets
--- a/knapweedroad/query/front_state.h
+++ b/knapweedroad/query/front_state.h
@@ -19,8 +19,8 @@
         retries({.share = front.retry_budget}) {}
 
   // Under overload there are neither hedges nor retries, and no latency is
-  // recorded. Failure: the waits of an overload would stay in the quantiles,
-  // and stragglers wouldn't be hedged for minutes after it has ended.
+  // recorded: the waits of an overload would stay in the quantiles and hold
+  // hedges back for minutes after it has ended.
   void SetOverloaded(bool overloaded) {
     this->is_overloaded = overloaded;
     this->hedges.SetSuspended(overloaded);
--- a/knapweedroad/query/idempotency_table.cc
+++ b/knapweedroad/query/idempotency_table.cc
@@ -78,11 +78,10 @@
               .deadline = deadline,
               .result = std::nullopt,
               .waiters = {}};
-  // Failure: a host dies with its memory, the caller resends, and the next
-  // host runs the lookup again. A key that isn't known here and was first
-  // sent before the takeover has its next send within `window` of it. That
-  // send is answered with `unknown` and remembered, so that still later ones
-  // never run either.
+  // A key that isn't known here may have run on the host before. If it was
+  // first sent before the takeover, its next send comes within `window` of it;
+  // that one is answered with `unknown` and remembered, so that still later
+  // ones never run either.
   if (now < *since + this->options.window) {
     entry.result = Unknown("it may have begun on a host that was lost");
   }
--- a/knapweedroad/query/lookup_run.h
+++ b/knapweedroad/query/lookup_run.h
@@ -4,11 +4,9 @@
 //                  .start = now, .deadline = now + 200ms, .hooks = hooks});
 //   Do(run.Start(now));
 //
-// Failure: the record is looked up twice, and two letters are sent. A hedge, a
-// retry after an answer that was merely lost, or a second send of a request
-// whose connection broke in the write would do that. So one attempt is in
-// flight at a time, and the next is sent only after proof that the last did
-// not run; all doubt is passed on to the caller as `unknown`.
+// A lookup runs at most once: one attempt is in flight at a time, and the next
+// is sent only after proof that the last did not run; all doubt is passed on to
+// the caller as `unknown`.
 //
 // It runs on the host responsible for the key, behind an IdempotencyTable.
 
--- a/knapweedroad/query/query_run.cc
+++ b/knapweedroad/query/query_run.cc
@@ -57,9 +57,8 @@
                                SubReply reply,
                                TimePoint now) {
   QueryActions actions;
-  // Failure: an answer that comes late or under a crossed id is counted for a
-  // query or a snapshot that it isn't of. Only ids that are awaited right now
-  // are looked up, and a restart forgets those of before.
+  // Only ids that are awaited right now are looked up, and a restart forgets
+  // those of before: a late answer may be of another query or snapshot.
   for (Part& part : this->parts) {
     const auto taken = part.call.Take(attempt);
     if (!taken) {
--- a/knapweedroad/query/replica_choice.cc
+++ b/knapweedroad/query/replica_choice.cc
@@ -36,10 +36,9 @@
          request.excluded.end();
 }
 
-// Failure: targets of a zone with more hosts drown while others idle, and all
-// hosts jump on the target that was the least loaded a while ago. So it is one
-// of two picked at random, and the own zone only decides between two that are
-// about as busy.
+// The better of two picked at random: all hosts would else pick the target that
+// was the least loaded a while ago. The own zone only decides between two that
+// are about as busy, as zones differ in hosts.
 const TargetCandidate* BetterOfTwo(
     const std::vector<const TargetCandidate*>& equals,
     const ReplicaRequest& request) {
@@ -59,11 +58,8 @@
   return about_equal && nearer ? other : one;
 }
 
-// Failure: a replica that is cold gets no work while another one is warm, and
-// so stays cold; the one that is warm queues, answers miss its service at the
-// tail target, and the service has a single replica left to lose. Measured: of
-// three replicas one got 1,513 requests and the others none. So one in so many
-// first choices goes to a cold target that has room.
+// One in so many first choices goes to a cold target that has room: without any
+// work it stays cold, and the service has one replica less to lose.
 constexpr uint64_t kWarmingOneIn = 8;
 
 bool ShouldWarm(const ReplicaRequest& request) {
--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -224,8 +224,8 @@
   if (now + typical >= context.answer_by) {
     return;
   }
-  // Failure: what is merely slower than most uses the budget up, and a true
-  // straggler finds it empty. So half of it is kept for those far over.
+  // Half of the budget is kept for attempts that are far over, so that those
+  // that are merely slower than most don't use it up.
   const LiveAttempt& slow = this->live.front();
   const auto expected = SlowAfter(context, this->service_id, slow.zone);
   const bool urgent = expected && now - slow.sent >= *expected * 3 / 2;
