--- a/knapweedroad/cli/command.h
+++ b/knapweedroad/cli/command.h
@@ -58,8 +58,8 @@
 
 // Ends a server's process after its last answer, with the logs written.
 //
-// The parts of a host are never destroyed: fibers that still sleep would wake on
-// freed memory.
+// The parts of a host are never destroyed: fibers that still sleep would wake
+// on freed memory.
 [[noreturn]] void EndServer(int code);
 
 // An error of usage: prints it and where help is; returns kExitUsage.
--- a/knapweedroad/host/control_replica.cc
+++ b/knapweedroad/host/control_replica.cc
@@ -37,9 +37,9 @@
   // Reads the folder from the start, as a process that starts anew does.
   tl::expected<void, StorageError> Load();
 
-  // A replica whose disk refused a write takes part again once the disk is well.
-  // What is in memory may be ahead of the disk and is thrown away; what the disk
-  // holds is synced before any of it is told.
+  // A replica whose disk refused a write takes part again once the disk is
+  // well. What is in memory may be ahead of the disk and is thrown away; what
+  // the disk holds is synced before any of it is told.
   bool Reopen() {
     const TimePoint now = Runtime::Now();
     if (now < this->reopen_at) {
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -126,9 +126,9 @@
   }
 }
 
-// Where a quorum of the newest value's members has accepted it, no newer one had
-// been chosen when they were asked: its quorum would share a member with this
-// one.
+// Where a quorum of the newest value's members has accepted it, no newer one
+// had been chosen when they were asked: its quorum would share a member with
+// this one.
 bool IsChosen(const PeekState& peek) {
   if (!peek.newest.has_value()) {
     return false;
--- a/knapweedroad/host/lookup_service.h
+++ b/knapweedroad/host/lookup_service.h
@@ -8,9 +8,9 @@
 // settings, alive or not: two hosts that lose each other never both begin a
 // key. While that host can't be reached its keys are refused.
 //
-// A host that has just started has forgotten its keys, so it refuses every key as
-// `unknown` for the time that a resend may take to come (the table's window),
-// unless the caller says that it is the key's first send.
+// A host that has just started has forgotten its keys, so it refuses every key
+// as `unknown` for the time that a resend may take to come (the table's
+// window), unless the caller says that it is the key's first send.
 
 #ifndef KNAPWEEDROAD_HOST_LOOKUP_SERVICE_H_
 #define KNAPWEEDROAD_HOST_LOOKUP_SERVICE_H_
--- a/knapweedroad/host/target_link.cc
+++ b/knapweedroad/host/target_link.cc
@@ -133,11 +133,11 @@
 AttemptReply TargetLink::State::Send(const AttemptCall& call,
                                      TimePoint deadline) {
   TimePoint sent = Runtime::Now();
-  // The lease may have run out since the decision, while the process stood still
-  // or waited for a connection, and the next holder may send. Asked right before
-  // the write, the check leaves only the write itself. The time left is told as
-  // of then, too: a target that was told more would work past the moment at
-  // which its slot is taken for free.
+  // The lease may have run out since the decision, while the process stood
+  // still or waited for a connection, and the next holder may send. Asked right
+  // before the write, the check leaves only the write itself. The time left is
+  // told as of then, too: a target that was told more would work past the
+  // moment at which its slot is taken for free.
   HttpSendOptions options{.before_write = [&](HttpRequest& request) {
     sent = Runtime::Now();
     request = TargetRequest(call, deadline - sent);
--- a/knapweedroad/net/peer_client.cc
+++ b/knapweedroad/net/peer_client.cc
@@ -57,9 +57,9 @@
 };
 
 // A connection that something between the hosts has forgotten shows only by
-// silence. It is left to its calls, which end at their deadlines, and all others
-// go over a new one. Calls that follow one another never wait beside a later
-// one, so a call that times out gives the connection up for the next.
+// silence. It is left to its calls, which end at their deadlines, and all
+// others go over a new one. Calls that follow one another never wait beside a
+// later one, so a call that times out gives the connection up for the next.
 bool PeerClient::State::IsSilent(const Link& link) const {
   return link.is_given_up ||
          (!link.pending.empty() &&
