--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -1,7 +1,6 @@
 #include "knapweedroad/edge/control_follower.h"
 
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <set>
 #include <utility>
@@ -9,6 +8,8 @@
 #include <xxhash.h>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/control_host_id.h"
+#include "knapweedroad/edge/heard_lists.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
@@ -45,24 +46,6 @@
 // A host that reports nothing for this long looks whether it is still wanted.
 constexpr Duration kReportWait = std::chrono::seconds(90);
 
-// What is known of lists that a control host tells.
-struct HeardLists {
-  HeardList<EntryHostRecord, HostId> entry_hosts;
-  HeardList<TargetOutlier, TargetId> outliers;
-
-  // Makes whole lists of what has changed in them.
-  void Complete(WatchReply& reply) {
-    if (reply.has_hosts) {
-      this->entry_hosts.Take(std::move(reply.entry_hosts));
-      reply.entry_hosts = {.is_whole = true, .put = this->entry_hosts.items()};
-    }
-    if (reply.has_outliers) {
-      this->outliers.Take(std::move(reply.outliers));
-      reply.outliers = {.is_whole = true, .put = this->outliers.items()};
-    }
-  }
-};
-
 // That there is something to report at once.
 struct ReportWish {
   explicit ReportWish(Runtime& runtime) : is_wanted(runtime) {}
@@ -79,22 +62,6 @@
 
 }  // namespace
 
-Endpoint EndpointOf(const HostId& control_host) {
-  const std::string& text = control_host.str();
-  const size_t colon = text.rfind(':');
-  Endpoint endpoint;
-  if (colon != std::string::npos) {
-    endpoint.ip = text.substr(0, colon);
-    std::from_chars(text.data() + colon + 1, text.data() + text.size(),
-                    endpoint.port);
-  }
-  return endpoint;
-}
-
-HostId ControlHostId(const Endpoint& peer_address) {
-  return HostId(peer_address.ip + ":" + std::to_string(peer_address.port));
-}
-
 struct ControlFollower::State
     : std::enable_shared_from_this<ControlFollower::State> {
   State(Runtime& runtime, ControlFollowerOptions options)
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -75,11 +75,6 @@
   std::shared_ptr<State> state;
 };
 
-// The endpoint that a control host's id stands for: ids of control hosts are
-// their peer addresses.
-Endpoint EndpointOf(const HostId& control_host);
-HostId ControlHostId(const Endpoint& peer_address);
-
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_EDGE_CONTROL_FOLLOWER_H_
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
--- a/knapweedroad/edge/control_links.cc
+++ b/knapweedroad/edge/control_links.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "knapweedroad/edge/control_follower.h"
+#include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 
--- a/knapweedroad/edge/role_parts.cc
+++ b/knapweedroad/edge/role_parts.cc
@@ -7,7 +7,7 @@
 
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/config/role_settings.h"
-#include "knapweedroad/edge/control_follower.h"
+#include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
 
--- a/knapweedroad/edge/rollout_reporter.cc
+++ b/knapweedroad/edge/rollout_reporter.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "knapweedroad/base/log_line.h"
-#include "knapweedroad/edge/control_follower.h"
+#include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/rollout/answer_sampler.h"
