--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -380,11 +380,14 @@
   const ControlHostTable& table = this->state->table;
   const TimePoint now = Runtime::Now();
   return {.hears_all = table.HearsAll(now),
-          .has_quorum = table.HasQuorum(now),
           .lost = table.DescribeLost(now),
           .quorum_age = table.QuorumAge(now)};
 }
 
+bool ControlFollower::HasQuorum() const {
+  return this->state->table.HasQuorum(Runtime::Now());
+}
+
 void ControlFollower::Hear(const HostId& host) {
   this->state->table.OnCall(host, Runtime::Now());
 }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -65,6 +65,8 @@
   size_t followed() const;
   // What a control host makes of the others.
   ControlHostsView View() const;
+  // Whether a quorum has answered lately.
+  bool HasQuorum() const;
   // A control host that this host has heard of by another way.
   void Hear(const HostId& host);
   // A quorum of the replicas has answered a question asked at this time.
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -8,7 +8,6 @@
 #include "knapweedroad/edge/peer_calls.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
-#include "knapweedroad/registry/control_hosts_view.h"
 
 namespace knapweedroad {
 namespace {
@@ -75,7 +74,7 @@
           .control_hosts = [this] { return this->ControlHosts(); },
           .is_cut_off = [this] { return this->connectivity.is_cut_off(); },
           .hears_all = [this] { return this->connectivity.hears_all(); },
-          .has_quorum = [this] { return this->follower->View().has_quorum; },
+          .has_quorum = [this] { return this->follower->HasQuorum(); },
           .on_outcomes =
               [this](const OutcomeReport& report) {
                 this->outcomes.Add(report, Runtime::Now());
@@ -149,7 +148,7 @@
               },
           .known_control_hosts =
               [this] { return this->follower->KnownHosts().size() + 1; },
-          .has_quorum = [this] { return this->follower->View().has_quorum; },
+          .has_quorum = [this] { return this->follower->HasQuorum(); },
           .agree =
               [this](const std::string& name,
                      std::function<void(std::vector<RolloutRecord>&)> edit) {
--- a/knapweedroad/registry/control_hosts_view.h
+++ b/knapweedroad/registry/control_hosts_view.h
@@ -13,8 +13,6 @@
 struct ControlHostsView {
   // Its news is whole.
   bool hears_all = false;
-  // A quorum of the replicas has answered lately.
-  bool has_quorum = false;
   // Those that are known and don't answer, as a log line names them.
   std::string lost;
   // Since the last question that a quorum has answered; nothing: never.
--- a/knapweedroad/registry/follow_plan.h
+++ b/knapweedroad/registry/follow_plan.h
@@ -40,7 +40,8 @@
 };
 
 // In order of preference. One that hears all others is enough; those that are
-// preferred to it are tried again and again.
+// preferred to it are tried again and again. Where none of them has a quorum,
+// one that has is followed as well.
 //
 // One control host of the own zone is enough while it hears all others:
 // following several brings each change as often, most of it between zones.
--- a/knapweedroad/registry/follow_plan_test.cc
+++ b/knapweedroad/registry/follow_plan_test.cc
@@ -86,6 +86,21 @@
   cr_expect(plan.back() == HostId("control-e"));
 }
 
+// Guards against entry hosts that lose the majority's news again as soon as
+// they have found it.
+Test(follow_plan, a_quorum_that_was_found_is_kept) {
+  std::vector<FollowCandidate> known = SixZones();
+  for (FollowCandidate& candidate : known) {
+    candidate.hears_all = false;
+  }
+  // The last in order.
+  known[0].has_quorum = true;
+  const std::vector<HostId> plan = PlanFollowing(
+      known, {.zone = ZoneId("d"), .most = 3, .most_without_quorum = 3});
+  cr_expect(plan.size() == 4);
+  cr_expect(plan.back() == HostId("control-a"));
+}
+
 // Guards against hundreds of hosts that follow all control hosts at once while
 // there is no quorum anywhere.
 Test(follow_plan, without_any_quorum_no_more_than_allowed_are_followed) {
