--- a/knapweedroad/registry/control_host_table.h
+++ b/knapweedroad/registry/control_host_table.h
@@ -2,7 +2,7 @@
 // missed.
 //
 //   ControlHostTable table({.started = now});
-//   table.OnReply(host, zone, hears_all, now);
+//   table.OnReply(host, reply, now);
 //   std::vector<ControlHostRecord> live = table.Live(now);
 
 #ifndef KNAPWEEDROAD_REGISTRY_CONTROL_HOST_TABLE_H_
