Interfaces of client accounts, freshness proofs and quotas

The settings, the agreed state and the numbers of messages between hosts get their fields; nothing uses them yet.

A state without a quota leader is encoded as before, so older control hosts still read it.

--- a/knapweedroad/base/id.h
+++ b/knapweedroad/base/id.h
@@ -51,6 +51,7 @@
 using TargetId = Id<struct TargetTag>;    // one searcher of a service
 using TenantId = Id<struct TenantTag>;    // whom a caller asks for
 using VersionId = Id<struct VersionTag>;  // of the software that a target runs
+using AccountId = Id<struct AccountTag>;  // a client account, by its name
 
 }  // namespace knapweedroad
 
--- a/knapweedroad/config/parse_role_settings.cc
+++ b/knapweedroad/config/parse_role_settings.cc
@@ -81,6 +81,10 @@
   amount("exposure_share", settings.exposure_share);
   amount("exposure_slack", settings.exposure_slack);
   duration("order_resend_window", settings.order_resend_window);
+  duration("revocation_bound", settings.revocation_bound);
+  duration("quota_window", settings.quota_window);
+  amount("quota_overshoot", settings.quota_overshoot);
+  amount("quota_slack", settings.quota_slack);
 }
 
 }  // namespace
@@ -99,6 +103,9 @@
     }
     settings.first_start =
         reader.Optional("first_start", false, ReadBoolean).value_or(false);
+    settings.strict_revocation =
+        reader.Optional("strict_revocation", false, ReadBoolean)
+            .value_or(false);
     ReadAddresses(reader, settings);
     ReadSeeds(reader, settings);
     ReadBounds(reader, settings);
--- a/knapweedroad/config/role_settings.h
+++ b/knapweedroad/config/role_settings.h
@@ -51,6 +51,16 @@
   // slack.
   double exposure_share = 0.1;
   double exposure_slack = 50;
+  // Whether requests with a key are served only while the configuration is
+  // proven to be recent, and how long after the acknowledgement of a
+  // configuration a key that it removed may still be used.
+  bool strict_revocation = false;
+  Duration revocation_bound = std::chrono::seconds(5);
+  // Of a client account's quota in any window of this length, over all hosts:
+  // the share by which it may be exceeded, and requests beyond that.
+  Duration quota_window = std::chrono::seconds(5);
+  double quota_overshoot = 0.1;
+  double quota_slack = 20;
   // Within this an operator's order that comes again is the same one resent.
   Duration order_resend_window = std::chrono::seconds(10);
 
--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -101,6 +102,7 @@
   std::set<HostId> followed;
   std::set<HostId> wanted;
   // For each host followed.
+  std::map<HostId, std::shared_ptr<PeerClient>> peers;
   std::map<HostId, std::shared_ptr<ReportWish>> report_wishes;
   // When a control host last said that it has a quorum.
   TimePoint quorum_heard = Runtime::Now();
@@ -310,6 +312,7 @@
                         .silence = this->options.role == FollowerRole::kControl
                                        ? kControlSilence
                                        : kSilence});
+  this->peers[host] = peer;
   const auto wish = std::make_shared<ReportWish>(this->runtime);
   if (this->options.take_outcomes != nullptr) {
     this->report_wishes[host] = wish;
@@ -332,6 +335,7 @@
     pause = std::min<Duration>(pause * 2, kLongestPause);
   }
   this->followed.erase(host);
+  this->peers.erase(host);
   this->report_wishes.erase(host);
   wish->is_over = true;
   wish->is_wanted.Set();
@@ -372,6 +376,39 @@
   return this->state->Candidates();
 }
 
+std::vector<HostId> ControlFollower::ResponsiveHosts() const {
+  const State& self = *this->state;
+  const TimePoint now = Runtime::Now();
+  std::vector<ControlHostCandidate> responsive;
+  for (const auto& [host, peer] : self.peers) {
+    if (self.table.IsResponsive(host)) {
+      responsive.push_back(self.table.Candidate(host, now));
+      responsive.back().rank = RankOf(self.options.self, host);
+    }
+  }
+  std::ranges::sort(responsive, {}, [&](const ControlHostCandidate& candidate) {
+    return std::tuple(candidate.zone != self.options.zone,
+                      !candidate.has_quorum, candidate.rank);
+  });
+  std::vector<HostId> hosts;
+  for (const ControlHostCandidate& candidate : responsive) {
+    hosts.push_back(candidate.host);
+  }
+  return hosts;
+}
+
+tl::expected<std::string, NetError> ControlFollower::Call(const HostId& host,
+                                                          PeerMessageType type,
+                                                          std::string_view body,
+                                                          TimePoint deadline) {
+  const auto found = this->state->peers.find(host);
+  if (found == this->state->peers.end()) {
+    return tl::unexpected(NetError{.detail = "the host isn't followed"});
+  }
+  const std::shared_ptr<PeerClient> peer = found->second;
+  return peer->Call(type, body, deadline);
+}
+
 size_t ControlFollower::followed() const {
   return this->state->wanted.size();
 }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -12,12 +12,17 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include <tl/expected.hpp>
+
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/config/host_settings.h"
+#include "knapweedroad/net/net_error.h"
 #include "knapweedroad/registry/watch_messages.h"
+#include "knapweedroad/wire/peer_message_type.h"
 
 namespace knapweedroad {
 
@@ -61,6 +66,16 @@
   std::vector<ControlHostRecord> LiveRecords() const;
   // All control hosts known, seeds included.
   std::vector<HostId> KnownHosts() const;
+  // The control hosts followed now that responded to their last call: those of
+  // the own zone first, then those that a quorum answers, then by a rank that
+  // differs between followers.
+  std::vector<HostId> ResponsiveHosts() const;
+  // Calls a control host that is followed now. Blocks the calling fiber until
+  // the reply or the deadline; fails at once if the host isn't followed.
+  tl::expected<std::string, NetError> Call(const HostId& host,
+                                           PeerMessageType type,
+                                           std::string_view body,
+                                           TimePoint deadline);
   // How many control hosts are followed now.
   size_t followed() const;
   // What a control host makes of the others.
--- a/knapweedroad/edge/routing_in_force.cc
+++ b/knapweedroad/edge/routing_in_force.cc
@@ -29,6 +29,7 @@
   this->options.on_zones_out(state->zones_out);
   this->options.on_rollouts(state->rollouts);
   if (state->number == 0 || state->text == this->routing_text) {
+    this->last_applied_version = agreed_version;
     return;
   }
   auto routing = this->options.read(state->text);
@@ -40,7 +41,9 @@
     return;
   }
   this->routing_text = state->text;
-  this->adoption.Offer(std::make_shared<RouteTable>(*std::move(routing)), now);
+  this->last_applied_version = agreed_version;
+  this->newest = std::make_shared<RouteTable>(*std::move(routing));
+  this->adoption.Offer(this->newest, now);
   this->Adopt(now);
   if (this->adoption.has_pending()) {
     LogLine("configuration_held_back")
--- a/knapweedroad/edge/routing_in_force.h
+++ b/knapweedroad/edge/routing_in_force.h
@@ -53,10 +53,21 @@
   // The newest version seen; zero: none yet.
   uint64_t agreed_version() const { return this->version; }
 
+  // The newest version whose configuration could be read, although it may not
+  // be in force yet; zero if there is none.
+  uint64_t applied_version() const { return this->last_applied_version; }
+  // The table of the newest configuration that could be read; null if there is
+  // none.
+  const std::shared_ptr<const RouteTable>& newest_table() const {
+    return this->newest;
+  }
+
  private:
   RoutingInForceOptions options;
   RouteAdoption adoption{{}};
   uint64_t version = 0;
+  uint64_t last_applied_version = 0;
+  std::shared_ptr<const RouteTable> newest;
   // As it was put, of the last configuration that could be read.
   std::string routing_text;
 };
--- a/knapweedroad/registry/agreed_state.cc
+++ b/knapweedroad/registry/agreed_state.cc
@@ -21,15 +21,35 @@
   }
 };
 
+// The encoded layout that predates quotas.
+struct StateWithoutQuotas {
+  uint64_t number = 0;
+  std::string text;
+  std::vector<ZoneId> zones_out;
+  std::vector<RolloutRecord> rollouts;
+
+  // For cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->number, this->text, this->zones_out, this->rollouts);
+  }
+};
+
 }  // namespace
 
-// A state without rollouts is encoded in the older layout, so that control
-// hosts of both versions can read each other's values during an upgrade until
-// the first rollout.
+// A state is encoded in the oldest layout that holds it, so that control hosts
+// of different versions can read each other's values during an upgrade until
+// the first rollout or the first choice of a quota leader.
 std::string EncodeAgreedState(const AgreedState& state) {
-  if (!state.rollouts.empty()) {
+  if (!state.quota_leader.host.empty()) {
     return Pack(EncodeBytes(state));
   }
+  if (!state.rollouts.empty()) {
+    return Pack(EncodeBytes(StateWithoutQuotas{.number = state.number,
+                                               .text = state.text,
+                                               .zones_out = state.zones_out,
+                                               .rollouts = state.rollouts}));
+  }
   return Pack(EncodeBytes(StateWithoutRollouts{.number = state.number,
                                                .text = state.text,
                                                .zones_out = state.zones_out}));
@@ -47,6 +67,12 @@
   if (auto state = DecodeBytes<AgreedState>(*unpacked)) {
     return *std::move(state);
   }
+  if (auto older = DecodeBytes<StateWithoutQuotas>(*unpacked)) {
+    return AgreedState{.number = older->number,
+                       .text = std::move(older->text),
+                       .zones_out = std::move(older->zones_out),
+                       .rollouts = std::move(older->rollouts)};
+  }
   auto older = DecodeBytes<StateWithoutRollouts>(*unpacked);
   if (!older) {
     return tl::unexpected(older.error());
--- a/knapweedroad/registry/agreed_state.h
+++ b/knapweedroad/registry/agreed_state.h
@@ -1,6 +1,6 @@
 // The state that control hosts replicate for hosts that route by numbered
 // configurations: the newest configuration, the zones taken out of service, and
-// the rollouts of new versions.
+// the rollouts of new versions, and the host that grants quotas.
 //
 //   auto state = DecodeAgreedState(control_value.configuration);
 //   PutIfNewer(*state, 9, text);
@@ -16,6 +16,7 @@
 #include <tl/expected.hpp>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/quota/quota_leader_record.h"
 #include "knapweedroad/rollout/rollout_record.h"
 
 namespace knapweedroad {
@@ -30,13 +31,16 @@
   std::vector<ZoneId> zones_out;
   // The newest rollout of each service, sorted by service.
   std::vector<RolloutRecord> rollouts;
+  // The control host that grants quotas; empty if none was chosen yet.
+  QuotaLeaderRecord quota_leader;
 
   friend bool operator==(const AgreedState&, const AgreedState&) = default;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->number, this->text, this->zones_out, this->rollouts);
+    archive(this->number, this->text, this->zones_out, this->rollouts,
+            this->quota_leader);
   }
 };
 
--- a/knapweedroad/routing/route_config.h
+++ b/knapweedroad/routing/route_config.h
@@ -5,6 +5,7 @@
 #define KNAPWEEDROAD_ROUTING_ROUTE_CONFIG_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,11 @@
   // The smallest share of the services, from 0 to 1, whose parts make a scatter
   // answer a success.
   double min_share = 0;
+  // The rank of requests when capacity is short; zero is the most urgent. A
+  // client account's own priority takes precedence.
+  uint32_t priority = 0;
+  // Whether callers need no key although the configuration has accounts.
+  bool is_public = false;
 
   friend bool operator==(const RouteConfig&, const RouteConfig&) = default;
 };
--- a/knapweedroad/routing/route_table.cc
+++ b/knapweedroad/routing/route_table.cc
@@ -30,6 +30,9 @@
   for (const RoutedService& service : this->routing.services) {
     this->by_service[service.name] = &service;
   }
+  if (this->routing.accounts) {
+    this->account_table.emplace(*this->routing.accounts);
+  }
 }
 
 const RouteConfig* RouteTable::Find(std::string_view host,
--- a/knapweedroad/routing/route_table.h
+++ b/knapweedroad/routing/route_table.h
@@ -8,11 +8,13 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "knapweedroad/accounts/account_table.h"
 #include "knapweedroad/routing/routing_config.h"
 
 namespace knapweedroad {
@@ -22,6 +24,8 @@
 class RouteTable {
  public:
   explicit RouteTable(RoutingConfig config);
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
 
   // Returns the route of the host with the longest path prefix that matches
   // `path`, or null if there is none. `host` may be in any case, and its port
@@ -32,6 +36,12 @@
   // valid as long as this table.
   const RoutedService* FindService(const ServiceId& service) const;
 
+  // Returns the client accounts, or null if the configuration has none and
+  // callers aren't identified. The result is valid as long as this table.
+  const AccountTable* accounts() const {
+    return this->account_table ? &*this->account_table : nullptr;
+  }
+
   const RoutingConfig& config() const { return this->routing; }
   uint64_t version() const { return this->routing.version; }
 
@@ -40,6 +50,7 @@
   // The routes of each host name in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<const RouteConfig*>> by_host;
   std::unordered_map<ServiceId, const RoutedService*> by_service;
+  std::optional<AccountTable> account_table;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/routing_config.h
+++ b/knapweedroad/routing/routing_config.h
@@ -6,9 +6,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "knapweedroad/accounts/client_account.h"
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/routing/route_config.h"
@@ -50,6 +52,9 @@
   std::vector<RouteConfig> routes;
   std::vector<RoutedService> services;
   CallerLimits limits;
+  // If present, even if empty, callers must send a key of one of these accounts
+  // on every route that isn't public. If absent, callers aren't identified.
+  std::optional<std::vector<ClientAccount>> accounts;
 
   friend bool operator==(const RoutingConfig&, const RoutingConfig&) = default;
 };
--- a/knapweedroad/routing/target_load.h
+++ b/knapweedroad/routing/target_load.h
@@ -14,6 +14,9 @@
   uint32_t waiting = 0;
   // Requests that the target can run at once.
   uint32_t slots = 0;
+  // How long work takes on the target's machine at the moment, in percent of
+  // the usual; zero if it wasn't reported.
+  uint32_t service_time_percent = 0;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/wire/peer_message_type.h
+++ b/knapweedroad/wire/peer_message_type.h
@@ -27,6 +27,9 @@
   kGatherEnd = 16,     // GatherEndCall -> nothing
   kGatherHeld = 17,    // GatherHeldCall -> GatherHeldReply
   kOutcomes = 18,      // OutcomeReport -> nothing
+  kConfirm = 19,       // ConfirmCall -> ConfirmReply
+  kRefill = 20,        // RefillCall -> RefillReply
+  kPermit = 21,        // PermitCall -> PermitReply
 };
 
 }  // namespace knapweedroad
