--- a/knapweedroad/accounts/account_table.cc
+++ b/knapweedroad/accounts/account_table.cc
@@ -5,6 +5,11 @@
 namespace knapweedroad {
 
 AccountTable::AccountTable(std::span<const ClientAccount> accounts) {
+  size_t keys = 0;
+  for (const ClientAccount& account : accounts) {
+    keys += account.keys.size();
+  }
+  this->by_key.reserve(keys);
   this->by_name.reserve(accounts.size());
   for (const ClientAccount& account : accounts) {
     this->by_name.emplace(account.name.str(), &account);
--- a/knapweedroad/routing/routing_config.cc
+++ b/knapweedroad/routing/routing_config.cc
@@ -1,9 +1,13 @@
 #include "knapweedroad/routing/routing_config.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <string_view>
 #include <utility>
 
+#include "knapweedroad/accounts/check_accounts.h"
+
 namespace knapweedroad {
 namespace {
 
@@ -85,6 +89,10 @@
                                   "path prefix; change or remove one"));
     }
   }
+  if (config.accounts) {
+    std::ranges::move(CheckAccounts(*config.accounts),
+                      std::back_inserter(faults));
+  }
   return faults;
 }
 
