Requests run only with a known key, and targets learn the account

An entry host now matches the route, then asks RequestAdmission whether the request may run, before anything is sent or charged to a retry budget. The answer may come later; a caller that leaves meanwhile isn't served. A key counts if the configuration in force and the newest one that was read both have it, so a removal isn't held back with its configuration.

The caller server keeps Authorization lines, and lines with the name of the account header, apart from the header that is passed on, also those of trailers. If the configuration has accounts they are dropped and the host writes the account header itself; otherwise they are passed on after the other lines.

--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -22,13 +22,14 @@
 #include "bench/entry/allocation_count.h"
 #include "bench/entry/stand_in_world.h"
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/admit_request.h"
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
-#include "knapweedroad/edge/entry_request.h"
 #include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/header_names.h"
+#include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
@@ -103,6 +104,7 @@
               .balancer = this->balancer,
               .links = this->links,
               .metrics = this->metrics,
+              .admission = this->admission,
               .rotation = this->rotation,
               .started = Runtime::Now(),
               .shedding = ShardShedding({.seed = 1}),
@@ -116,8 +118,8 @@
                  .on_request =
                      [this](CallerRequest request,
                             const std::shared_ptr<CallerExchange>& exchange) {
-                       StartEntryRequest(this->parts, std::move(request),
-                                         exchange);
+                       AdmitCallerRequest(this->parts, std::move(request),
+                                          exchange);
                      },
                  .limits = [] { return CallerLimits(); }}) {
     this->balancer.SetRouting(this->parts.table);
@@ -144,6 +146,7 @@
   RelayChoice relays{{}};
   GatherLinks gather_links;
   EntryMetrics metrics;
+  RequestAdmission admission{{}};
   WeightedRoundRobin rotation;
   EntryParts parts;
   CallerServer callers;
--- a/knapweedroad/edge/caller_message.h
+++ b/knapweedroad/edge/caller_message.h
@@ -3,9 +3,12 @@
 #ifndef KNAPWEEDROAD_EDGE_CALLER_MESSAGE_H_
 #define KNAPWEEDROAD_EDGE_CALLER_MESSAGE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 
 namespace knapweedroad {
@@ -18,9 +21,20 @@
   std::string id;
   // How long the caller waits; nothing: it doesn't say.
   std::optional<Duration> time_left;
-  // The header lines to pass on: all but those of one connection and those
-  // that the host writes itself.
+  // The header lines to pass on: all but those of one connection, those that
+  // the host writes itself, and `account_header`.
   std::string header;
+  // The Authorization lines and those with the name of the account header,
+  // also from trailers. They are passed on only if the configuration has no
+  // client accounts, see SetAccount().
+  std::string account_header;
+  // The values of the Authorization lines. Secrets, removed by SetAccount().
+  std::vector<std::string> authorization;
+  // The client account that sent the request; empty if there is none. Set by
+  // SetAccount().
+  AccountId account;
+  // Zero is the most urgent. Set by SetAccount().
+  uint32_t priority = 0;
   std::string body;
   // When its last byte had come.
   TimePoint received;
--- a/knapweedroad/edge/caller_refusal.cc
+++ b/knapweedroad/edge/caller_refusal.cc
@@ -22,7 +22,11 @@
 }  // namespace
 
 CallerAnswer MakeRefusal(int status, std::optional<Duration> retry_after) {
+  constexpr int kUnauthorized = 401;
   CallerAnswer answer{.status = status};
+  if (status == kUnauthorized) {
+    AppendLine(answer.header, "WWW-Authenticate", "Bearer");
+  }
   if (retry_after) {
     AppendLine(answer.header, "Retry-After", SecondsText(*retry_after));
   }
--- a/knapweedroad/edge/caller_refusal.h
+++ b/knapweedroad/edge/caller_refusal.h
@@ -13,7 +13,8 @@
 
 struct CallerAnswer;
 
-// `retry_after`: when another try is likely to be served.
+// `retry_after`: when another try is likely to be served. A 401 names the
+// scheme that is expected, as HTTP requires.
 CallerAnswer MakeRefusal(int status, std::optional<Duration> retry_after);
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/caller_refusal_test.cc
+++ b/knapweedroad/edge/caller_refusal_test.cc
@@ -19,5 +19,10 @@
   cr_expect(MakeRefusal(502, std::nullopt).header.empty());
 }
 
+Test(caller_refusal, one_for_want_of_a_key_names_the_scheme) {
+  cr_expect(MakeRefusal(401, std::nullopt).header ==
+            "WWW-Authenticate: Bearer\r\n");
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/edge/caller_server.cc
+++ b/knapweedroad/edge/caller_server.cc
@@ -228,10 +228,18 @@
         request.time_left = std::chrono::milliseconds(
             std::min<uint64_t>(*ms, uint64_t{24} * 3600 * 1000));
       }
-    } else if (!IsHopByHop(name, connection) &&
-               !IsSameName(name, header_names.expected_target) &&
+    } else if (!IsSameName(name, header_names.expected_target) &&
                !IsSameName(name, "Expect")) {
-      AppendLine(request.header, name, value);
+      const bool is_authorization = IsSameName(name, "Authorization");
+      if (is_authorization) {
+        request.authorization.emplace_back(value);
+      }
+      if (!IsHopByHop(name, connection)) {
+        const bool is_of_account =
+            is_authorization || IsSameName(name, header_names.account);
+        AppendLine(is_of_account ? request.account_header : request.header,
+                   name, value);
+      }
     }
   }
   request.body = std::move(from.body);
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -17,6 +17,7 @@
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/gather_relay.h"
+#include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/rollout_reporter.h"
 #include "knapweedroad/edge/routing_in_force.h"
 #include "knapweedroad/edge/target_links.h"
@@ -69,6 +70,7 @@
   GatherLinks gather_links;
   GatherRelay gather_relay;
   EntryMetrics metrics;
+  RequestAdmission admission;
   WeightedRoundRobin rotation;
   EntryParts parts;
   std::unique_ptr<CallerServer> callers;
--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/admit_request.h"
 #include "knapweedroad/edge/entry_host_state.h"
-#include "knapweedroad/edge/entry_request.h"
 #include "knapweedroad/edge/gather_calls.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
@@ -71,11 +71,14 @@
                     .header_names = this->options.header_names,
                     .links = this->links,
                     .balancer = this->balancer}),
+      admission(
+          {.newest_table = [this] { return this->routing.newest_table(); }}),
       parts{.runtime = runtime,
             .header_names = this->options.header_names,
             .balancer = this->balancer,
             .links = this->links,
             .metrics = this->metrics,
+            .admission = this->admission,
             .rotation = this->rotation,
             .budget_limits = {.ratio = this->options.settings.retry_ratio,
                               .slack = this->options.settings.retry_slack,
@@ -125,7 +128,7 @@
           .on_request =
               [this](CallerRequest request,
                      const std::shared_ptr<CallerExchange>& exchange) {
-                StartEntryRequest(this->parts, std::move(request), exchange);
+                AdmitCallerRequest(this->parts, std::move(request), exchange);
               },
           .limits = [this] { return this->Limits(); }});
   if (const auto port = this->callers->Start(); !port) {
--- a/knapweedroad/edge/entry_metrics.cc
+++ b/knapweedroad/edge/entry_metrics.cc
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <sstream>
 
+#include "knapweedroad/accounts/client_account.h"
+#include "knapweedroad/edge/request_admission.h"
+
 namespace knapweedroad {
 namespace {
 
@@ -13,6 +16,33 @@
 
 }  // namespace
 
+void EntryMetrics::CountAdmission(const AdmissionResult& result) {
+  if (result.outcome == AdmissionOutcome::kUnauthorized) {
+    this->accounts.CountUnauthorized();
+    return;
+  }
+  if (result.account == nullptr) {
+    return;
+  }
+  const AccountId& account = result.account->name;
+  switch (result.outcome) {
+    case AdmissionOutcome::kAdmitted:
+      this->accounts.Count(account, AccountOutcome::kAdmitted);
+      return;
+    case AdmissionOutcome::kOverQuota:
+      this->accounts.Count(account, AccountOutcome::kOverQuota);
+      return;
+    case AdmissionOutcome::kQuotaUnknown:
+      this->accounts.Count(account, AccountOutcome::kQuotaUnknown);
+      return;
+    case AdmissionOutcome::kUnproven:
+      this->accounts.Count(account, AccountOutcome::kUnproven);
+      return;
+    case AdmissionOutcome::kUnauthorized:
+      return;
+  }
+}
+
 void EntryMetrics::CountRequest(std::string_view route,
                                 std::string_view outcome,
                                 Duration took) {
@@ -91,6 +121,7 @@
       << "# TYPE knapweedroad_gathered_attempts_total counter\n"
       << "knapweedroad_gathered_attempts_total " << this->gathered_attempts
       << "\n";
+  this->accounts.Print(out);
   for (const auto& [name, value] : this->gauges) {
     out << "# TYPE knapweedroad_" << name << " gauge\n"
         << "knapweedroad_" << name << " " << value << "\n";
--- a/knapweedroad/edge/entry_metrics.h
+++ b/knapweedroad/edge/entry_metrics.h
@@ -14,12 +14,17 @@
 #include <string_view>
 #include <utility>
 
+#include "knapweedroad/accounts/account_metrics.h"
 #include "knapweedroad/base/time.h"
 
 namespace knapweedroad {
 
+struct AdmissionResult;
+
 class EntryMetrics {
  public:
+  // One request's admission or rejection, by its client account.
+  void CountAdmission(const AdmissionResult& result);
   // One request's end, by its route and outcome.
   void CountRequest(std::string_view route,
                     std::string_view outcome,
@@ -55,6 +60,7 @@
   std::map<std::pair<std::string, std::string>, uint64_t> requests;
   std::map<std::string, uint64_t, std::less<>> attempts;
   std::map<std::string, double, std::less<>> gauges;
+  AccountMetrics accounts;
   uint64_t extra_sent = 0;
   uint64_t gather_calls = 0;
   uint64_t gathered_attempts = 0;
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -23,6 +23,7 @@
 class GatherLinks;
 class LoadBalancer;
 class RelayChoice;
+class RequestAdmission;
 class RouteTable;
 class Runtime;
 class TargetLinks;
@@ -36,6 +37,7 @@
   LoadBalancer& balancer;
   TargetLinks& links;
   EntryMetrics& metrics;
+  const RequestAdmission& admission;
   WeightedRoundRobin& rotation;
   RetryBudgetLimits budget_limits;
   TimePoint started;
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -9,15 +9,14 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "knapweedroad/edge/caller_message.h"
-#include "knapweedroad/edge/caller_refusal.h"
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
-#include "knapweedroad/edge/header_names.h"
-#include "knapweedroad/edge/parts_answer.h"
 #include "knapweedroad/edge/request_attempts.h"
 #include "knapweedroad/edge/request_gathers.h"
 #include "knapweedroad/edge/request_log.h"
+#include "knapweedroad/edge/run_answer.h"
+#include "knapweedroad/edge/run_hooks.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/edge/unserved_services.h"
@@ -32,36 +31,27 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kRetryWithoutConfiguration = milliseconds(500);
 // How much longer a gathered part takes on its way.
 constexpr Duration kGatherSlack = milliseconds(4);
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
  public:
-  EntryRequest(EntryParts& parts,
-               CallerRequest request,
-               std::shared_ptr<CallerExchange> exchange)
+  EntryRequest(EntryParts& parts, AdmittedRequest admitted)
       : parts(parts),
-        table(parts.table),
-        request(std::make_shared<const CallerRequest>(std::move(request))),
-        exchange(std::move(exchange)),
-        timer(parts.runtime.io()) {}
+        table(std::move(admitted.table)),
+        request(
+            std::make_shared<const CallerRequest>(std::move(admitted.request))),
+        exchange(std::move(admitted.exchange)),
+        timer(parts.runtime.io()),
+        route(admitted.route),
+        memory(&parts.routes[this->route->name]) {}
 
   void Start();
 
  private:
-  void Refuse(int status,
-              std::string_view cause,
-              std::optional<Duration> retry_after);
   RequestRunOptions RunOptions(const RouteConfig& route);
   // Whether the caller has most of the latency target left.
   bool IsFresh() const;
-  void MakeHooks();
   void Do(RunStep step);
   void Send(const AttemptStart& start);
   void SendGroup(const GatherGroup& group, bool is_first);
@@ -74,7 +64,6 @@
   void Finish(RunEnd end);
   // Sends the final answer; its status.
   int AnswerCaller(RunEnd& end);
-  void RefuseRun(int status, std::optional<Duration> retry_after);
   // Learns how long the host took to send the answer.
   void WatchFinish(TimePoint decided);
   RequestLogContext LogContext() const;
@@ -86,8 +75,8 @@
   std::shared_ptr<const CallerRequest> request;
   std::shared_ptr<CallerExchange> exchange;
   boost::asio::steady_timer timer;
-  const RouteConfig* route = nullptr;
-  RouteMemory* memory = nullptr;
+  const RouteConfig* route;
+  RouteMemory* memory;
   TimePoint deadline;
   TimePoint target_at;
   RunHooks hooks;
@@ -106,17 +95,6 @@
   bool is_over = false;
 };
 
-void EntryRequest::Refuse(int status,
-                          std::string_view cause,
-                          std::optional<Duration> retry_after) {
-  const std::string_view route_name =
-      this->route == nullptr ? "none" : std::string_view(this->route->name);
-  this->parts.metrics.CountRequest(route_name, cause, Duration::zero());
-  LogRequestRefused(*this->request, route_name, status, cause,
-                    this->table == nullptr ? 0 : this->table->version());
-  this->exchange->Answer(MakeRefusal(status, retry_after));
-}
-
 RequestRunOptions EntryRequest::RunOptions(const RouteConfig& to) {
   const size_t parts = to.is_scatter ? to.services.size() : 0;
   RequestRunOptions options =
@@ -138,51 +116,7 @@
   return left * 2 >= this->route->latency_target;
 }
 
-void EntryRequest::MakeHooks() {
-  this->hooks.pick_target = [this](const ServiceId& service,
-                                   std::span<const TargetId> tried) {
-    return this->parts.balancer.Pick(service, tried, Runtime::Now(),
-                                     this->gathers->near_zones());
-  };
-  this->hooks.has_untried_target = [this](const ServiceId& service,
-                                          std::span<const TargetId> tried) {
-    return this->parts.balancer.IsServed(service, Runtime::Now(), tried);
-  };
-  this->hooks.spend_extra_attempt = [this](const ServiceId& service,
-                                           bool is_hedge) {
-    const TimePoint now = Runtime::Now();
-    const size_t hosts = this->parts.balancer.entry_host_count();
-    RetryBudget& budget = this->parts.BudgetOf(service);
-    const bool sent = is_hedge ? budget.SpendHedge(hosts, now)
-                               : budget.SpendRetry(hosts, now);
-    this->parts.metrics.CountExtra(sent);
-    return sent;
-  };
-  this->hooks.choose_shards_to_skip = [this](size_t max_shards) {
-    return this->parts.shedding.ChooseShardsToSkip(this->services, max_shards,
-                                                   Runtime::Now());
-  };
-  // A caller who comes back has little of the latency target left: parts that
-  // are late for it say nothing of their shards.
-  if (!this->IsFresh()) {
-    return;
-  }
-  this->hooks.on_part = [this](const ServiceId& service, bool in_time) {
-    this->parts.shedding.OnPart(service, in_time, Runtime::Now());
-  };
-}
-
 void EntryRequest::Start() {
-  if (this->table == nullptr) {
-    this->Refuse(kUnavailable, "no_configuration", kRetryWithoutConfiguration);
-    return;
-  }
-  this->route = this->table->Find(this->request->host, this->request->path);
-  if (this->route == nullptr) {
-    this->Refuse(kNotFound, "no_route", std::nullopt);
-    return;
-  }
-  this->memory = &this->parts.routes[this->route->name];
   const TimePoint now = Runtime::Now();
   RequestRunOptions options = this->RunOptions(*this->route);
   this->services = options.services;
@@ -200,7 +134,10 @@
   for (const ServiceId& service : options.services) {
     this->parts.BudgetOf(service).OnRequest(now);
   }
-  this->MakeHooks();
+  this->hooks = MakeRunHooks({.parts = this->parts,
+                              .gathers = *this->gathers,
+                              .services = this->services,
+                              .is_fresh = this->IsFresh()});
   this->attempts = std::make_shared<RequestAttempts>(
       RequestAttemptsOptions{.parts = this->parts,
                              .request = this->request,
@@ -347,6 +284,7 @@
   return {.request = *this->request,
           .route = *this->route,
           .version = this->table->version(),
+          .account = LoggedAccount(this->table.get(), this->request->account),
           .run = *this->run,
           .allowed = this->deadline - this->request->received,
           .attempt_log = this->attempts->log()};
@@ -362,35 +300,14 @@
 }
 
 int EntryRequest::AnswerCaller(RunEnd& end) {
-  switch (end.kind) {
-    case RunEndKind::kAnswer: {
-      const int status = end.answer.status;
-      this->exchange->Answer({.status = status,
-                              .header = std::move(end.answer.header),
-                              .body = std::move(end.answer.body)});
-      return status;
-    }
-    case RunEndKind::kParts:
-      this->exchange->Answer(MakePartsAnswer(this->parts.header_names, end,
-                                             this->route->top_records));
-      return kOk;
-    case RunEndKind::kNotRun:
-      this->RefuseRun(kUnavailable, end.retry_after);
-      return kUnavailable;
-    case RunEndKind::kFailed:
-      this->RefuseRun(kBadGateway, std::nullopt);
-      return kBadGateway;
-    case RunEndKind::kExpired:
-      this->RefuseRun(kGatewayTimeout, std::nullopt);
-      return kGatewayTimeout;
-  }
-  return kBadGateway;
-}
-
-void EntryRequest::RefuseRun(int status, std::optional<Duration> retry_after) {
-  CallerAnswer answer = MakeRefusal(status, retry_after);
-  answer.closes = this->parts.balancer.reachability().is_diverting();
+  CallerAnswer answer = MakeRunAnswer(
+      end,
+      {.header_names = this->parts.header_names,
+       .top_records = this->route->top_records,
+       .is_diverting = this->parts.balancer.reachability().is_diverting()});
+  const int status = answer.status;
   this->exchange->Answer(std::move(answer));
+  return status;
 }
 
 // The caller's answer goes first: all else costs time that the caller waits.
@@ -463,11 +380,8 @@
 
 }  // namespace
 
-void StartEntryRequest(EntryParts& parts,
-                       CallerRequest request,
-                       std::shared_ptr<CallerExchange> exchange) {
-  std::make_shared<EntryRequest>(parts, std::move(request), std::move(exchange))
-      ->Start();
+void StartEntryRequest(EntryParts& parts, AdmittedRequest admitted) {
+  std::make_shared<EntryRequest>(parts, std::move(admitted))->Start();
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/header_names.h
+++ b/knapweedroad/edge/header_names.h
@@ -17,6 +17,10 @@
 namespace knapweedroad {
 
 struct HeaderNames {
+  // To a target: the name of the client account that sent the request. Lines
+  // of callers with this name aren't passed on if the configuration has
+  // accounts.
+  std::string account = "Knapweed-Account";
   // From the caller, echoed by targets and to the caller.
   std::string request_id = "Knapweed-Request-Id";
   // Milliseconds that the sender goes on waiting.
--- a/knapweedroad/edge/header_text.cc
+++ b/knapweedroad/edge/header_text.cc
@@ -91,12 +91,16 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
     case 404:
       return "Not Found";
     case 408:
       return "Request Timeout";
     case 413:
       return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
     case 500:
--- a/knapweedroad/edge/request_admission.h
+++ b/knapweedroad/edge/request_admission.h
@@ -40,6 +40,9 @@
 // Returns the outcome's name in logs and metrics.
 std::string_view ToString(AdmissionOutcome outcome);
 
+// Returns the status of the answer to a request that isn't admitted.
+int StatusOf(AdmissionOutcome outcome);
+
 struct AdmissionResult {
   AdmissionOutcome outcome = AdmissionOutcome::kAdmitted;
   // The account that holds the request's key; null if there is none. Valid as
@@ -72,6 +75,11 @@
 
   // Calls `on_result` exactly once, before it returns or later. `table` is the
   // one in force; it, `route` and `request` must be valid until then.
+  //
+  // A key counts if both `table` and the newest table have it, with the account
+  // of `table`. On a public route the request is admitted in any case, without
+  // a permit, and with the account of its key if it has a trusted one. If
+  // `table` has no accounts, all requests are admitted without one.
   void Admit(const RouteTable& table,
              const RouteConfig& route,
              const CallerRequest& request,
--- a/knapweedroad/edge/request_log.cc
+++ b/knapweedroad/edge/request_log.cc
@@ -4,6 +4,7 @@
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_config.h"
+#include "knapweedroad/routing/route_table.h"
 
 namespace knapweedroad {
 namespace {
@@ -14,22 +15,32 @@
   return std::chrono::floor<std::chrono::milliseconds>(duration).count();
 }
 
+void AddAccount(LogLine& line, const std::optional<AccountId>& account) {
+  if (account) {
+    line.Add("account", *account);
+  }
+}
+
 }  // namespace
 
+std::optional<AccountId> LoggedAccount(const RouteTable* table,
+                                       const AccountId& account) {
+  const bool has_accounts = table != nullptr && table->accounts() != nullptr;
+  return has_accounts ? std::optional(account) : std::nullopt;
+}
+
 void LogRequestRefused(const CallerRequest& request,
-                       std::string_view route,
-                       int status,
-                       std::string_view cause,
-                       uint64_t version) {
-  LogLine("request_refused")
-      .Add("id", request.id)
-      .Add("route", route)
-      .Add("status", status)
-      .Add("cause", cause)
+                       const RequestRefusal& refusal) {
+  LogLine line("request_refused");
+  line.Add("id", request.id)
+      .Add("route", refusal.route)
+      .Add("status", refusal.status)
+      .Add("cause", refusal.cause)
       .Add("host", request.host)
       .Add("path", request.path)
-      .Add("version", version)
-      .Info();
+      .Add("version", refusal.version);
+  AddAccount(line, refusal.account);
+  line.Info();
 }
 
 void LogRequestEnd(const RequestLogContext& context,
@@ -44,8 +55,8 @@
       took <= context.route.latency_target) {
     return;
   }
-  LogLine("request_ended")
-      .Add("id", context.request.id)
+  LogLine line("request_ended");
+  line.Add("id", context.request.id)
       .Add("route", context.route.name)
       .Add("outcome", ToString(end.kind))
       .Add("cause", end.cause)
@@ -57,8 +68,9 @@
       .Add("extra", context.run.extra_attempt_count())
       .Add("version", context.version)
       .Add("attempt_log", context.attempt_log)
-      .Add("unserved", is_whole ? std::string() : unserved())
-      .Info();
+      .Add("unserved", is_whole ? std::string() : unserved());
+  AddAccount(line, context.account);
+  line.Info();
 }
 
 void LogCallerLeft(const RequestLogContext& context, Duration took) {
@@ -72,4 +84,15 @@
       .Info();
 }
 
+void LogCallerLeftUnadmitted(const CallerRequest& request,
+                             std::string_view route,
+                             Duration took) {
+  LogLine("caller_left")
+      .Add("id", request.id)
+      .Add("route", route)
+      .Add("took_ms", Ms(took))
+      .Add("attempts", 0)
+      .Info();
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/edge/request_log.h
+++ b/knapweedroad/edge/request_log.h
@@ -8,14 +8,17 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 
 namespace knapweedroad {
 
 class RequestRun;
+class RouteTable;
 struct CallerRequest;
 struct RouteConfig;
 struct RunEnd;
@@ -25,6 +28,8 @@
   const RouteConfig& route;
   // Of the configuration that the request goes by.
   uint64_t version = 0;
+  // See LoggedAccount().
+  std::optional<AccountId> account;
   const RequestRun& run;
   // How long it may take in all.
   Duration allowed{};
@@ -32,12 +37,24 @@
   std::string_view attempt_log;
 };
 
+// Returns the account as it is logged, an empty name if the request has none;
+// nothing if the configuration has no accounts, which then aren't logged.
+std::optional<AccountId> LoggedAccount(const RouteTable* table,
+                                       const AccountId& account);
+
+struct RequestRefusal {
+  std::string_view route;
+  int status = 0;
+  std::string_view cause;
+  // Of the configuration that the request goes by; zero if there is none.
+  uint64_t version = 0;
+  // See LoggedAccount().
+  std::optional<AccountId> account;
+};
+
 // Refused before any attempt.
 void LogRequestRefused(const CallerRequest& request,
-                       std::string_view route,
-                       int status,
-                       std::string_view cause,
-                       uint64_t version);
+                       const RequestRefusal& refusal);
 
 // A line unless the answer was whole and in time. `unserved` is asked, where it
 // helps, for services without a usable target.
@@ -49,6 +66,11 @@
 
 void LogCallerLeft(const RequestLogContext& context, Duration took);
 
+// The caller left before its request was admitted or refused.
+void LogCallerLeftUnadmitted(const CallerRequest& request,
+                             std::string_view route,
+                             Duration took);
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_EDGE_REQUEST_LOG_H_
