Load reports carry the service time of the target's machine

Targets on shared machines report how long work currently takes there as a fourth value. The first three values are used even if the rest can't be read, and a target's first malformed report is logged. Health answers count as load reports.

A relay sends the service times of a reply in one more entry of its parts, with an index beyond the call's targets. Hosts of earlier versions ignore such an entry, so they still read the reply; without service times the bytes are unchanged.

--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -54,8 +54,8 @@
          static_cast<double>(time.tv_nsec) / 1e3;
 }
 
-std::optional<TargetLoad> ParseLoad(std::string_view) {
-  return TargetLoad{.running = 1, .waiting = 0, .slots = 3};
+LoadReport ParseLoad(std::string_view) {
+  return {.load = TargetLoad{.running = 1, .waiting = 0, .slots = 3}};
 }
 
 HeaderNames MakeHeaderNames() {
--- a/knapweedroad/edge/gather_calls.cc
+++ b/knapweedroad/edge/gather_calls.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "knapweedroad/edge/gather_codec.h"
 #include "knapweedroad/edge/gather_messages.h"
 #include "knapweedroad/edge/gather_relay.h"
 #include "knapweedroad/wire/codec.h"
@@ -16,13 +17,13 @@
   if (type == PeerMessageType::kGather) {
     const auto call = DecodeCompact<GatherCall>(body);
     return call ? tl::expected<std::string, std::string>(
-                      EncodeCompact(relay.Gather(*call)))
+                      EncodeGatherReply(relay.Gather(*call)))
                 : tl::unexpected("unreadable call: " + call.error());
   }
   if (type == PeerMessageType::kGatherMore) {
     const auto call = DecodeCompact<GatherMoreCall>(body);
     return call ? tl::expected<std::string, std::string>(
-                      EncodeCompact(relay.More(call->token)))
+                      EncodeGatherReply(relay.More(call->token)))
                 : tl::unexpected("unreadable call: " + call.error());
   }
   if (type == PeerMessageType::kGatherEnd) {
--- a/knapweedroad/edge/gather_links.cc
+++ b/knapweedroad/edge/gather_links.cc
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/gather_codec.h"
 #include "knapweedroad/net/peer_client.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/relay_choice.h"
@@ -96,7 +97,7 @@
     if (!answered) {
       return tl::unexpected(answered.error().written);
     }
-    auto reply = DecodeCompact<GatherReply>(*answered);
+    auto reply = DecodeGatherReply(*answered);
     if (!reply) {
       LogLine("gather_reply_unreadable")
           .Add("host", this->order.relay.host)
--- a/knapweedroad/edge/gather_messages.h
+++ b/knapweedroad/edge/gather_messages.h
@@ -62,6 +62,11 @@
 // target that requests may go to.
 inline constexpr uint8_t kPartNotTried = 255;
 
+// GatheredPart::target of the entry that carries the service times of the other
+// entries, see gather_codec.h. It is beyond all targets of a call: hosts that
+// don't know this entry ignore it.
+inline constexpr uint16_t kServiceTimesEntry = 0xffff;
+
 // How one of the attempts ended.
 struct GatheredPart {
   // Index into GatherCall::targets.
@@ -76,6 +81,9 @@
   uint16_t running = 0;
   uint16_t waiting = 0;
   uint16_t slots = 0;
+  // Zero if the target didn't tell. Not among the serialized fields, as hosts
+  // that don't know it couldn't read the reply.
+  uint32_t service_time_percent = 0;
 
   // For cereal.
   template <typename Archive>
--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -46,6 +46,7 @@
     part.running = static_cast<uint16_t>(reply.load->running);
     part.waiting = static_cast<uint16_t>(reply.load->waiting);
     part.slots = static_cast<uint16_t>(reply.load->slots);
+    part.service_time_percent = reply.load->service_time_percent;
   }
   return part;
 }
--- a/knapweedroad/edge/header_names.h
+++ b/knapweedroad/edge/header_names.h
@@ -16,6 +16,13 @@
 
 namespace knapweedroad {
 
+// A target's report of its load, as far as it could be read.
+struct LoadReport {
+  std::optional<TargetLoad> load;
+  // Whether the report, or a part of it, was ignored.
+  bool is_malformed = false;
+};
+
 struct HeaderNames {
   // To a target: the name of the client account that sent the request. Lines
   // of callers with this name aren't passed on if the configuration has
@@ -44,7 +51,7 @@
   std::string ready_path = "/ready";
 
   // Read the values of `load` and `cold_left`; nothing if they are malformed.
-  std::function<std::optional<TargetLoad>(std::string_view)> parse_load;
+  std::function<LoadReport(std::string_view)> parse_load;
   std::function<std::optional<Duration>(std::string_view)> parse_cold_left;
 };
 
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -42,8 +42,10 @@
   reply.answer.status = part.status;
   reply.answer.seal = std::move(part.seal);
   if (part.slots > 0) {
-    reply.load = TargetLoad{
-        .running = part.running, .waiting = part.waiting, .slots = part.slots};
+    reply.load = TargetLoad{.running = part.running,
+                            .waiting = part.waiting,
+                            .slots = part.slots,
+                            .service_time_percent = part.service_time_percent};
   }
   return reply;
 }
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -220,7 +220,9 @@
   } else if (IsSameName(name, this->header_names.not_run)) {
     reply.says_not_run = true;
   } else if (IsSameName(name, this->header_names.load)) {
-    reply.load = this->header_names.parse_load(value);
+    const LoadReport report = this->header_names.parse_load(value);
+    reply.load = report.load;
+    reply.has_malformed_load = report.is_malformed;
   } else if (IsSameName(name, this->header_names.target)) {
     reply.target = value;
   } else if (IsSameName(name, this->header_names.cold_left)) {
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_connection.h"
 #include "knapweedroad/edge/target_reply.h"
@@ -44,6 +45,7 @@
   void Keep(const TargetId& target, Connection connection);
   void Watch(const TargetId& target, const Connection& connection);
   void WatchKept();
+  void OnMalformedLoad(const TargetId& target);
 
   Runtime& runtime;
   TargetLinksOptions options;
@@ -54,6 +56,8 @@
   std::unordered_set<std::shared_ptr<Exchange>> running;
   // Targets that have turned a new connection away, and until when it counts.
   std::unordered_map<TargetId, TimePoint> rejects_connections;
+  // Targets whose malformed load report has been logged.
+  std::unordered_set<TargetId> malformed_loads;
   size_t opened = 0;
 };
 
@@ -175,6 +179,9 @@
           if (self->is_fresh && reply.kind == ReplyKind::kBroken) {
             self->RememberRejected();
           }
+          if (reply.has_malformed_load) {
+            self->links->OnMalformedLoad(self->send.target);
+          }
           if (self->connection->reusable()) {
             if (self->send.keep_connection) {
               self->links->Keep(self->send.target, self->connection);
@@ -241,6 +248,13 @@
   }
 }
 
+// Logged once for each target, as it comes with every answer.
+void TargetLinks::State::OnMalformedLoad(const TargetId& target) {
+  if (this->malformed_loads.insert(target).second) {
+    LogLine("load_report_malformed").Add("target", target).Warning();
+  }
+}
+
 void TargetLinks::State::Watch(const TargetId& target,
                                const Connection& connection) {
   connection->WatchIdle([links = this->weak_from_this(), target,
@@ -313,6 +327,8 @@
 }
 
 void TargetLinks::Prune(const std::function<bool(const TargetId&)>& keep) {
+  std::erase_if(this->state->malformed_loads,
+                [&](const TargetId& target) { return !keep(target); });
   std::erase_if(this->state->idle, [&](const auto& entry) {
     if (keep(entry.first)) {
       return false;
--- a/knapweedroad/edge/target_links_test.cc
+++ b/knapweedroad/edge/target_links_test.cc
@@ -4,10 +4,12 @@
 
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/net/http_server.h"
@@ -121,5 +123,46 @@
   cr_expect(outcome.was_written);
 }
 
+// Guards against a log line for every answer of a target whose load reports
+// this version can't read.
+Test(target_links, a_malformed_load_report_is_logged_once, .timeout = 60) {
+  int lines = 0;
+  LogLine::SetSink([&lines](std::string_view line) {
+    lines += line.find("load_report_malformed") != std::string_view::npos;
+  });
+  Runtime runtime;
+  HeaderNames header_names;
+  header_names.parse_load = [](std::string_view) {
+    return LoadReport{.load = TargetLoad{.slots = 2}, .is_malformed = true};
+  };
+  HttpServer target(
+      runtime, {.endpoint = {"127.0.0.1", 0},
+                .handler = [&](const HttpRequest&, HttpExchange&) {
+                  return HttpResponse{.headers = {{header_names.load, "x"}}};
+                }});
+  const Endpoint address{"127.0.0.1", target.Start().value()};
+  TargetLinks links(runtime, {.header_names = header_names,
+                              .on_idle_closed = [](const TargetId&) {}});
+  const auto send = [&](const char* id) {
+    std::optional<TargetReply> reply;
+    const auto exchange =
+        links.Send({.target = TargetId(id),
+                    .address = address,
+                    .bytes = [] { return "GET / HTTP/1.1\r\nHost: t\r\n\r\n"; },
+                    .deadline = Runtime::Now() + 60s},
+                   [&reply](TargetReply given) { reply = std::move(given); });
+    while (!reply) {
+      Runtime::SleepFor(1ms);
+    }
+    cr_expect(reply->load && reply->load->slots == 2);
+  };
+  send("t1");
+  send("t1");
+  cr_expect(lines == 1);
+  send("t2");
+  cr_expect(lines == 2);
+  LogLine::SetSink(nullptr);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/edge/target_prober.cc
+++ b/knapweedroad/edge/target_prober.cc
@@ -56,7 +56,8 @@
       .is_other_target =
           is_reachable && !reply.target.empty() && reply.target != target.str(),
       .is_healthy = is_reachable && reply.answer.status == kOk,
-      .cold_left = reply.cold_left.value_or(Duration::zero())};
+      .cold_left = reply.cold_left.value_or(Duration::zero()),
+      .load = reply.load};
   this->balancer.OnProbeResult(target, result, Runtime::Now());
   LogLine("target_probed")
       .Add("target", target)
--- a/knapweedroad/edge/target_reply.h
+++ b/knapweedroad/edge/target_reply.h
@@ -30,6 +30,7 @@
   // The target says that it ran nothing.
   bool says_not_run = false;
   std::optional<TargetLoad> load;
+  bool has_malformed_load = false;
   // Who answered, where it says so.
   std::string target;
   std::optional<Duration> cold_left;
--- a/knapweedroad/routing/load_balancer.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -87,6 +87,7 @@
   bool is_healthy = false;
   // How much longer the target stays cold.
   Duration cold_left{};
+  std::optional<TargetLoad> load;
 };
 
 // A health probe to send.
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -323,6 +323,7 @@
     this->ReportHealthChange(*target, "gone", "another_at_its_address");
     return;
   }
+  this->RecordLoad(*target, result.load, now);
   const bool is_colder = result.cold_left > Duration::zero() &&
                          now + result.cold_left > target->cold_until;
   if (result.is_reachable && this->IsInOtherZone(*target)) {
--- a/knapweedroad/routing/load_balancer_test.cc
+++ b/knapweedroad/routing/load_balancer_test.cc
@@ -292,6 +292,28 @@
   cr_expect(balancer.IsServed(kService, kStart));
 }
 
+// Guards against requests to a target whose queue is known only from health
+// probes, as requests go elsewhere.
+Test(load_balancer, a_health_answer_reports_the_load) {
+  LoadBalancer balancer = MakeBalancer(0, 1, 100);
+  for (const char* id : {"busy", "idle"}) {
+    balancer.UpdateTarget(Record(id, "a"), kStart);
+    for (int i = 0; i < 20; ++i) {
+      SendAndAnswer(balancer, TargetId(id), milliseconds(10), kStart);
+    }
+  }
+  const TimePoint now = kStart + milliseconds(20);
+  balancer.OnProbeResult(
+      TargetId("busy"),
+      {.is_reachable = true,
+       .is_healthy = true,
+       .load = TargetLoad{.running = 2, .waiting = 9, .slots = 2}},
+      now);
+  for (int i = 0; i < 20; ++i) {
+    cr_expect(balancer.Pick(kService, {}, now) == TargetId("idle"));
+  }
+}
+
 Test(load_balancer, a_target_is_unused_once_another_answers_at_its_address) {
   LoadBalancer balancer = MakeBalancer(0, 1, 100);
   balancer.UpdateTarget(Record("t", "a"), kStart);
