--- a/knapweedroad/quota/quota_messages.h
+++ b/knapweedroad/quota/quota_messages.h
@@ -51,13 +51,21 @@
   AccountId account;
   // Tokens granted, of which as many as possible are for waiting requests.
   uint32_t granted = 0;
-  // If fewer than the waiting requests need: when the next token is expected.
+  // If fewer than the waiting requests need: when the first of the others
+  // should try again, and the time between one of them and the next.
   uint32_t retry_after_ms = 0;
+  uint32_t retry_step_ms = 0;
+  // If the leader has no token left: when it expects the next one.
+  uint32_t empty_ms = 0;
+  // Requests of the account were rejected lately at some pool; a pool keeps no
+  // more stock than it needs until its next call.
+  bool is_scarce = false;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->account, this->granted, this->retry_after_ms);
+    archive(this->account, this->granted, this->retry_after_ms,
+            this->retry_step_ms, this->empty_ms, this->is_scarce);
   }
 };
 
--- a/knapweedroad/quota/quota_tolerance.cc
+++ b/knapweedroad/quota/quota_tolerance.cc
@@ -15,4 +15,11 @@
   return quota.burst + std::max(0.0, reserve);
 }
 
+double StartAllowance(const AccountQuota& quota,
+                      const QuotaTolerance& tolerance) {
+  const double capacity = QuotaCapacity(quota, tolerance);
+  const double reserve = capacity - quota.burst;
+  return std::min(std::max(kStartTokens, reserve / 2), capacity);
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/quota/quota_tolerance.h
+++ b/knapweedroad/quota/quota_tolerance.h
@@ -35,6 +35,14 @@
 double QuotaCapacity(const AccountQuota& quota,
                      const QuotaTolerance& tolerance);
 
+// Returns how many tokens a new leader may have available and outstanding,
+// beyond those that pools report of its predecessor, until all tokens of the
+// predecessor have expired: half of the reserve, at least kStartTokens and at
+// most the capacity. Two changes of the leader in a window therefore stay
+// within the tolerance.
+double StartAllowance(const AccountQuota& quota,
+                      const QuotaTolerance& tolerance);
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_QUOTA_QUOTA_TOLERANCE_H_
