--- a/knapweedroad/quota/account_bucket.cc
+++ b/knapweedroad/quota/account_bucket.cc
@@ -11,6 +11,11 @@
 
 // Without rejections for this time, an account's tokens are no longer scarce.
 constexpr Duration kScarceTime = std::chrono::seconds(1);
+// Of its demand for a stock time, a pool keeps what it needs until its next
+// call while tokens are scarce.
+constexpr uint64_t kScarceDivisor = 12;
+// What a pool wants counts until it has missed some reports.
+constexpr Duration kForgetWanted = std::chrono::seconds(1);
 // Covers rounding in the sum of many small refills.
 constexpr double kRounding = 1e-6;
 // Of the capacity, kept back from stock for requests that arrive.
@@ -87,9 +92,12 @@
       const uint64_t before = share.tokens.total();
       share.tokens.DropExpired(next);
       this->outstanding -= before - share.tokens.total();
+      if (now - share.reported_at > kForgetWanted) {
+        share.wanted = 0;
+      }
     }
     std::erase_if(this->shares, [](const auto& entry) {
-      return entry.second.tokens.total() == 0;
+      return entry.second.tokens.total() == 0 && entry.second.wanted == 0;
     });
     if (next == now) {
       return;
@@ -118,6 +126,8 @@
     this->available += static_cast<double>(gone - std::min(gone, spent));
   }
   share.spent_total = report.spent_total;
+  share.wanted = report.wanted;
+  share.reported_at = now;
   this->available = std::min(this->available, this->Room());
 }
 
@@ -137,18 +147,21 @@
   return granted;
 }
 
-uint32_t AccountBucket::GrantStock(PoolShare& share,
-                                   const PoolAccount& report,
-                                   BootTime now) {
-  if (report.wanted <= report.held || now < this->scarce_until) {
-    return 0;
+uint64_t AccountBucket::StockLimit(const PoolShare& share, BootTime now) const {
+  if (now < this->scarce_until) {
+    return share.wanted / kScarceDivisor;
+  }
+  uint64_t wanted = 0;
+  for (const auto& [pool, other] : this->shares) {
+    wanted += other.wanted;
+  }
+  const double stock = this->options.capacity * (1 - kKeptShare);
+  const auto total = static_cast<double>(wanted);
+  if (total <= stock) {
+    return UINT32_MAX;
   }
-  const double kept = this->options.capacity * kKeptShare;
-  // At most half of what there is, so that the first pool doesn't get it all.
-  const double half = std::ceil((this->available - kept) / 2);
-  const uint64_t most = half < 1 ? 1 : static_cast<uint64_t>(half);
-  const uint64_t missing = report.wanted - report.held;
-  return this->Grant(share, std::min(missing, most), kept, now);
+  const double part = static_cast<double>(share.wanted) * stock / total;
+  return std::max<uint64_t>(1, static_cast<uint64_t>(part));
 }
 
 Duration AccountBucket::UntilNextToken() const {
@@ -175,23 +188,27 @@
   PoolShare& share = this->shares[pool];
   this->TakeReport(share, report, now);
   RefillGrant grant{.account = report.account};
+  // Tokens beyond a lowered capacity run out.
+  if (static_cast<double>(this->outstanding) <= this->options.capacity) {
+    grant.is_renewed = true;
+    share.tokens.Renew(now + this->options.token_lifetime);
+  }
   grant.granted = this->Grant(share, report.waiting, 0, now);
   if (grant.granted < report.waiting) {
     this->Reject(report.waiting - grant.granted, grant, now);
-  } else {
-    grant.granted += this->GrantStock(share, report, now);
   }
-  if (now < this->scarce_until) {
-    grant.is_scarce = true;
-    grant.retry_step_ms =
-        Milliseconds(FromSeconds(1 / this->options.quota.rate));
+  const uint64_t limit = this->StockLimit(share, now);
+  const uint64_t stock = std::min<uint64_t>(report.wanted, limit);
+  if (stock > report.held) {
+    const double kept = this->options.capacity * kKeptShare;
+    grant.granted += this->Grant(share, stock - report.held, kept, now);
   }
+  grant.stock_limit =
+      static_cast<uint32_t>(std::min<uint64_t>(limit, UINT32_MAX));
+  grant.retry_step_ms = Milliseconds(FromSeconds(1 / this->options.quota.rate));
   if (this->available + kRounding < 1) {
     grant.empty_ms = Milliseconds(this->UntilNextToken());
   }
-  if (share.tokens.total() == 0) {
-    this->shares.erase(pool);
-  }
   return grant;
 }
 
--- a/knapweedroad/quota/account_bucket.h
+++ b/knapweedroad/quota/account_bucket.h
@@ -48,7 +48,8 @@
   void BeginTerm(BootTime now);
   void SetOptions(const AccountBucketOptions& options, BootTime now);
 
-  // Takes a pool's report, grants it tokens and says when to try again.
+  // Takes a pool's report, renews what the pool holds, grants it tokens and
+  // says when to try again.
   RefillGrant Answer(const PoolKey& pool,
                      const PoolAccount& report,
                      BootTime now);
@@ -57,11 +58,13 @@
   double OutstandingTokens(BootTime now) const;
 
  private:
-  // What a pool holds, or has spent and not reported.
   struct PoolShare {
+    // What the pool holds, or has spent and not reported.
     TokenBatches tokens;
     // As of the last report.
     uint64_t spent_total = 0;
+    uint64_t wanted = 0;
+    BootTime reported_at;
   };
 
   void AdvanceTo(BootTime now);
@@ -70,9 +73,8 @@
   void TakeReport(PoolShare& share, const PoolAccount& report, BootTime now);
   // Moves up to `count` tokens into the share, while more than `kept` remain.
   uint32_t Grant(PoolShare& share, uint64_t count, double kept, BootTime now);
-  uint32_t GrantStock(PoolShare& share,
-                      const PoolAccount& report,
-                      BootTime now);
+  // Of what the pool wants, the part that leaves the other pools theirs.
+  uint64_t StockLimit(const PoolShare& share, BootTime now) const;
   Duration UntilNextToken() const;
   void Reject(uint32_t count, RefillGrant& grant, BootTime now);
 
--- a/knapweedroad/quota/quota_leader.cc
+++ b/knapweedroad/quota/quota_leader.cc
@@ -37,9 +37,10 @@
                               BootTime now) {
   ++this->configuration;
   const bool is_first = this->configuration == 1;
-  // Tokens of a removed account may be outstanding for a token lifetime.
-  const Duration kept = std::max(this->options.tolerance.window,
-                                 WithDrift(this->options.token_lifetime));
+  // Its tokens may be spent for a token lifetime after the removal, and count
+  // for a window after that.
+  const Duration kept =
+      this->options.tolerance.window + WithDrift(this->options.token_lifetime);
   std::erase_if(this->accounts, [kept, now](const auto& entry) {
     const std::optional<BootTime>& removed_at = entry.second.removed_at;
     return removed_at && now - *removed_at >= kept;
--- a/knapweedroad/quota/quota_leader.h
+++ b/knapweedroad/quota/quota_leader.h
@@ -51,7 +51,8 @@
   // Sets the accounts of the newest configuration; those without a limit are
   // ignored. The accounts of the first call start with kStartTokens, those that
   // a later call adds with their capacity, unless they were removed less than a
-  // window before. Without a configuration the first call has no accounts.
+  // window and a token lifetime before. Without a configuration the first call
+  // has no accounts.
   void SetAccounts(std::span<const ClientAccount> accounts, BootTime now);
 
   // Takes the report of a pool and grants it tokens: for waiting requests
--- a/knapweedroad/quota/quota_messages.h
+++ b/knapweedroad/quota/quota_messages.h
@@ -57,15 +57,17 @@
   uint32_t retry_step_ms = 0;
   // If the leader has no token left: when it expects the next one.
   uint32_t empty_ms = 0;
-  // Requests of the account were rejected lately at some pool; a pool keeps no
-  // more stock than it needs until its next call.
-  bool is_scarce = false;
+  // The tokens held in the call may be used for a token lifetime after it.
+  bool is_renewed = false;
+  // Tokens that the pool should hold at most, so that others get their share.
+  uint32_t stock_limit = UINT32_MAX;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->account, this->granted, this->retry_after_ms,
-            this->retry_step_ms, this->empty_ms, this->is_scarce);
+            this->retry_step_ms, this->empty_ms, this->is_renewed,
+            this->stock_limit);
   }
 };
 
--- a/knapweedroad/quota/token_batches.cc
+++ b/knapweedroad/quota/token_batches.cc
@@ -25,6 +25,13 @@
   this->batches.push_front({.tokens = 1, .expires = expires});
 }
 
+void TokenBatches::Renew(BootTime expires) {
+  const uint64_t tokens = this->token_count;
+  this->batches.clear();
+  this->token_count = 0;
+  this->Add(tokens, expires);
+}
+
 void TokenBatches::RemoveOldest(uint64_t tokens) {
   while (tokens > 0 && !this->batches.empty()) {
     Batch& oldest = this->batches.front();
--- a/knapweedroad/quota/token_batches.h
+++ b/knapweedroad/quota/token_batches.h
@@ -21,6 +21,8 @@
   void Add(uint64_t tokens, BootTime expires);
   // Adds a token that expires no later than all others.
   void AddOldest(BootTime expires);
+  // Sets when all tokens expire.
+  void Renew(BootTime expires);
   // Removes the tokens that expire first. `tokens` is at most total().
   void RemoveOldest(uint64_t tokens);
   // Removes the tokens that expire at `now` or before.
--- a/knapweedroad/quota/token_pool.cc
+++ b/knapweedroad/quota/token_pool.cc
@@ -21,6 +21,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+uint64_t ToTokens(double tokens) {
+  constexpr double kMost = UINT32_MAX;
+  return static_cast<uint64_t>(std::clamp(tokens, 0.0, kMost));
+}
+
 }  // namespace
 
 TokenPool::TokenPool(TokenPoolOptions options) : options(std::move(options)) {}
@@ -118,11 +123,9 @@
   if (stock.demand < kLeastDemand) {
     return 0;
   }
-  const Duration time =
-      stock.is_scarce ? this->options.call_interval : this->options.stock_time;
-  const auto tokens = static_cast<uint64_t>(stock.demand * Seconds(time));
-  const uint64_t least = stock.is_scarce ? 0 : 1;
-  return std::clamp<uint64_t>(tokens, least, UINT32_MAX);
+  const double mean = stock.demand * Seconds(this->options.stock_time);
+  // One standard deviation more, as requests don't arrive evenly.
+  return std::max<uint64_t>(1, ToTokens(mean + std::sqrt(mean)));
 }
 
 bool TokenPool::IsIdle(const Stock& stock) {
@@ -136,9 +139,11 @@
                               BootTime now) {
   const uint64_t wanted = this->Wanted(stock);
   stock.tokens.DropExpired(now);
-  if (stock.tokens.total() > wanted) {
+  // The estimate varies by chance, so a part more is kept.
+  const uint64_t kept = std::min(wanted + wanted / 2, stock.stock_limit);
+  if (stock.tokens.total() > kept) {
     // Given back: the leader sees that they are neither held nor spent.
-    stock.tokens.RemoveOldest(stock.tokens.total() - wanted);
+    stock.tokens.RemoveOldest(stock.tokens.total() - kept);
   }
   stock.spent_reported = stock.spent_total;
   stock.is_reported = true;
@@ -198,11 +203,15 @@
                         BootTime now,
                         Decisions& decisions) {
   const BootTime expires = this->call_made_at + this->options.token_lifetime;
+  stock.tokens.DropExpired(now);
   if (expires > now) {
+    if (grant.is_renewed) {
+      stock.tokens.Renew(expires);
+    }
     stock.tokens.Add(grant.granted, expires);
   }
   stock.is_reported = stock.held_in_call > 0 || grant.granted > 0;
-  stock.is_scarce = grant.is_scarce;
+  stock.stock_limit = grant.stock_limit;
   stock.retry_step = std::chrono::milliseconds(grant.retry_step_ms);
   stock.empty_until =
       now + std::min<Duration>(kLongestEmpty,
--- a/knapweedroad/quota/token_pool.h
+++ b/knapweedroad/quota/token_pool.h
@@ -49,7 +49,8 @@
 };
 
 // Never spends a token after its lifetime, counted from when the call was made
-// in which it was granted. Not thread-safe; the callbacks may call Take().
+// in which it was granted or renewed. Not thread-safe; the callbacks may call
+// Take().
 class TokenPool {
  public:
   using OnDecision = std::function<void(const QuotaDecision&)>;
@@ -100,7 +101,8 @@
     BootTime next_retry;
     BootTime first_retry;
     Duration retry_step{};
-    bool is_scarce = false;
+    // Tokens to hold at most, as the leader told.
+    uint64_t stock_limit = UINT32_MAX;
     // The leader may count tokens for this pool.
     bool is_reported = false;
     // In the call with this sequence number.
@@ -116,7 +118,7 @@
   static void NoteDemand(Stock& stock, double requests, BootTime now);
   static bool Spend(Stock& stock, BootTime now);
   static QuotaDecision Reject(Stock& stock, BootTime now);
-  // Tokens that the stock should hold.
+  // Tokens that the stock should hold, as far as the leader has them.
   uint64_t Wanted(const Stock& stock) const;
   // Whether nothing is lost if the account is forgotten.
   static bool IsIdle(const Stock& stock);
