--- a/knapweedroad/quota/quota_simulation.cc
+++ b/knapweedroad/quota/quota_simulation.cc
@@ -134,9 +134,10 @@
   Pool& asked = this->pools[pool];
   asked.tokens->Take(
       account, Read(asked.clock, this->time),
-      [this, account](const QuotaDecision& decision) {
+      [this, account, pool](const QuotaDecision& decision) {
         if (decision.outcome == QuotaOutcome::kGranted) {
-          this->spent_tokens[account].push_back(this->time);
+          this->spent_tokens[account].push_back(
+              {.time = this->time, .pool = pool});
         } else if (decision.outcome == QuotaOutcome::kOverQuota) {
           ++this->rejected_count;
         } else {
@@ -146,6 +147,24 @@
   this->Call(pool);
 }
 
+void QuotaSimulation::Return(const AccountId& account, size_t pool) {
+  std::vector<SpentToken>& spent = this->spent_tokens[account];
+  for (size_t i = spent.size(); i > 0; --i) {
+    if (spent[i - 1].pool != pool) {
+      continue;
+    }
+    const size_t count = spent.size();
+    const uint64_t held_before = this->held(pool);
+    Pool& holder = this->pools[pool];
+    holder.tokens->Return(account, Read(holder.clock, this->time));
+    // It had an effect if it is held again, or was spent on a waiting request.
+    if (this->held(pool) > held_before || spent.size() > count) {
+      spent.erase(spent.begin() + static_cast<ptrdiff_t>(i - 1));
+    }
+    return;
+  }
+}
+
 void QuotaSimulation::Run(Duration time) {
   const Duration until = this->time + time;
   while (!this->events.empty() && this->events.begin()->first <= until) {
--- a/knapweedroad/quota/quota_simulation.h
+++ b/knapweedroad/quota/quota_simulation.h
@@ -49,6 +49,10 @@
 
 class QuotaSimulation {
  public:
+  struct SpentToken {
+    Duration time{};
+    size_t pool = 0;
+  };
   struct Faults {
     // Shares of the messages, from 0 to 1.
     double lost = 0;
@@ -72,11 +76,14 @@
   void SetAccounts(std::vector<ClientAccount> accounts);
 
   void Request(const AccountId& account, size_t pool);
+  // Gives back the token that was last spent at the pool, as if its request had
+  // been rejected.
+  void Return(const AccountId& account, size_t pool);
   void Run(Duration time);
 
   Duration now() const { return this->time; }
   // When the tokens were spent, ascending.
-  const std::vector<Duration>& spent(const AccountId& account) {
+  const std::vector<SpentToken>& spent(const AccountId& account) {
     return this->spent_tokens[account];
   }
   // When a leader answered its first call.
@@ -120,7 +127,7 @@
   std::optional<QuotaLeader> leader;
   Clock leader_clock;
   bool has_answered = false;
-  std::map<AccountId, std::vector<Duration>> spent_tokens;
+  std::map<AccountId, std::vector<SpentToken>> spent_tokens;
   std::vector<Duration> leader_starts;
   uint64_t rejected_count = 0;
   uint64_t unknown_count = 0;
--- a/knapweedroad/quota/token_pool.cc
+++ b/knapweedroad/quota/token_pool.cc
@@ -90,14 +90,11 @@
     return;
   }
   Stock& stock = found->second;
-  if (stock.spent_total == stock.spent_reported) {
-    return;
-  }
-  --stock.spent_total;
   // The pool can't tell which of the spent tokens comes back.
-  if (stock.spent_expires <= now) {
+  if (stock.spent_total == stock.spent_reported || stock.spent_expires <= now) {
     return;
   }
+  --stock.spent_total;
   stock.tokens.AddOldest(stock.spent_expires);
   if (stock.waiting.empty()) {
     return;
--- a/knapweedroad/quota/token_pool.h
+++ b/knapweedroad/quota/token_pool.h
@@ -64,7 +64,8 @@
   void Take(const AccountId& account, BootTime now, OnDecision on_decision);
 
   // Takes back a token of a request that was rejected without having been sent.
-  // Has no effect if the token has already been reported as spent.
+  // Has no effect if the token has already been reported as spent, or has
+  // expired.
   void Return(const AccountId& account, BootTime now);
 
   // Whether the owner should call the leader now: no call is in progress, and a
