--- a/knapweedroad/quota/quota_messages.h
+++ b/knapweedroad/quota/quota_messages.h
@@ -51,13 +51,23 @@
   AccountId account;
   // Tokens granted, of which as many as possible are for waiting requests.
   uint32_t granted = 0;
-  // If fewer than the waiting requests need: when the next token is expected.
+  // If fewer than the waiting requests need: when the first of the others
+  // should try again, and the time between one of them and the next.
   uint32_t retry_after_ms = 0;
+  uint32_t retry_step_ms = 0;
+  // If the leader has no token left: when it expects the next one.
+  uint32_t empty_ms = 0;
+  // The tokens held in the call may be used for a token lifetime after it.
+  bool is_renewed = false;
+  // Tokens that the pool should hold at most, so that others get their share.
+  uint32_t stock_limit = UINT32_MAX;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->account, this->granted, this->retry_after_ms);
+    archive(this->account, this->granted, this->retry_after_ms,
+            this->retry_step_ms, this->empty_ms, this->is_renewed,
+            this->stock_limit);
   }
 };
 
