--- a/knapweedroad/quota/quota_messages.h
+++ b/knapweedroad/quota/quota_messages.h
@@ -39,11 +39,15 @@
   // Rises with each call of an incarnation.
   uint64_t sequence = 0;
   std::vector<PoolAccount> accounts;
+  // Another control host passes the call on, as the pool can't reach the leader
+  // itself. Such a call isn't passed on again.
+  bool is_forwarded = false;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->host, this->incarnation, this->sequence, this->accounts);
+    archive(this->host, this->incarnation, this->sequence, this->accounts,
+            this->is_forwarded);
   }
 };
 
@@ -62,8 +66,9 @@
 };
 
 struct RefillReply {
-  // False if the host may not grant now; the rest is then empty.
+  // False if the host may not grant now; `grants` is then empty.
   bool is_leader = false;
+  // The term for which the host was chosen; zero if it wasn't.
   uint64_t term = 0;
   std::vector<RefillGrant> grants;
 
