Control hosts: the quota leader of the agreed state can be read and replaced

AgreedValue keeps the whole decoded state, so that its parts need no second decoding. The leader is replaced only if the agreed state still names the one that the caller saw.

--- a/knapweedroad/edge/agreed_editor.cc
+++ b/knapweedroad/edge/agreed_editor.cc
@@ -83,6 +83,19 @@
       deadline);
 }
 
+bool AgreedEditor::ReplaceQuotaLeader(const QuotaLeaderRecord& seen,
+                                      const QuotaLeaderRecord& next,
+                                      TimePoint deadline) {
+  return this->Edit(
+      "quota leader " + next.host.str() + " term " + std::to_string(next.term),
+      [seen, next](AgreedState& state) {
+        if (state.quota_leader == seen) {
+          state.quota_leader = next;
+        }
+      },
+      deadline);
+}
+
 std::optional<AgreedState> AgreedEditor::Read(TimePoint deadline) {
   const ControlPeek peek = this->options.service.Peek(
       std::min(deadline, Runtime::Now() + kPeekTimeout), /*soon=*/true);
--- a/knapweedroad/edge/agreed_editor.h
+++ b/knapweedroad/edge/agreed_editor.h
@@ -49,6 +49,12 @@
       std::function<void(std::vector<RolloutRecord>& rollouts)> edit,
       TimePoint deadline);
 
+  // Makes `next` the quota leader unless another one than `seen` is agreed on
+  // by now; as PutRouting().
+  bool ReplaceQuotaLeader(const QuotaLeaderRecord& seen,
+                          const QuotaLeaderRecord& next,
+                          TimePoint deadline);
+
   // The newest state there is; nothing where that can't be known now.
   std::optional<AgreedState> Read(TimePoint deadline);
 
--- a/knapweedroad/edge/agreed_value.cc
+++ b/knapweedroad/edge/agreed_value.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "knapweedroad/base/log_line.h"
-#include "knapweedroad/registry/agreed_state.h"
 
 namespace knapweedroad {
 
@@ -22,14 +21,15 @@
   }
   this->newest_version = chosen_version;
   this->newest_text = chosen_text;
-  this->newest_number = state->number;
   LogLine("agreed")
       .Add("version", chosen_version)
       .Add("number", state->number)
       .Add("zones_out", state->zones_out.size())
       .Add("rollouts", state->rollouts.size())
+      .Add("quota_leader", state->quota_leader.host)
+      .Add("quota_term", state->quota_leader.term)
       .Info();
-  this->newest_rollouts = std::move(state->rollouts);
+  this->newest = *std::move(state);
   return true;
 }
 
--- a/knapweedroad/edge/agreed_value.h
+++ b/knapweedroad/edge/agreed_value.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "knapweedroad/quota/quota_leader_record.h"
+#include "knapweedroad/registry/agreed_state.h"
 #include "knapweedroad/rollout/rollout_record.h"
 
 namespace knapweedroad {
@@ -22,16 +24,19 @@
   // As EncodeAgreedState() made it.
   const std::string& text() const { return this->newest_text; }
   // Of the routing configuration in it.
-  uint64_t number() const { return this->newest_number; }
+  uint64_t number() const { return this->newest.number; }
   const std::vector<RolloutRecord>& rollouts() const {
-    return this->newest_rollouts;
+    return this->newest.rollouts;
   }
+  const QuotaLeaderRecord& quota_leader() const {
+    return this->newest.quota_leader;
+  }
+  const AgreedState& state() const { return this->newest; }
 
  private:
   uint64_t newest_version = 0;
   std::string newest_text;
-  uint64_t newest_number = 0;
-  std::vector<RolloutRecord> newest_rollouts;
+  AgreedState newest;
 };
 
 }  // namespace knapweedroad
