Quotas: a control host that hears nobody doesn't replace the quota leader

A host that is cut off from all others still counts on its old quorum for 2.5 s and could propose itself when its link came back. Now another control host must have told that it doesn't reach the leader either; without that, the host waits until it knows whether it has a quorum.

--- a/knapweedroad/quota/leader_election.cc
+++ b/knapweedroad/quota/leader_election.cc
@@ -17,6 +17,7 @@
 
 void LeaderElection::ForgetEvidence() {
   this->unanswered = 0;
+  this->has_second_opinion = false;
   this->not_leader_since.reset();
   this->none_since.reset();
 }
@@ -39,13 +40,15 @@
   if (asked != this->known_leader || asked.host.empty()) {
     return;
   }
-  if (answer == LeaderAnswer::kNone) {
+  if (answer == LeaderAnswer::kNone || answer == LeaderAnswer::kUnreachable) {
     if (this->unanswered++ == 0) {
       this->unanswered_since = began;
     }
+    this->has_second_opinion |= answer == LeaderAnswer::kUnreachable;
     return;
   }
   this->unanswered = 0;
+  this->has_second_opinion = false;
   if (answer == LeaderAnswer::kGrants) {
     this->not_leader_since.reset();
   } else if (!this->not_leader_since) {
@@ -71,7 +74,9 @@
   std::optional<TimePoint> vacant;
   if (this->unanswered >= kUnansweredCalls) {
     vacant = this->unanswered_since +
-             this->options.unresponsive_after * this->Damping(now);
+             this->options.unresponsive_after * this->Damping(now) +
+             (this->has_second_opinion ? Duration::zero()
+                                       : this->options.alone_wait);
   }
   if (this->not_leader_since) {
     const TimePoint begun = *this->not_leader_since + this->options.begin_time;
--- a/knapweedroad/quota/leader_election.h
+++ b/knapweedroad/quota/leader_election.h
@@ -30,6 +30,10 @@
   // lease begins 1 s after it has learned of its term; the rest is for the
   // confirmation by a quorum on a busy machine.
   Duration begin_time = std::chrono::milliseconds(1600);
+  // How much longer a host waits that no other control host has told that it
+  // doesn't reach the leader either. Such a host may be cut off itself, and
+  // learns that it has no quorum within this time.
+  Duration alone_wait = std::chrono::milliseconds(2500);
   // How much longer a host waits for each live control host with a smaller id.
   Duration turn = std::chrono::milliseconds(250);
   // From the end of a proposal to the next one of this host.
@@ -45,7 +49,10 @@
   kGrants,
   // It answered that it may not grant now.
   kNotLeader,
-  // It didn't answer in time.
+  // It didn't answer in time, neither this host nor another control host that
+  // passed the call on.
+  kUnreachable,
+  // Neither it nor any other control host answered in time.
   kNone,
 };
 
@@ -95,6 +102,8 @@
   // first one.
   int unanswered = 0;
   TimePoint unanswered_since;
+  // Another control host didn't reach the leader in one of them.
+  bool has_second_opinion = false;
   std::optional<TimePoint> not_leader_since;
   // No leader was chosen yet, and one is needed.
   std::optional<TimePoint> none_since;
