Quotas: control hosts keep token pools and elect the leader, entry hosts ask them for permits

QuotaService owns the pool, the leader's buckets and the election of a control host. A pool that doesn't reach the leader goes by another control host, so that a cut link between two hosts doesn't replace a healthy leader. An entry host mostly follows one control host, so the second one is called over a spare connection.

Control hosts read the accounts' limits out of the agreed configuration. Nothing calls the client yet: RequestAdmission's hook is joined later.

--- a/knapweedroad/edge/agreed_value.cc
+++ b/knapweedroad/edge/agreed_value.cc
@@ -26,8 +26,6 @@
       .Add("number", state->number)
       .Add("zones_out", state->zones_out.size())
       .Add("rollouts", state->rollouts.size())
-      .Add("quota_leader", state->quota_leader.host)
-      .Add("quota_term", state->quota_leader.term)
       .Info();
   this->newest = *std::move(state);
   return true;
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -52,6 +52,7 @@
 void ControlHost::State::TakeAgreed(uint64_t version, const std::string& text) {
   if (this->agreed.Take(version, text)) {
     this->rollouts->SetRollouts(this->agreed.rollouts());
+    this->quota->OnAgreed(version, this->agreed.state());
     this->hub->Wake();
   }
 }
@@ -130,6 +131,7 @@
   }
   this->hub->Sweep();
   this->rollouts->Tick();
+  this->quota->Tick();
   if (this->connectivity.Update(live, this->follower->View())) {
     this->hub->Wake();
   }
@@ -157,6 +159,7 @@
   add("quorum_age_ms", "gauge", QuorumAgeMs(this->follower->View()));
   add("rollouts_owned", "gauge", this->rollouts->owned());
   add("disk_failed", "gauge", this->replica->broken() ? 1 : 0);
+  out << this->quota->PrintMetrics();
   return std::move(out).str();
 }
 
@@ -172,6 +175,9 @@
   if (self.hub != nullptr) {
     self.hub->Stop();
   }
+  if (self.quota != nullptr) {
+    self.quota->Stop();
+  }
   self.follower.reset();
   self.peers.reset();
   self.server.reset();
@@ -189,6 +195,7 @@
   self.ReadDirectory();
   self.MakeAgreement();
   self.rollouts = self.MakeRolloutOwner();
+  self.quota = self.MakeQuotaService();
   self.MakeMembership();
   if (auto served = self.Serve(); !served) {
     return served;
--- a/knapweedroad/edge/control_host.h
+++ b/knapweedroad/edge/control_host.h
@@ -21,6 +21,7 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/config/role_settings.h"
+#include "knapweedroad/edge/routing_reader.h"
 #include "knapweedroad/net/http_message.h"
 #include "knapweedroad/registry/agreed_state.h"
 #include "knapweedroad/registry/target_registry.h"
@@ -34,6 +35,9 @@
   // Answers what operators and targets ask over HTTP; runs in a fiber of its
   // own and may block it.
   std::function<HttpResponse(const HttpRequest& request)> on_request;
+  // Reads the accounts' limits out of the agreed configuration. Unset: no
+  // account has a limit.
+  RoutingReader read_routing;
   // Called every 100 ms, for the log.
   std::function<void()> on_tick;
 };
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -16,6 +16,7 @@
 #include "knapweedroad/edge/control_host.h"
 #include "knapweedroad/edge/control_links.h"
 #include "knapweedroad/edge/directory_cache.h"
+#include "knapweedroad/edge/quota_service.h"
 #include "knapweedroad/edge/replica_membership.h"
 #include "knapweedroad/edge/rollout_owner.h"
 #include "knapweedroad/edge/watch_hub.h"
@@ -49,6 +50,7 @@
   void ReadDirectory();
   void MakeAgreement();
   std::shared_ptr<RolloutOwner> MakeRolloutOwner();
+  std::shared_ptr<QuotaService> MakeQuotaService();
   void MakeMembership();
   tl::expected<void, std::string> Serve();
   void BeginWork();
@@ -73,6 +75,7 @@
   std::unique_ptr<DirectoryCache> directory;
   std::unique_ptr<ControlFollower> follower;
   std::shared_ptr<RolloutOwner> rollouts;
+  std::shared_ptr<QuotaService> quota;
   std::unique_ptr<PeerServer> peers;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpServer> metrics_server;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -6,8 +6,10 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/peer_calls.h"
+#include "knapweedroad/edge/quota_calls.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/quota/quota_messages.h"
 
 namespace knapweedroad {
 namespace {
@@ -157,6 +159,36 @@
               }});
 }
 
+std::shared_ptr<QuotaService> ControlHost::State::MakeQuotaService() {
+  const RoleSettings& settings = this->options.settings;
+  return std::make_shared<QuotaService>(
+      this->runtime,
+      QuotaServiceOptions{
+          .self = this->self,
+          .tolerance = {.window = settings.quota_window,
+                        .overshoot = settings.quota_overshoot,
+                        .slack = settings.quota_slack},
+          .read_routing = this->options.read_routing,
+          .live_control_hosts =
+              [this] {
+                std::vector<HostId> live = this->follower->LiveHosts();
+                live.push_back(this->self);
+                return live;
+              },
+          .has_quorum = [this] { return this->follower->HasQuorum(); },
+          .call =
+              [this](const HostId& host, const RefillCall& call,
+                     TimePoint deadline) {
+                return SendRefillCall(*this->follower, host, call, deadline);
+              },
+          .replace_leader =
+              [this](const QuotaLeaderRecord& seen,
+                     const QuotaLeaderRecord& next) {
+                this->editor->ReplaceQuotaLeader(
+                    seen, next, Runtime::Now() + kAgreeTimeout);
+              }});
+}
+
 void ControlHost::State::MakeMembership() {
   this->membership =
       std::make_unique<ReplicaMembership>(ReplicaMembershipOptions{
@@ -188,6 +220,7 @@
                                    .hub = *this->hub,
                                    .agreed = this->agreed,
                                    .rollouts = *this->rollouts,
+                                   .quota = *this->quota,
                                    .on_outcomes =
                                        [this](const OutcomeReport& report) {
                                          this->TakeUrgent(report);
@@ -220,6 +253,7 @@
 
 void ControlHost::State::BeginWork() {
   this->follower->Start();
+  this->quota->Start();
   this->runtime.Spawn(
       [state = this->shared_from_this()] { state->membership->Run(); });
   this->runtime.Spawn([state = this->shared_from_this()] {
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -63,11 +63,33 @@
     this->metrics.SetGauge("control_hosts_followed",
                            static_cast<double>(this->follower->followed()));
   }
+  if (this->quota != nullptr) {
+    this->SetQuotaMetrics();
+  }
   this->metrics.SetGauge(
       "entry_hosts", static_cast<double>(this->balancer.entry_host_count()));
   return this->metrics.Print();
 }
 
+void EntryHost::State::SetQuotaMetrics() {
+  const QuotaClientCounts& counts = this->quota->counts();
+  const auto set = [this](std::string_view name, auto value) {
+    this->metrics.SetGauge(name, static_cast<double>(value));
+  };
+  const uint64_t decisions =
+      counts.admitted + counts.over_quota + counts.unknown;
+  set("quota_permits_admitted", counts.admitted);
+  set("quota_permits_over_quota", counts.over_quota);
+  set("quota_permits_unknown", counts.unknown);
+  set("quota_permits_discarded", counts.discarded);
+  set("quota_permits_returned", counts.returned);
+  set("quota_calls", counts.calls);
+  set("quota_calls_retried", counts.retries);
+  set("quota_decision_ms_count", decisions);
+  set("quota_decision_ms_sum",
+      std::chrono::duration<double, std::milli>(counts.decision_time).count());
+}
+
 void EntryHost::State::OnNews(const HostId& from, const WatchReply& reply) {
   const TimePoint now = Runtime::Now();
   if (reply.zone != this->options.settings.zone) {
@@ -189,6 +211,7 @@
   State& self = *this->state;
   self.is_stopped = true;
   self.rollouts->Stop();
+  self.quota.reset();
   self.follower.reset();
   self.callers.reset();
   self.peers.reset();
@@ -217,6 +240,7 @@
     return served;
   }
   self.FollowControl();
+  self.MakeQuotaClient();
   self.BeginTicks();
   return {};
 }
--- a/knapweedroad/edge/entry_host.h
+++ b/knapweedroad/edge/entry_host.h
@@ -12,21 +12,16 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include <tl/expected.hpp>
 
 #include "knapweedroad/config/role_settings.h"
 #include "knapweedroad/edge/header_names.h"
+#include "knapweedroad/edge/routing_reader.h"
 
 namespace knapweedroad {
 
 class Runtime;
-struct RoutingConfig;
-
-// Reads the text of a routing configuration; the error says what is wrong.
-using RoutingReader =
-    std::function<tl::expected<RoutingConfig, std::string>(std::string_view)>;
 
 struct EntryHostOptions {
   RoleSettings settings;
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -17,6 +17,7 @@
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/gather_relay.h"
+#include "knapweedroad/edge/quota_client.h"
 #include "knapweedroad/edge/rollout_reporter.h"
 #include "knapweedroad/edge/routing_in_force.h"
 #include "knapweedroad/edge/target_links.h"
@@ -48,6 +49,7 @@
   HttpResponse AnswerPlatform(const HttpRequest& request);
   bool IsReady() const;
   std::string PrintMetrics();
+  void SetQuotaMetrics();
   CallerLimits Limits() const;
 
   // Parts of the start; the first error ends it.
@@ -56,6 +58,7 @@
   tl::expected<void, std::string> ServePeers();
   tl::expected<void, std::string> ServeMetrics();
   void FollowControl();
+  void MakeQuotaClient();
   void BeginTicks();
 
   Runtime& runtime;
@@ -76,6 +79,7 @@
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<ControlFollower> follower;
+  std::unique_ptr<QuotaClient> quota;
   RoutingInForce routing;
   std::shared_ptr<TargetProber> prober;
   std::shared_ptr<RolloutReporter> rollouts;
--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -8,8 +8,10 @@
 #include "knapweedroad/edge/entry_host_state.h"
 #include "knapweedroad/edge/entry_request.h"
 #include "knapweedroad/edge/gather_calls.h"
+#include "knapweedroad/edge/quota_calls.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/quota/quota_messages.h"
 #include "knapweedroad/routing/route_table.h"
 
 namespace knapweedroad {
@@ -201,6 +203,21 @@
   this->follower->Start();
 }
 
+void EntryHost::State::MakeQuotaClient() {
+  const auto caller = std::make_shared<PermitCaller>(
+      this->runtime, *this->follower, this->options.settings.name);
+  this->quota = std::make_unique<QuotaClient>(
+      this->runtime,
+      QuotaClientOptions{
+          .self = this->options.settings.name,
+          .responsive_hosts = [caller] { return caller->Hosts(); },
+          .call =
+              [caller](const HostId& host, const PermitCall& call,
+                       TimePoint deadline) {
+                return caller->Call(host, call, deadline);
+              }});
+}
+
 void EntryHost::State::BeginTicks() {
   this->last_tick = Runtime::Now();
   RepeatEvery(this->runtime, kTick, [state = this->shared_from_this()] {
--- a/knapweedroad/edge/peer_calls.cc
+++ b/knapweedroad/edge/peer_calls.cc
@@ -1,6 +1,7 @@
 #include "knapweedroad/edge/peer_calls.h"
 
 #include "knapweedroad/edge/agreed_value.h"
+#include "knapweedroad/edge/quota_calls.h"
 #include "knapweedroad/edge/rollout_owner.h"
 #include "knapweedroad/edge/watch_hub.h"
 #include "knapweedroad/host/control_replica.h"
@@ -69,6 +70,10 @@
       return AnswerRollout(parts.rollouts, body);
     case PeerMessageType::kOutcomes:
       return TakeOutcomes(parts, body);
+    case PeerMessageType::kRefill:
+      return AnswerRefillCall(parts.quota, body);
+    case PeerMessageType::kPermit:
+      return AnswerPermitCall(parts.quota, body);
     default:
       return tl::unexpected(std::string("not a call of control hosts"));
   }
