Freshness: tells whether the configuration of a host is proven to be recent

Strict revocation needs an entry host to stop serving keys by itself when it can't know that its configuration is the newest one.

--- a/knapweedroad/freshness/configuration_freshness.h
+++ b/knapweedroad/freshness/configuration_freshness.h
@@ -58,6 +58,8 @@
     BootTime confirmed_at;
   };
 
+  void Prove(BootTime confirmed_at);
+
   ConfigurationFreshnessOptions options;
   uint64_t applied_version = 0;
   std::optional<BootTime> proven_at;
