Registry: control hosts that fail to confirm don't suffice for a follower

A control host that is cut off from the others but still answers claims a quorum for 2.5 s more, which is half of the bound of strict revocation. A follower can now record that a control host failed to confirm the newest version; the host then counts as one without a full view or a quorum until it confirms again.

--- a/knapweedroad/registry/control_host_selection.cc
+++ b/knapweedroad/registry/control_host_selection.cc
@@ -8,7 +8,8 @@
 namespace {
 
 bool IsLiveWithQuorum(const ControlHostCandidate* candidate) {
-  return candidate->is_live && candidate->has_quorum;
+  return candidate->is_live && candidate->has_quorum &&
+         !candidate->is_unconfirmed;
 }
 
 }  // namespace
@@ -29,7 +30,8 @@
   for (const ControlHostCandidate* const candidate : order) {
     selected.push_back(candidate->host);
     const bool is_sufficient = candidate->is_live && candidate->has_full_view &&
-                               !candidate->failed_recently;
+                               !candidate->failed_recently &&
+                               !candidate->is_unconfirmed;
     has_quorum |= IsLiveWithQuorum(candidate);
     const size_t max_selected =
         has_quorum ? options.max_selected : options.max_selected_without_quorum;
--- a/knapweedroad/registry/control_host_selection.h
+++ b/knapweedroad/registry/control_host_selection.h
@@ -27,6 +27,9 @@
   bool has_full_view = false;
   // Its last reply reported that a quorum of the replicas answers it.
   bool has_quorum = false;
+  // It failed to confirm with a quorum which version is the newest. Never set
+  // where confirmations aren't needed.
+  bool is_unconfirmed = false;
   // Orders otherwise equal candidates; differs between followers.
   uint64_t rank = 0;
 };
@@ -42,10 +45,11 @@
 };
 
 // Returns the selected hosts in order of preference. The selection ends at the
-// first live host that has a full view and has not failed recently, or at the
-// maximum; preferred hosts before it are selected too and so are retried. If
-// none of the selected hosts has a quorum, the first live candidate that has
-// one is added.
+// first live host that has a full view, has not failed recently and is not
+// unconfirmed, or at the maximum; preferred hosts before it are selected too
+// and so are retried. If none of the selected hosts has a quorum, the first
+// live candidate that has one is added. An unconfirmed host counts as one
+// without a quorum.
 //
 // One control host of the own zone is enough while it has a full view:
 // following several delivers each change several times, mostly across zones.
--- a/knapweedroad/registry/control_host_selection_test.cc
+++ b/knapweedroad/registry/control_host_selection_test.cc
@@ -131,5 +131,42 @@
   cr_expect(SelectIn("d", candidates).size() == 3);
 }
 
+// Guards against a host that loses its proof of freshness because it follows
+// only a control host that answers but is partitioned from the others, which
+// shows in its view seconds later.
+Test(control_host_selection, unconfirmed_control_host_does_not_suffice) {
+  std::vector<ControlHostCandidate> candidates = SixZoneCandidates();
+  candidates[3].has_quorum = true;
+  candidates[3].is_unconfirmed = true;
+  const std::vector<HostId> selected = SelectIn("d", candidates);
+  cr_expect(selected.size() == 2);
+  cr_expect(selected.front() == HostId("control-d"));
+}
+
+// Guards against hosts whose three followed control hosts are one minority that
+// still claims a quorum.
+Test(control_host_selection, unconfirmed_minority_does_not_hide_the_majority) {
+  std::vector<ControlHostCandidate> candidates = SixZoneCandidates();
+  candidates.push_back({.host = HostId("control-g"),
+                        .zone = ZoneId("g"),
+                        .is_live = true,
+                        .has_quorum = true,
+                        .rank = 0});
+  for (ControlHostCandidate& candidate : candidates) {
+    candidate.has_full_view = false;
+  }
+  // The control host of the own zone, and the first two by rank.
+  for (const int minority : {3, 6, 5}) {
+    candidates[minority].has_quorum = true;
+    candidates[minority].is_unconfirmed = true;
+  }
+  const std::vector<HostId> selected =
+      SelectControlHosts(candidates, {.zone = ZoneId("d"),
+                                      .max_selected = 3,
+                                      .max_selected_without_quorum = 4});
+  cr_expect(selected.size() == 4);
+  cr_expect(selected.back() == HostId("control-e"));
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/registry/control_host_table.cc
+++ b/knapweedroad/registry/control_host_table.cc
@@ -65,6 +65,13 @@
   this->hosts[host].last_seen = now;
 }
 
+void ControlHostTable::OnConfirmation(const HostId& host, bool is_confirmed) {
+  const auto found = this->hosts.find(host);
+  if (found != this->hosts.end()) {
+    found->second.is_unconfirmed = !is_confirmed;
+  }
+}
+
 void ControlHostTable::Forget(TimePoint now) {
   std::erase_if(this->hosts, [now](const auto& entry) {
     const TimePoint last_seen = entry.second.last_seen;
@@ -128,6 +135,7 @@
     candidate.failed_recently = now - state.last_failure < kFailureBackoff;
     candidate.has_full_view = state.has_full_view;
     candidate.has_quorum = state.has_quorum;
+    candidate.is_unconfirmed = state.is_unconfirmed;
   }
   return candidate;
 }
--- a/knapweedroad/registry/control_host_table_test.cc
+++ b/knapweedroad/registry/control_host_table_test.cc
@@ -108,5 +108,19 @@
       not table.Candidate(ControlHost("a"), now + seconds(2)).failed_recently);
 }
 
+// Guards against a host that returns again and again to a control host that
+// answers its calls but can't confirm anything.
+Test(control_host_table, host_is_unconfirmed_until_it_confirms) {
+  ControlHostTable table = StartedTable();
+  const TimePoint now = kStart + seconds(10);
+  cr_expect(not table.Candidate(ControlHost("a"), now).is_unconfirmed);
+  table.OnConfirmation(ControlHost("a"), false);
+  SimulateCalls(table, {"a", "b"}, true, now, now + seconds(5));
+  cr_expect(table.Candidate(ControlHost("a"), now).is_unconfirmed);
+  cr_expect(not table.Candidate(ControlHost("b"), now).is_unconfirmed);
+  table.OnConfirmation(ControlHost("a"), true);
+  cr_expect(not table.Candidate(ControlHost("a"), now).is_unconfirmed);
+}
+
 }  // namespace
 }  // namespace knapweedroad
