Peer client: calls that begin together share one connection

Calls that found no connection each opened one, and only the last one opened was used from then on: the others stayed open, unused, on both hosts until either process ended. Control hosts and entry hosts now call each other several times a second beside their watch calls, which makes such beginnings common after each lost connection.

--- a/knapweedroad/net/peer_client.cc
+++ b/knapweedroad/net/peer_client.cc
@@ -76,10 +76,19 @@
       ++this->silent;
     }
   }
+  const std::shared_ptr<Link> replaced = this->current;
   auto link = this->Open(deadline);
-  if (link) {
-    this->current = *link;
+  if (!link) {
+    return link;
   }
+  // Another call has opened one meanwhile. Nothing would ever close the one
+  // that isn't the current one.
+  if (this->current != replaced && !this->current->connection->closed() &&
+      !this->IsSilent(*this->current)) {
+    (*link)->connection->Close();
+    return this->current;
+  }
+  this->current = *link;
   return link;
 }
 
--- a/knapweedroad/net/peer_test.cc
+++ b/knapweedroad/net/peer_test.cc
@@ -1,3 +1,5 @@
+#include <filesystem>
+#include <iterator>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -126,6 +128,38 @@
   Runtime::SleepFor(300ms);
 }
 
+size_t CountOpenFiles() {
+  const std::filesystem::directory_iterator files("/proc/self/fd");
+  return static_cast<size_t>(std::distance(begin(files), end(files)));
+}
+
+// Guards against connections that stay open, unused, for as long as the process
+// runs: two calls to a host at the same time each opened one.
+Test(Peer, CallsThatBeginTogetherShareOneConnection) {
+  Runtime runtime;
+  PeerServer server(runtime, Echo());
+  const uint16_t port = server.Start().value();
+  PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port}});
+  const size_t before = CountOpenFiles();
+  constexpr int kCalls = 5;
+  int answered = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    runtime.Spawn([&] {
+      const auto reply = client.Call(PeerMessageType::kAttempt, "x", Late());
+      answered += reply.has_value() ? 1 : 0;
+    });
+  }
+  while (answered < kCalls) {
+    Runtime::SleepFor(1ms);
+  }
+  // The server sees the others end.
+  const TimePoint give_up = Late();
+  while (CountOpenFiles() > before + 2 && Runtime::Now() < give_up) {
+    Runtime::SleepFor(1ms);
+  }
+  cr_expect(CountOpenFiles() == before + 2);
+}
+
 Test(Udp, ADatagramArrivesWhole) {
   Runtime runtime;
   std::string heard;
