Control hosts: confirm with a quorum which version is the newest

Entry hosts with strict revocation need to know how recently their control host knew the newest version. With the setting on, a control host asks the replicas every 250 ms without a vote, and tells the newest successful answer to hosts that send kConfirm. A change that was left half done keeps the replicas from agreeing; after several such rounds the control host takes a vote.

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/edge/control_host_state.h"
@@ -28,6 +29,15 @@
 // Calls that are running at a stop get this long.
 constexpr Duration kStopWait = milliseconds(300);
 
+// The time since the newest confirmation began, or -1 if there was none.
+int64_t ConfirmationAgeMs(const QuorumConfirmer& confirmer) {
+  const auto& newest = confirmer.newest();
+  return newest ? std::chrono::floor<milliseconds>(BootClock::now() -
+                                                   newest->began)
+                      .count()
+                : -1;
+}
+
 }  // namespace
 
 ControlHost::State::State(Runtime& runtime, ControlHostOptions given)
@@ -155,6 +165,9 @@
   add("agreed_version", "gauge", this->agreed.version());
   add("control_hosts", "gauge", this->ControlHosts().size());
   add("quorum_age_ms", "gauge", QuorumAgeMs(this->follower->View()));
+  if (this->options.settings.strict_revocation) {
+    add("confirmation_age_ms", "gauge", ConfirmationAgeMs(*this->confirmer));
+  }
   add("rollouts_owned", "gauge", this->rollouts->owned());
   add("disk_failed", "gauge", this->replica->broken() ? 1 : 0);
   return std::move(out).str();
@@ -169,6 +182,9 @@
   if (self.membership != nullptr) {
     self.membership->Stop();
   }
+  if (self.confirmer != nullptr) {
+    self.confirmer->Stop();
+  }
   if (self.hub != nullptr) {
     self.hub->Stop();
   }
@@ -190,6 +206,7 @@
   self.MakeAgreement();
   self.rollouts = self.MakeRolloutOwner();
   self.MakeMembership();
+  self.MakeConfirmer();
   if (auto served = self.Serve(); !served) {
     return served;
   }
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -16,6 +16,7 @@
 #include "knapweedroad/edge/control_host.h"
 #include "knapweedroad/edge/control_links.h"
 #include "knapweedroad/edge/directory_cache.h"
+#include "knapweedroad/edge/quorum_confirmer.h"
 #include "knapweedroad/edge/replica_membership.h"
 #include "knapweedroad/edge/rollout_owner.h"
 #include "knapweedroad/edge/watch_hub.h"
@@ -50,6 +51,7 @@
   void MakeAgreement();
   std::shared_ptr<RolloutOwner> MakeRolloutOwner();
   void MakeMembership();
+  void MakeConfirmer();
   tl::expected<void, std::string> Serve();
   void BeginWork();
 
@@ -69,6 +71,7 @@
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
   std::unique_ptr<ReplicaMembership> membership;
+  std::unique_ptr<QuorumConfirmer> confirmer;
   std::unique_ptr<WatchHub> hub;
   std::unique_ptr<DirectoryCache> directory;
   std::unique_ptr<ControlFollower> follower;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -178,6 +178,16 @@
               }});
 }
 
+void ControlHost::State::MakeConfirmer() {
+  this->confirmer = std::make_unique<QuorumConfirmer>(QuorumConfirmerOptions{
+      .service = *this->service,
+      .is_wanted = [this] { return this->options.settings.strict_revocation; },
+      .on_chosen =
+          [this](uint64_t version, const std::string& text) {
+            this->TakeAgreed(version, text);
+          }});
+}
+
 tl::expected<void, std::string> ControlHost::State::Serve() {
   this->peers = std::make_unique<PeerServer>(
       this->runtime,
@@ -188,6 +198,7 @@
                                    .hub = *this->hub,
                                    .agreed = this->agreed,
                                    .rollouts = *this->rollouts,
+                                   .confirmer = *this->confirmer,
                                    .on_outcomes =
                                        [this](const OutcomeReport& report) {
                                          this->TakeUrgent(report);
@@ -222,6 +233,8 @@
   this->follower->Start();
   this->runtime.Spawn(
       [state = this->shared_from_this()] { state->membership->Run(); });
+  this->runtime.Spawn(
+      [state = this->shared_from_this()] { state->confirmer->Run(); });
   this->runtime.Spawn([state = this->shared_from_this()] {
     state->directory->KeepSaved(
         [&state] {
--- a/knapweedroad/edge/peer_calls.cc
+++ b/knapweedroad/edge/peer_calls.cc
@@ -1,8 +1,13 @@
 #include "knapweedroad/edge/peer_calls.h"
 
+#include <chrono>
+
+#include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/edge/agreed_value.h"
+#include "knapweedroad/edge/quorum_confirmer.h"
 #include "knapweedroad/edge/rollout_owner.h"
 #include "knapweedroad/edge/watch_hub.h"
+#include "knapweedroad/freshness/confirm_messages.h"
 #include "knapweedroad/host/control_replica.h"
 #include "knapweedroad/registry/watch_messages.h"
 #include "knapweedroad/rollout/rollout_messages.h"
@@ -52,6 +57,26 @@
   return std::string();
 }
 
+tl::expected<std::string, std::string> AnswerConfirm(
+    const QuorumConfirmer& confirmer,
+    const std::string& body) {
+  // Read late, it makes the confirmation look older, never younger.
+  const BootTime arrived = BootClock::now();
+  const auto call = DecodeCompact<ConfirmCall>(body);
+  if (!call) {
+    return tl::unexpected("unreadable call: " + call.error());
+  }
+  ConfirmReply reply;
+  if (const auto& newest = confirmer.newest()) {
+    reply = {.is_confirmed = true,
+             .version = newest->version,
+             .offset_us = std::chrono::floor<std::chrono::microseconds>(
+                              newest->began - arrived)
+                              .count()};
+  }
+  return EncodeCompact(reply);
+}
+
 }  // namespace
 
 tl::expected<std::string, std::string> AnswerPeerCall(
@@ -69,6 +94,8 @@
       return AnswerRollout(parts.rollouts, body);
     case PeerMessageType::kOutcomes:
       return TakeOutcomes(parts, body);
+    case PeerMessageType::kConfirm:
+      return AnswerConfirm(parts.confirmer, body);
     default:
       return tl::unexpected(std::string("not a call of control hosts"));
   }
--- a/knapweedroad/edge/peer_calls.h
+++ b/knapweedroad/edge/peer_calls.h
@@ -14,6 +14,7 @@
 
 class AgreedValue;
 class ControlReplica;
+class QuorumConfirmer;
 class RolloutOwner;
 class WatchHub;
 struct OutcomeReport;
@@ -24,6 +25,7 @@
   WatchHub& hub;
   const AgreedValue& agreed;
   RolloutOwner& rollouts;
+  const QuorumConfirmer& confirmer;
   std::function<void(const OutcomeReport&)> on_outcomes;
 };
 
--- a/knapweedroad/edge/quorum_confirmer.h
+++ b/knapweedroad/edge/quorum_confirmer.h
@@ -2,8 +2,8 @@
 // agreed version is the newest.
 //
 //   QuorumConfirmer confirmer({.service = service, ...});
-//   confirmer.Run();                                  // in a fiber, until
-//   Stop() std::optional<QuorumConfirmation> newest = confirmer.newest();
+//   confirmer.Run();  // in a fiber, until Stop()
+//   std::optional<QuorumConfirmation> newest = confirmer.newest();
 
 #ifndef KNAPWEEDROAD_EDGE_QUORUM_CONFIRMER_H_
 #define KNAPWEEDROAD_EDGE_QUORUM_CONFIRMER_H_
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "knapweedroad/base/boot_clock.h"
@@ -19,6 +20,7 @@
 namespace knapweedroad {
 
 class ControlService;
+struct ControlValue;
 
 struct QuorumConfirmation {
   // No version above this one had been agreed when the confirmation began.
@@ -40,12 +42,16 @@
   Duration interval = std::chrono::milliseconds(250);
 };
 
+// A confirmation asks the replicas without a vote and doesn't wait for changes
+// of this host. Only after several that failed in a row although a quorum
+// answered, as changes were under way or one was left half done, it takes a
+// vote, which does wait for those changes, but not for long.
 class QuorumConfirmer {
  public:
   explicit QuorumConfirmer(QuorumConfirmerOptions options);
 
   // Blocks the calling fiber until Stop(), and then for one confirmation at the
-  // most.
+  // most. No hook is called after Stop().
   void Run();
   void Stop() { this->is_stopped = true; }
 
@@ -56,10 +62,25 @@
   }
 
  private:
-  bool Confirm();
+  enum class Attempt : uint8_t {
+    kConfirmed,
+    // A quorum answered, but not with one value.
+    kUndecided,
+    kNoQuorum,
+  };
+
+  Attempt Confirm();
+  // Confirms by a vote. Returns whether it succeeded.
+  bool ConfirmByVote();
+  void Take(const ControlValue& value, BootTime began);
 
   QuorumConfirmerOptions options;
   std::optional<QuorumConfirmation> newest_confirmation;
+  std::minstd_rand random;
+  // Attempts since the last success or vote that a quorum answered with
+  // different values.
+  int undecided = 0;
+  int undecided_before_vote = 0;
   bool is_stopped = false;
 };
 
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -145,6 +145,17 @@
   return peek.newest->value.members.IsQuorum(holders);
 }
 
+bool HasQuorum(const PeekState& peek) {
+  if (!peek.newest.has_value()) {
+    return false;
+  }
+  std::set<MemberId> answered;
+  for (const auto& [member, ballot] : peek.held) {
+    answered.insert(member);
+  }
+  return peek.newest->value.members.IsQuorum(answered);
+}
+
 ControlPeek PeekRound(const std::shared_ptr<Wiring>& wiring,
                       const std::set<HostId>& hosts,
                       const std::optional<BallotedValue>& known,
@@ -181,6 +192,7 @@
   if (IsChosen(*peek)) {
     peek->result.chosen = peek->newest;
   }
+  peek->result.has_quorum = HasQuorum(*peek);
   return peek->result;
 }
 
--- a/knapweedroad/host/control_service.h
+++ b/knapweedroad/host/control_service.h
@@ -53,6 +53,9 @@
   // The value that a quorum of its own members had accepted when they were
   // asked: chosen, and no newer one was when Peek() began.
   std::optional<BallotedValue> chosen;
+  // A quorum of the members of the newest value that was seen answered, whether
+  // or not they had accepted that value.
+  bool has_quorum = false;
   // Hosts whose replica answered.
   std::set<HostId> reachable;
   // Some replica that answered holds a value or knows of members.
