Entry hosts: keep a proof that the configuration is fresh

With strict revocation on, an entry host asks the control host that it follows every 400 ms for its newest confirmation, and others at once if that one has none of the last second. It reports not ready once the proof is older than half of the bound and the configuration has client accounts. A control host that doesn't confirm no longer suffices to follow, so that another one is found before callers have to be sent elsewhere; watch replies show a lost quorum only after 2.5 s.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -129,16 +129,22 @@
     return hosts;
   }
   std::vector<ControlHostCandidate> candidates;
+  size_t max_without_quorum = this->options.most_links + this->MoreLinks(now);
   for (const HostId& host : hosts) {
     ControlHostCandidate candidate = this->table.Candidate(host, now);
     candidate.rank = RankOf(this->options.self, host);
+    if (candidate.is_unconfirmed) {
+      // A minority without a quorum is smaller than this number of hosts, so
+      // that one of them is outside it. Following more one by one would take
+      // longer than a proof of freshness lasts.
+      max_without_quorum = std::max(max_without_quorum, (hosts.size() + 1) / 2);
+    }
     candidates.push_back(std::move(candidate));
   }
   return SelectControlHosts(
       candidates, {.zone = this->options.zone,
                    .max_selected = this->options.most_links,
-                   .max_selected_without_quorum =
-                       this->options.most_links + this->MoreLinks(now)});
+                   .max_selected_without_quorum = max_without_quorum});
 }
 
 void ControlFollower::State::NoteWanted(std::set<HostId> next, TimePoint now) {
@@ -152,7 +158,8 @@
     hosts += hosts.empty() ? "" : " ";
     hosts += host.str();
     hosts += facts.is_live ? "(live" : "(silent";
-    hosts += facts.has_full_view ? ",hears_all)" : ")";
+    hosts += facts.has_full_view ? ",hears_all" : "";
+    hosts += facts.is_unconfirmed ? ",unconfirmed)" : ")";
   }
   LogLine("control_hosts_followed")
       .Add("hosts", hosts)
@@ -387,7 +394,8 @@
     }
   }
   std::ranges::sort(responsive, {}, [&](const ControlHostCandidate& candidate) {
-    return std::tuple(candidate.zone != self.options.zone,
+    return std::tuple(candidate.is_unconfirmed,
+                      candidate.zone != self.options.zone,
                       !candidate.has_quorum, candidate.rank);
   });
   std::vector<HostId> hosts;
@@ -409,6 +417,10 @@
   return peer->Call(type, body, deadline);
 }
 
+void ControlFollower::NoteConfirmation(const HostId& host, bool is_confirmed) {
+  this->state->table.OnConfirmation(host, is_confirmed);
+}
+
 size_t ControlFollower::followed() const {
   return this->state->wanted.size();
 }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -68,7 +68,7 @@
   std::vector<HostId> KnownHosts() const;
   // The control hosts followed now that responded to their last call: those of
   // the own zone first, then those that a quorum answers, then by a rank that
-  // differs between followers.
+  // differs between followers. Those that failed to confirm come last.
   std::vector<HostId> ResponsiveHosts() const;
   // Calls a control host that is followed now. Blocks the calling fiber until
   // the reply or the deadline; fails at once if the host isn't followed.
@@ -76,6 +76,10 @@
                                            PeerMessageType type,
                                            std::string_view body,
                                            TimePoint deadline);
+  // Records whether a control host gives recent confirmations of the newest
+  // version; see OnConfirmation() of ControlHostTable. While one that is
+  // followed doesn't, others are followed as well.
+  void NoteConfirmation(const HostId& host, bool is_confirmed);
   // How many control hosts are followed now.
   size_t followed() const;
   // What a control host makes of the others.
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -38,7 +38,59 @@
 
 bool EntryHost::State::IsReady() const {
   return !this->is_leaving && this->parts.table != nullptr &&
-         !this->is_sending_away;
+         !this->is_sending_away && this->IsFreshEnoughForCallers();
+}
+
+bool EntryHost::State::IsConfigurationFresh() const {
+  return !this->options.settings.strict_revocation ||
+         this->freshness.IsProven(BootClock::now());
+}
+
+bool EntryHost::State::NeedsProof() const {
+  return this->options.settings.strict_revocation &&
+         this->parts.table != nullptr &&
+         this->parts.table->accounts() != nullptr;
+}
+
+bool EntryHost::State::IsFreshEnoughForCallers() const {
+  return !this->NeedsProof() ||
+         this->freshness.ShouldTakeCallers(BootClock::now());
+}
+
+int64_t EntryHost::State::ProofAgeMs() const {
+  const auto age = this->freshness.Age(BootClock::now());
+  return age ? std::chrono::floor<milliseconds>(*age).count() : -1;
+}
+
+void EntryHost::State::WatchFreshness() {
+  if (!this->options.settings.strict_revocation) {
+    return;
+  }
+  const BootTime now = BootClock::now();
+  // After the start there is no proof for a moment, which is no fault.
+  const bool has_just_started =
+      now - this->started_at < this->options.settings.revocation_bound / 2;
+  const bool is_old =
+      !this->freshness.ShouldTakeCallers(now) &&
+      !(has_just_started && !this->freshness.Age(now).has_value());
+  if (std::exchange(this->is_proof_old, is_old) == is_old) {
+    return;
+  }
+  LogLine line(is_old ? "freshness_proof_old" : "freshness_proof_fresh");
+  line.Add("age_ms", this->ProofAgeMs())
+      .Add("applied_version", this->routing.applied_version())
+      .Add("agreed_version", this->routing.agreed_version())
+      .Add("ready", this->IsReady());
+  if (is_old) {
+    line.Warning();
+  } else {
+    line.Info();
+  }
+}
+
+void EntryHost::State::OnAgreed(uint64_t version, const std::string& text) {
+  this->routing.OnAgreed(version, text, Runtime::Now());
+  this->freshness.OnVersionApplied(this->routing.applied_version());
 }
 
 HttpResponse EntryHost::State::AnswerPlatform(const HttpRequest& request) {
@@ -59,6 +111,18 @@
                          static_cast<double>(this->links.opened()));
   this->metrics.SetGauge("agreed_version",
                          static_cast<double>(this->routing.agreed_version()));
+  if (this->options.settings.strict_revocation) {
+    this->metrics.SetGauge(
+        "applied_version",
+        static_cast<double>(this->routing.applied_version()));
+    this->metrics.SetGauge(
+        "configuration_in_force",
+        this->parts.table == nullptr
+            ? 0
+            : static_cast<double>(this->parts.table->version()));
+    this->metrics.SetGauge("freshness_proof_age_ms",
+                           static_cast<double>(this->ProofAgeMs()));
+  }
   if (this->follower != nullptr) {
     this->metrics.SetGauge("control_hosts_followed",
                            static_cast<double>(this->follower->followed()));
@@ -158,6 +222,7 @@
   this->links.Sweep(now);
   this->routing.Adopt(now);
   this->WatchReachability(now);
+  this->WatchFreshness();
   this->balancer.ExpireOutliers(now);
   if (this->entry_hosts.ExpireLists(now)) {
     this->UseEntryHosts(now);
@@ -189,6 +254,9 @@
   State& self = *this->state;
   self.is_stopped = true;
   self.rollouts->Stop();
+  if (self.freshness_client != nullptr) {
+    self.freshness_client->Stop();
+  }
   self.follower.reset();
   self.callers.reset();
   self.peers.reset();
@@ -217,6 +285,7 @@
     return served;
   }
   self.FollowControl();
+  self.ProveFreshness();
   self.BeginTicks();
   return {};
 }
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -3,6 +3,7 @@
 #ifndef KNAPWEEDROAD_EDGE_ENTRY_HOST_STATE_H_
 #define KNAPWEEDROAD_EDGE_ENTRY_HOST_STATE_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,12 +16,14 @@
 #include "knapweedroad/edge/entry_host.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
+#include "knapweedroad/edge/freshness_client.h"
 #include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/gather_relay.h"
 #include "knapweedroad/edge/rollout_reporter.h"
 #include "knapweedroad/edge/routing_in_force.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_prober.h"
+#include "knapweedroad/freshness/configuration_freshness.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/peer_server.h"
 #include "knapweedroad/registry/outcome_recorder.h"
@@ -47,6 +50,17 @@
   void PutInForce(const std::shared_ptr<const RouteTable>& table);
   HttpResponse AnswerPlatform(const HttpRequest& request);
   bool IsReady() const;
+  // Whether requests with a key may be sent to targets: always, unless strict
+  // revocation is on and the proof of freshness is missing or too old. Call it
+  // after the bytes of the request have been read.
+  bool IsConfigurationFresh() const;
+  // Whether the age of the proof lets the host take callers.
+  bool IsFreshEnoughForCallers() const;
+  // Whether keys are checked, and only with a proof.
+  bool NeedsProof() const;
+  // Logs when the proof becomes old, and when it is fresh again.
+  void WatchFreshness();
+  int64_t ProofAgeMs() const;
   std::string PrintMetrics();
   CallerLimits Limits() const;
 
@@ -56,6 +70,8 @@
   tl::expected<void, std::string> ServePeers();
   tl::expected<void, std::string> ServeMetrics();
   void FollowControl();
+  void ProveFreshness();
+  void OnAgreed(uint64_t version, const std::string& text);
   void BeginTicks();
 
   Runtime& runtime;
@@ -77,6 +93,9 @@
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<ControlFollower> follower;
   RoutingInForce routing;
+  ConfigurationFreshness freshness;
+  // Null unless strict revocation is on.
+  std::shared_ptr<FreshnessClient> freshness_client;
   std::shared_ptr<TargetProber> prober;
   std::shared_ptr<RolloutReporter> rollouts;
   TimePoint last_tick;
@@ -84,6 +103,9 @@
   bool is_leaving = false;
   // Cut off, with little to serve callers by.
   bool is_sending_away = false;
+  // The alarm about an old proof is on.
+  bool is_proof_old = false;
+  BootTime started_at;
   bool is_stopped = false;
 };
 
--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -104,6 +104,7 @@
                    [this](const std::shared_ptr<const RouteTable>& table) {
                      this->PutInForce(table);
                    }}),
+      freshness({.bound = this->options.settings.revocation_bound}),
       prober(std::make_shared<TargetProber>(this->options.header_names,
                                             this->balancer,
                                             this->links)),
@@ -196,11 +197,35 @@
               },
           .on_agreed =
               [this](uint64_t version, const std::string& text) {
-                this->routing.OnAgreed(version, text, Runtime::Now());
+                this->OnAgreed(version, text);
               }});
   this->follower->Start();
 }
 
+void EntryHost::State::ProveFreshness() {
+  if (!this->options.settings.strict_revocation) {
+    return;
+  }
+  this->started_at = BootClock::now();
+  this->freshness_client =
+      std::make_shared<FreshnessClient>(FreshnessClientOptions{
+          .self = this->options.settings.name,
+          .freshness = this->freshness,
+          .control_hosts = [this] { return this->follower->ResponsiveHosts(); },
+          .call =
+              [this](const HostId& host, std::string_view body,
+                     TimePoint deadline) {
+                return this->follower->Call(host, PeerMessageType::kConfirm,
+                                            body, deadline);
+              },
+          .on_confirmation =
+              [this](const HostId& host, bool is_confirmed) {
+                this->follower->NoteConfirmation(host, is_confirmed);
+              }});
+  this->runtime.Spawn(
+      [state = this->shared_from_this()] { state->freshness_client->Run(); });
+}
+
 void EntryHost::State::BeginTicks() {
   this->last_tick = Runtime::Now();
   RepeatEvery(this->runtime, kTick, [state = this->shared_from_this()] {
