Control hosts of one minority can't hide those that confirm

Hosts of a minority may claim a full view and a quorum for seconds. A follower that found one of them unconfirmed turned to the next one that made the claim, one after the other. While any is unconfirmed, only control hosts that confirmed lately count as sufficient, so that several are followed and asked at once.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -418,7 +418,7 @@
 }
 
 void ControlFollower::NoteConfirmation(const HostId& host, bool is_confirmed) {
-  this->state->table.OnConfirmation(host, is_confirmed);
+  this->state->table.OnConfirmation(host, is_confirmed, Runtime::Now());
 }
 
 size_t ControlFollower::followed() const {
--- a/knapweedroad/registry/control_host_selection.h
+++ b/knapweedroad/registry/control_host_selection.h
@@ -27,8 +27,10 @@
   bool has_full_view = false;
   // Its last reply reported that a quorum of the replicas answers it.
   bool has_quorum = false;
-  // It failed to confirm with a quorum which version is the newest. Never set
-  // where confirmations aren't needed.
+  // It confirmed lately, with a quorum, which version is the newest; or it
+  // failed to when it was last asked. Neither is set where confirmations aren't
+  // needed.
+  bool is_confirmed = false;
   bool is_unconfirmed = false;
   // Orders otherwise equal candidates; differs between followers.
   uint64_t rank = 0;
@@ -45,11 +47,14 @@
 };
 
 // Returns the selected hosts in order of preference. The selection ends at the
-// first live host that has a full view, has not failed recently and is not
-// unconfirmed, or at the maximum; preferred hosts before it are selected too
-// and so are retried. If none of the selected hosts has a quorum, the first
-// live candidate that has one is added. An unconfirmed host counts as one
-// without a quorum.
+// first live host that has a full view and has not failed recently, or at the
+// maximum; preferred hosts before it are selected too and so are retried. If
+// none of the selected hosts has a quorum, the first live candidate that has
+// one is added.
+//
+// While any candidate is unconfirmed, only confirmed ones count as having a
+// full view or a quorum: others of the same minority may still claim both, and
+// asking them one after the other would take too long.
 //
 // One control host of the own zone is enough while it has a full view:
 // following several delivers each change several times, mostly across zones.
--- a/knapweedroad/registry/control_host_selection_test.cc
+++ b/knapweedroad/registry/control_host_selection_test.cc
@@ -136,11 +136,20 @@
 // shows in its view seconds later.
 Test(control_host_selection, unconfirmed_control_host_does_not_suffice) {
   std::vector<ControlHostCandidate> candidates = SixZoneCandidates();
-  candidates[3].has_quorum = true;
   candidates[3].is_unconfirmed = true;
+  // The first one of the other zones.
+  candidates[5].is_confirmed = true;
   const std::vector<HostId> selected = SelectIn("d", candidates);
-  cr_expect(selected.size() == 2);
-  cr_expect(selected.front() == HostId("control-d"));
+  cr_expect(selected ==
+            (std::vector{HostId("control-d"), HostId("control-f")}));
+}
+
+// Guards against control hosts of one minority that are asked one after the
+// other while the proof runs out.
+Test(control_host_selection, several_are_selected_until_one_has_confirmed) {
+  std::vector<ControlHostCandidate> candidates = SixZoneCandidates();
+  candidates[3].is_unconfirmed = true;
+  cr_expect(SelectIn("d", candidates).size() == 3);
 }
 
 // Guards against hosts whose three followed control hosts are one minority that
@@ -150,14 +159,13 @@
   candidates.push_back({.host = HostId("control-g"),
                         .zone = ZoneId("g"),
                         .is_live = true,
-                        .has_quorum = true,
                         .rank = 0});
   for (ControlHostCandidate& candidate : candidates) {
     candidate.has_full_view = false;
+    candidate.has_quorum = true;
   }
   // The control host of the own zone, and the first two by rank.
   for (const int minority : {3, 6, 5}) {
-    candidates[minority].has_quorum = true;
     candidates[minority].is_unconfirmed = true;
   }
   const std::vector<HostId> selected =
@@ -168,5 +176,20 @@
   cr_expect(selected.back() == HostId("control-e"));
 }
 
+// Guards against hosts that drop the only control host that confirms again.
+Test(control_host_selection, confirmed_control_host_stays_selected) {
+  std::vector<ControlHostCandidate> candidates = SixZoneCandidates();
+  for (ControlHostCandidate& candidate : candidates) {
+    candidate.has_quorum = true;
+    candidate.is_unconfirmed = true;
+  }
+  // The least preferred candidate.
+  candidates[0].is_unconfirmed = false;
+  candidates[0].is_confirmed = true;
+  const std::vector<HostId> selected = SelectIn("d", candidates);
+  cr_expect(selected.size() == 4);
+  cr_expect(selected.back() == HostId("control-a"));
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/registry/control_host_table.cc
+++ b/knapweedroad/registry/control_host_table.cc
@@ -20,6 +20,8 @@
 constexpr Duration kMissingHostWindow = std::chrono::seconds(10);
 // A quorum is queried at least twice in this time.
 constexpr Duration kQuorumTimeout = std::chrono::milliseconds(2500);
+// The host in use is asked several times in this time.
+constexpr Duration kConfirmationTimeout = std::chrono::milliseconds(1500);
 // A host that has just started hasn't discovered all others yet.
 constexpr Duration kStartupGracePeriod = std::chrono::seconds(3);
 
@@ -65,10 +67,13 @@
   this->hosts[host].last_seen = now;
 }
 
-void ControlHostTable::OnConfirmation(const HostId& host, bool is_confirmed) {
+void ControlHostTable::OnConfirmation(const HostId& host,
+                                      bool is_confirmed,
+                                      TimePoint now) {
   const auto found = this->hosts.find(host);
   if (found != this->hosts.end()) {
     found->second.is_unconfirmed = !is_confirmed;
+    found->second.last_confirmed = is_confirmed ? now : TimePoint();
   }
 }
 
@@ -135,6 +140,7 @@
     candidate.failed_recently = now - state.last_failure < kFailureBackoff;
     candidate.has_full_view = state.has_full_view;
     candidate.has_quorum = state.has_quorum;
+    candidate.is_confirmed = now - state.last_confirmed < kConfirmationTimeout;
     candidate.is_unconfirmed = state.is_unconfirmed;
   }
   return candidate;
--- a/knapweedroad/registry/control_host_table.h
+++ b/knapweedroad/registry/control_host_table.h
@@ -41,10 +41,10 @@
   // `host` called this one (OnCall).
   void OnMentioned(const HostId& host, const ZoneId& zone, TimePoint now);
   void OnCall(const HostId& host, TimePoint now);
-  // Records whether `host` confirmed lately, with a quorum, which version is
-  // the newest. The last record stays valid; without one, the host counts as
-  // one that does. No effect on unknown hosts.
-  void OnConfirmation(const HostId& host, bool is_confirmed);
+  // Records whether `host` confirmed with a quorum which version is the newest.
+  // A failure counts until the host confirms, a success for a short time. No
+  // effect on unknown hosts.
+  void OnConfirmation(const HostId& host, bool is_confirmed, TimePoint now);
   // Records that a quorum of the replicas answered a query sent at this time.
   void OnQuorum(TimePoint query_sent) { this->last_quorum_query = query_sent; }
 
@@ -83,6 +83,7 @@
     bool has_full_view = false;
     bool has_quorum = false;
     bool is_unconfirmed = false;
+    TimePoint last_confirmed;
     // Empty until the host responds or is mentioned.
     ZoneId zone;
 
--- a/knapweedroad/registry/control_host_table_test.cc
+++ b/knapweedroad/registry/control_host_table_test.cc
@@ -114,13 +114,25 @@
   ControlHostTable table = StartedTable();
   const TimePoint now = kStart + seconds(10);
   cr_expect(not table.Candidate(ControlHost("a"), now).is_unconfirmed);
-  table.OnConfirmation(ControlHost("a"), false);
+  table.OnConfirmation(ControlHost("a"), false, now);
   SimulateCalls(table, {"a", "b"}, true, now, now + seconds(5));
   cr_expect(table.Candidate(ControlHost("a"), now).is_unconfirmed);
   cr_expect(not table.Candidate(ControlHost("b"), now).is_unconfirmed);
-  table.OnConfirmation(ControlHost("a"), true);
+  table.OnConfirmation(ControlHost("a"), true, now);
   cr_expect(not table.Candidate(ControlHost("a"), now).is_unconfirmed);
 }
 
+// Guards against a host that trusts a confirmation of long ago more than a
+// control host that was never asked.
+Test(control_host_table, confirmation_counts_for_a_short_time) {
+  ControlHostTable table = StartedTable();
+  const TimePoint now = kStart + seconds(10);
+  cr_expect(not table.Candidate(ControlHost("a"), now).is_confirmed);
+  table.OnConfirmation(ControlHost("a"), true, now);
+  cr_expect(table.Candidate(ControlHost("a"), now + seconds(1)).is_confirmed);
+  cr_expect(
+      not table.Candidate(ControlHost("a"), now + seconds(2)).is_confirmed);
+}
+
 }  // namespace
 }  // namespace knapweedroad
