Strict revocation, quotas and client accounts, joined

The admission of a request asks for the proof of freshness and for a permit; a request that is proven not to have run gives its permit back. The quorum confirmations serve both the proofs of entry hosts and the lease of the quota leader.

--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -16,6 +16,7 @@
 #include "knapweedroad/edge/control_host.h"
 #include "knapweedroad/edge/control_links.h"
 #include "knapweedroad/edge/directory_cache.h"
+#include "knapweedroad/edge/quorum_confirmer.h"
 #include "knapweedroad/edge/quota_service.h"
 #include "knapweedroad/edge/replica_membership.h"
 #include "knapweedroad/edge/rollout_owner.h"
@@ -52,6 +53,7 @@
   std::shared_ptr<RolloutOwner> MakeRolloutOwner();
   std::shared_ptr<QuotaService> MakeQuotaService();
   void MakeMembership();
+  void MakeConfirmer();
   tl::expected<void, std::string> Serve();
   void BeginWork();
 
@@ -71,6 +73,7 @@
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
   std::unique_ptr<ReplicaMembership> membership;
+  std::unique_ptr<QuorumConfirmer> confirmer;
   std::unique_ptr<WatchHub> hub;
   std::unique_ptr<DirectoryCache> directory;
   std::unique_ptr<ControlFollower> follower;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -210,6 +210,24 @@
               }});
 }
 
+void ControlHost::State::MakeConfirmer() {
+  this->confirmer = std::make_unique<QuorumConfirmer>(QuorumConfirmerOptions{
+      .service = *this->service,
+      .is_wanted =
+          [this] {
+            return this->options.settings.strict_revocation ||
+                   this->quota->NeedsConfirmations();
+          },
+      .on_chosen =
+          [this](uint64_t version, const std::string& text) {
+            this->TakeAgreed(version, text);
+          },
+      .on_confirmed =
+          [this](const QuorumConfirmation& confirmation) {
+            this->quota->OnConfirmed(confirmation);
+          }});
+}
+
 tl::expected<void, std::string> ControlHost::State::Serve() {
   this->peers = std::make_unique<PeerServer>(
       this->runtime,
@@ -221,6 +239,7 @@
                                    .agreed = this->agreed,
                                    .rollouts = *this->rollouts,
                                    .quota = *this->quota,
+                                   .confirmer = *this->confirmer,
                                    .on_outcomes =
                                        [this](const OutcomeReport& report) {
                                          this->TakeUrgent(report);
@@ -256,6 +275,8 @@
   this->quota->Start();
   this->runtime.Spawn(
       [state = this->shared_from_this()] { state->membership->Run(); });
+  this->runtime.Spawn(
+      [state = this->shared_from_this()] { state->confirmer->Run(); });
   this->runtime.Spawn([state = this->shared_from_this()] {
     state->directory->KeepSaved(
         [&state] {
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -12,6 +12,7 @@
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
+#include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/request_attempts.h"
 #include "knapweedroad/edge/request_gathers.h"
 #include "knapweedroad/edge/request_log.h"
@@ -347,6 +348,10 @@
           end.kind == RunEndKind::kAnswer,
       Runtime::Now());
   this->Log(end, status);
+  if (end.kind == RunEndKind::kNotRun) {
+    this->parts.admission.OnNotRun(*this->table, *this->route,
+                                   this->request->account);
+  }
   if (end.kind == RunEndKind::kParts) {
     this->WatchFinish(decided);
   } else {
--- a/knapweedroad/edge/peer_calls.h
+++ b/knapweedroad/edge/peer_calls.h
@@ -15,6 +15,7 @@
 class AgreedValue;
 class ControlReplica;
 class QuotaService;
+class QuorumConfirmer;
 class RolloutOwner;
 class WatchHub;
 struct OutcomeReport;
@@ -26,6 +27,7 @@
   const AgreedValue& agreed;
   RolloutOwner& rollouts;
   QuotaService& quota;
+  const QuorumConfirmer& confirmer;
   std::function<void(const OutcomeReport&)> on_outcomes;
 };
 
--- a/knapweedroad/edge/request_admission.cc
+++ b/knapweedroad/edge/request_admission.cc
@@ -162,4 +162,17 @@
       });
 }
 
+void RequestAdmission::OnNotRun(const RouteTable& table,
+                                const RouteConfig& route,
+                                const AccountId& name) const {
+  // Requests of public routes take no permit.
+  const bool may_have_permit = table.accounts() != nullptr && !route.is_public;
+  const ClientAccount* const account =
+      may_have_permit ? table.accounts()->FindByName(name) : nullptr;
+  if (account != nullptr && account->quota.is_limited() &&
+      this->options.return_permit) {
+    this->options.return_permit(name);
+  }
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/edge/request_admission.h
+++ b/knapweedroad/edge/request_admission.h
@@ -65,6 +65,9 @@
   std::function<void(const AccountId& account,
                      std::function<void(const QuotaDecision&)> on_decision)>
       take_permit;
+  // Gives back a permit whose request was rejected without having run. Unset
+  // with `take_permit`.
+  std::function<void(const AccountId& account)> return_permit;
 };
 
 class RequestAdmission {
@@ -85,6 +88,13 @@
              const CallerRequest& request,
              OnResult on_result) const;
 
+  // Records that an admitted request of the account was rejected and is proven
+  // not to have run, so that it doesn't count against the account's quota.
+  // `table` and `route` are those that the request was admitted by.
+  void OnNotRun(const RouteTable& table,
+                const RouteConfig& route,
+                const AccountId& account) const;
+
  private:
   RequestAdmissionOptions options;
 };
--- a/knapweedroad/edge/request_admission_test.cc
+++ b/knapweedroad/edge/request_admission_test.cc
@@ -199,6 +199,23 @@
   cr_expect(StatusOf(unknown->outcome) == 503);
 }
 
+// Guards against an account that pays for requests that were rejected for want
+// of capacity, and against permits that are given back without having been
+// taken.
+Test(request_admission, only_a_request_that_took_a_permit_gives_it_back) {
+  Host host;
+  std::vector<std::string> returned;
+  host.options.return_permit = [&](const AccountId& account) {
+    returned.push_back(account.str());
+  };
+  const RequestAdmission admission(host.options);
+  admission.OnNotRun(*host.table, {}, AccountId("b"));
+  admission.OnNotRun(*host.table, {.is_public = true}, AccountId("b"));
+  admission.OnNotRun(*host.table, {}, AccountId("a"));
+  admission.OnNotRun(*host.table, {}, AccountId());
+  cr_expect(returned == std::vector<std::string>{"b"});
+}
+
 // Guards against a key that is revoked while its request waits for a permit.
 Test(request_admission, the_key_is_checked_again_after_the_permit) {
   Host host;
--- a/knapweedroad/registry/control_host_selection.h
+++ b/knapweedroad/registry/control_host_selection.h
@@ -27,6 +27,11 @@
   bool has_full_view = false;
   // Its last reply reported that a quorum of the replicas answers it.
   bool has_quorum = false;
+  // It confirmed lately, with a quorum, which version is the newest; or it
+  // failed to when it was last asked. Neither is set where confirmations aren't
+  // needed.
+  bool is_confirmed = false;
+  bool is_unconfirmed = false;
   // Orders otherwise equal candidates; differs between followers.
   uint64_t rank = 0;
 };
@@ -47,6 +52,10 @@
 // none of the selected hosts has a quorum, the first live candidate that has
 // one is added.
 //
+// While any candidate is unconfirmed, only confirmed ones count as having a
+// full view or a quorum: others of the same minority may still claim both, and
+// asking them one after the other would take too long.
+//
 // One control host of the own zone is enough while it has a full view:
 // following several delivers each change several times, mostly across zones.
 std::vector<HostId> SelectControlHosts(
