--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -14,7 +14,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
