--- a/knapweedroad/quota/quota_load_test.cc
+++ b/knapweedroad/quota/quota_load_test.cc
@@ -48,7 +48,7 @@
   cr_assert_eq(simulation.spent(kAccount).size(), 300u);
   // Calls and replies of 6 pools, four times a second for 316 s, and those of
   // a part of the requests, which wait.
-  cr_assert_lt(simulation.messages(), 2 * (6 * 4 * 316u + 150u));
+  cr_assert_lt(simulation.messages(), 2 * (6 * 4 * 316UL + 150));
 }
 
 // Pattern: all callers of an account reach one pool. Guards against an account
@@ -57,7 +57,7 @@
   QuotaSimulation simulation({.accounts = Accounts(40, 0)});
   Warm(simulation);
   Load(simulation, 40 * 60, 40, [](int) { return 0; });
-  cr_assert_eq(simulation.spent(kAccount).size(), 40u * 60);
+  cr_assert_eq(simulation.spent(kAccount).size(), 40UL * 60);
 }
 
 // Pattern: 81 accounts at their whole rate, over all pools, as the page states
@@ -100,14 +100,16 @@
 // starts. Guards against a pool that depends on the leader for each request,
 // and a start that stops the account.
 Test(QuotaLoad, LosingTheLeaderForTwoSecondsCostsFewRequests) {
-  for (const auto& [rate, burst] :
-       {std::pair(1.5, 0.0), std::pair(3.0, 0.0), std::pair(10.0, 20.0)}) {
-    QuotaSimulation simulation({.accounts = Accounts(rate, burst)});
+  for (const AccountQuota quota :
+       {AccountQuota{.rate = 1.5}, AccountQuota{.rate = 3},
+        AccountQuota{.rate = 10, .burst = 20}}) {
+    const double per_second = quota.rate * 0.6;
+    QuotaSimulation simulation({.accounts = Accounts(quota.rate, quota.burst)});
     Warm(simulation);
     std::mt19937 random(9);
     std::uniform_int_distribution<size_t> pool(0, 5);
     const auto load = [&](int time) {
-      Load(simulation, static_cast<int>(rate * 0.6 * time), rate * 0.6,
+      Load(simulation, static_cast<int>(per_second * time), per_second,
            [&](int) { return pool(random); });
     };
     load(10);
--- a/knapweedroad/quota/token_pool_test.cc
+++ b/knapweedroad/quota/token_pool_test.cc
@@ -1,5 +1,7 @@
 #include "knapweedroad/quota/token_pool.h"
 
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -41,7 +43,7 @@
   // One call with this grant, made and answered at the same time.
   RefillCall Call(RefillGrant grant, int64_t ms) {
     RefillCall call = this->pool.MakeCall(At(ms));
-    this->Reply(call.sequence, grant, ms);
+    this->Reply(call.sequence, std::move(grant), ms);
     return call;
   }
 };
