--- a/knapweedroad/quota/token_pool.h
+++ b/knapweedroad/quota/token_pool.h
@@ -57,10 +57,10 @@
 
   explicit TokenPool(TokenPoolOptions options);
 
-  // Decides on one request. Calls `on_decision` exactly once: before it returns
-  // if a token is held or the leader has just reported that there is none;
-  // otherwise at the latest after the reply to the next call, or the failure of
-  // a call.
+  // Decides on one request of an account with a limit. Calls `on_decision`
+  // exactly once: before it returns if a token is held or the leader has just
+  // reported that there is none; otherwise at the latest after the reply to the
+  // next call, or the failure of a call.
   void Take(const AccountId& account, BootTime now, OnDecision on_decision);
 
   // Takes back a token of a request that was rejected without having been sent.
