--- a/knapweedroad/quota/permit_batch_test.cc
+++ b/knapweedroad/quota/permit_batch_test.cc
@@ -27,6 +27,7 @@
 
   std::vector<PermitQuestion> Questions(int count) {
     std::vector<PermitQuestion> questions;
+    questions.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
       questions.push_back(
           {.account = kAccount,
