Test that a control host outside a claiming minority is found

Stand-ins for control hosts claim a full view and a quorum while their newest confirmation stays old; without the record of failed confirmations the search ends at them.

--- a/knapweedroad/edge/confirming_host_search_test.cc
+++ b/knapweedroad/edge/confirming_host_search_test.cc
@@ -3,11 +3,14 @@
 
 #include <criterion/criterion.h>
 
-#include <map>
+#include <algorithm>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/edge/freshness_client.h"
@@ -47,16 +50,22 @@
   // Calls that are running end later.
   void Stop() { this->server.reset(); }
 
-  bool is_confirming = true;
+  // When its newest confirmation began; absent: just now.
+  std::optional<BootTime> stopped_at;
+  // Tells entry hosts their zones.
+  std::vector<ControlHostRecord> all;
 
  private:
   tl::expected<std::string, std::string> Answer(PeerMessageType type,
                                                 const std::string& body) {
     if (type == PeerMessageType::kConfirm) {
-      return EncodeCompact(
-          ConfirmReply{.is_confirmed = true,
-                       .version = kVersion,
-                       .offset_us = this->is_confirming ? -1 : -10'000'000});
+      const BootTime now = BootClock::now();
+      return EncodeCompact(ConfirmReply{
+          .is_confirmed = true,
+          .version = kVersion,
+          .offset_us = std::chrono::floor<std::chrono::microseconds>(
+                           this->stopped_at.value_or(now) - now)
+                           .count()});
     }
     const auto call = DecodePacked<WatchCall>(body);
     cr_assert(call.has_value());
@@ -66,6 +75,8 @@
     return EncodePacked(WatchReply{.zone = this->zone,
                                    .epoch = 1,
                                    .agreed_version = kVersion,
+                                   .has_hosts = call->epoch == 0,
+                                   .control_hosts = this->all,
                                    .has_full_view = true,
                                    .has_quorum = true});
   }
@@ -83,6 +94,12 @@
       this->control.push_back(std::make_shared<FakeControlHost>(
           runtime, ip, i < 3 ? kOwnZone : kOtherZone));
     }
+    for (const auto& host : this->control) {
+      for (size_t i = 0; i < this->seeds.size(); ++i) {
+        host->all.push_back(
+            {.host = this->seeds[i], .zone = i < 3 ? kOwnZone : kOtherZone});
+      }
+    }
     this->freshness.OnVersionApplied(kVersion);
     this->follower = std::make_unique<ControlFollower>(
         runtime, ControlFollowerOptions{
@@ -134,6 +151,16 @@
     });
   }
 
+  bool FollowsOwnZoneOnly() const {
+    return WaitFor([&] {
+      const std::vector<ControlHostRecord> live = this->follower->LiveRecords();
+      const std::vector<HostId> hosts = this->follower->ResponsiveHosts();
+      return this->follower->followed() == 1 && hosts.size() == 1 &&
+             std::ranges::find(live, ControlHostRecord{hosts[0], kOwnZone}) !=
+                 live.end();
+    });
+  }
+
   static bool WaitFor(const std::function<bool()>& is_done) {
     const TimePoint give_up = Runtime::Now() + 30s;
     while (!is_done() && Runtime::Now() < give_up) {
@@ -170,9 +197,9 @@
      host_outside_a_claiming_minority_is_found,
      .timeout = 120) {
   InWorld(31, [](World& world) {
-    cr_assert(world.FindsConfirmation());
+    cr_assert(world.FollowsOwnZoneOnly());
     for (int i = 0; i < 3; ++i) {
-      world.control[i]->is_confirming = false;
+      world.control[i]->stopped_at = BootClock::now();
     }
     cr_expect(world.FindsConfirmation());
     cr_expect(world.FindsConfirmation());
@@ -186,13 +213,13 @@
      .timeout = 120) {
   InWorld(32, [](World& world) {
     for (int i = 0; i < 3; ++i) {
-      world.control[i]->is_confirming = false;
+      world.control[i]->stopped_at = BootClock::now();
     }
     cr_assert(world.FindsConfirmation());
     for (int i = 0; i < 3; ++i) {
-      world.control[i]->is_confirming = true;
+      world.control[i]->stopped_at.reset();
     }
-    cr_expect(World::WaitFor([&] { return world.follower->followed() == 1; }));
+    cr_expect(world.FollowsOwnZoneOnly());
     cr_expect(world.FindsConfirmation());
   });
 }
@@ -203,9 +230,9 @@
      search_without_any_quorum_is_bounded,
      .timeout = 120) {
   InWorld(33, [](World& world) {
-    cr_assert(world.FindsConfirmation());
+    cr_assert(world.FollowsOwnZoneOnly());
     for (const auto& control : world.control) {
-      control->is_confirming = false;
+      control->stopped_at = BootClock::now();
     }
     cr_assert(World::WaitFor([&] { return world.follower->followed() > 1; }));
     for (int i = 0; i < 100; ++i) {
