--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -399,6 +399,7 @@
                       !candidate.has_quorum, candidate.rank);
   });
   std::vector<HostId> hosts;
+  hosts.reserve(responsive.size());
   for (const ControlHostCandidate& candidate : responsive) {
     hosts.push_back(candidate.host);
   }
