--- a/knapweedroad/base/boot_clock.h
+++ b/knapweedroad/base/boot_clock.h
@@ -19,7 +19,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  // The name that the standard requires.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept;
 };
