Rollouts are completed only on evidence

A service without requests completed its rollout by the deadline, and its callers then met a bad version. The controller now needs a support of the candidate's answers before it leaves the full phase, and rolls back with the cause no_evidence if there are fewer than five answers by the deadline. A candidate that could get no requests before gets up to 3 s more.

--- a/knapweedroad/edge/rollout_owner.cc
+++ b/knapweedroad/edge/rollout_owner.cc
@@ -179,13 +179,15 @@
   }
   const std::vector<HostId> entry_hosts = this->options.entry_hosts();
   std::map<ServiceId, Slots> slots = this->CountSlots(now);
+  const bool may_expose = this->MayExpose();
   for (auto& [service, controller] : this->controllers) {
     const RolloutPhase phase = controller.phase();
     const uint64_t directive = controller.directive().sequence;
     const Slots& of = slots[service];
     controller.Tick({.entry_hosts = entry_hosts,
                      .candidate_slots = of.candidate,
-                     .stable_slots = of.stable},
+                     .stable_slots = of.stable,
+                     .may_expose = may_expose},
                     now);
     if (controller.phase() == RolloutPhase::kEnded &&
         phase != RolloutPhase::kEnded) {
--- a/knapweedroad/rollout/rollout_controller.cc
+++ b/knapweedroad/rollout/rollout_controller.cc
@@ -10,42 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The fraction of the exposure bound that is planned with. The rest covers
-// attempts that haven't been reported yet.
-constexpr double kUsableExposureFraction = 0.92;
-// The largest fraction of the exposure limit that is reserved for the full
-// phase. The canary phase uses the rest.
-constexpr double kMaxFullPhaseFraction = 0.75;
-// The maximum number of attempts on the candidate in the canary phase. They
-// give enough evidence, and each attempt less lengthens the full phase.
-constexpr double kMaxCanaryAttempts = 50;
-// The canary share while the request rate isn't known, and its maximum.
-constexpr double kInitialCanaryShare = 0.03;
-constexpr double kMaxCanaryShare = 0.5;
-// A new canary share is sent if it differs from the current one by more than
-// this fraction.
-constexpr double kMinShareChange = 0.25;
-// The remaining canary attempts are spread over at least this time.
-constexpr double kMinCanarySpreadSeconds = 0.3;
-// The full phase starts this long before the deadline, plus the time that its
-// answers take at the expected rate. Both together are limited to this fraction
-// of the rollout's duration, which matters for low rates.
-constexpr Duration kFullPhaseLead = milliseconds(1600);
-constexpr double kMaxFullPhaseDurationFraction = 0.3;
-// Seconds of requests whose retries also go to the candidate if it starts
-// failing just before the deadline: the time to detect it, or what remains
-// until the deadline.
-constexpr double kRetryExposureSeconds = 0.2;
 // Entry hosts report more often from this long before the full phase on.
 constexpr Duration kFrequentReportLead = milliseconds(600);
-// Standard deviations by which a count may exceed its expected value.
-constexpr double kCountDeviations = 2;
-// The candidate answers needed to leave the canary phase, unless this fraction
-// of the rollout's duration has passed.
-constexpr size_t kMinCanaryAnswers = 10;
-constexpr double kLateCanaryFraction = 0.8;
-// The candidate answers and the time needed to evaluate the full phase.
-constexpr size_t kMinFullPhaseAnswers = 20;
+// The time needed to evaluate the full phase.
 constexpr Duration kMinFullPhaseDuration = milliseconds(300);
 // The full phase ends this long before the deadline, to leave time for the
 // confirmations of the entry hosts and the agreement of the control hosts.
@@ -61,14 +28,19 @@
 constexpr Duration kReporterTimeout = milliseconds(1200);
 // The longest time to wait for attempts in flight on the stable version.
 constexpr Duration kDrainTimeout = milliseconds(1500);
-// A rollout still in the canary phase, for lack of targets or of clear
-// evidence, is rolled back this long after the deadline, or after its duration
-// if longer.
+// A rollout that still lacks targets or clear evidence is rolled back this long
+// after the deadline, or after its duration if longer.
 constexpr Duration kMinOvertime = seconds(10);
-// The interval between updates of the request rate, and the weight of the
-// newest interval in it.
-constexpr Duration kRateWindow = milliseconds(300);
-constexpr double kRateWeight = 0.3;
+// The candidate answers without which a rollout ends for lack of evidence: as
+// many as VersionComparisonOptions::min_support takes.
+constexpr size_t kMinEvidenceAnswers = 5;
+// A rollout without enough evidence ends this long after the deadline, so that
+// answers to the last requests before it are reported.
+constexpr Duration kEvidenceGrace = milliseconds(500);
+// The time that a candidate gets for its answers, counted from when it could
+// last get no requests: it has no warm targets, or the owner is new or has no
+// quorum. Limited to the rollout's duration.
+constexpr Duration kMinEvidenceTime = seconds(3);
 constexpr Duration kReportInterval = milliseconds(250);
 constexpr Duration kFrequentReportInterval = milliseconds(50);
 // The validity of a directive in the canary phase and in the full phase.
@@ -78,16 +50,6 @@
 // for a silent host plus the distribution of the decision, so that a host that
 // has confirmed doesn't return to the stable version in between.
 constexpr int64_t kDrainDirectiveValidMs = 3000;
-constexpr uint32_t kAllPermille = 1000;
-
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-// Returns a count that is rarely exceeded, given its expected value.
-double UpperCountBound(double expected) {
-  return expected + kCountDeviations * std::sqrt(expected);
-}
 
 }  // namespace
 
@@ -110,6 +72,7 @@
     : options(std::move(options)),
       version_comparison(this->options.comparison),
       started_at(now),
+      reachable_since(now),
       rate_measured_at(now),
       phase_entered_at(now) {
   this->current_directive.service = this->options.record.service;
@@ -188,36 +151,6 @@
   }
 }
 
-void RolloutController::UpdateRate(TimePoint now) {
-  const Duration elapsed = now - this->rate_measured_at;
-  if (elapsed < kRateWindow) {
-    return;
-  }
-  const double measured_rate =
-      static_cast<double>(this->totals.sent - this->sent_at_measurement) /
-      Seconds(elapsed);
-  this->recent_rate =
-      this->recent_rate <= 0
-          ? measured_rate
-          : this->recent_rate * (1 - kRateWeight) + measured_rate * kRateWeight;
-  // The mean is the better estimate when recent counts are low, and the recent
-  // rate when the rate is rising. Assumes the higher one.
-  const double mean_rate = static_cast<double>(this->totals.sent) /
-                           std::max(1e-3, Seconds(now - this->started_at));
-  this->expected_rate = std::max(mean_rate, this->recent_rate);
-  this->sent_at_measurement = this->totals.sent;
-  this->rate_measured_at = now;
-}
-
-double RolloutController::ExposureLimit(TimePoint now) const {
-  const double remaining_s =
-      std::max(0.0, Seconds(this->options.deadline - now));
-  const double requests = static_cast<double>(this->totals.sent) +
-                          this->expected_rate * remaining_s;
-  return kUsableExposureFraction * (this->options.exposure.share * requests +
-                                    this->options.exposure.slack);
-}
-
 bool RolloutController::IsCandidateWorse() const {
   return this->version_comparison.is_worse() ||
          (!this->version_comparison.is_evidence_weak() &&
@@ -231,79 +164,20 @@
              kMinCandidateSlotRatio * static_cast<double>(fleet.stable_slots);
 }
 
-// Starts no earlier than the answers and the confirmations require. The canary
-// phase detects a candidate that starts failing late at less exposure.
-TimePoint RolloutController::FullPhaseStart() const {
-  const Duration answer_time =
-      this->expected_rate <= 0
-          ? this->duration()
-          : Duration(static_cast<int64_t>(kMinFullPhaseAnswers /
-                                          this->expected_rate * 1e9));
-  const auto max_lead = std::chrono::duration_cast<Duration>(
-      this->duration() * kMaxFullPhaseDurationFraction);
-  return this->options.deadline -
-         std::min(answer_time + kFullPhaseLead, max_lead);
+bool RolloutController::IsOvertimeOver(TimePoint now) const {
+  return now >= this->options.deadline +
+                    std::max<Duration>(kMinOvertime, this->duration());
 }
 
-bool RolloutController::CanEnterFullPhase(const FleetState& fleet,
-                                          TimePoint now) const {
-  if (!this->HasCandidateCapacity(fleet) ||
-      !this->version_comparison.is_evidence_weak() ||
-      now < this->FullPhaseStart()) {
-    return false;
-  }
-  const double remaining_s = Seconds(this->options.deadline - now);
-  if (remaining_s <= 0) {
-    return true;
-  }
-  const double elapsed_fraction =
-      1 - remaining_s / std::max(1e-3, Seconds(this->duration()));
-  const bool has_answers =
-      this->version_comparison.candidate_answers() >= kMinCanaryAnswers ||
-      elapsed_fraction >= kLateCanaryFraction;
-  const double exposed = static_cast<double>(this->totals.to_candidate) +
-                         UpperCountBound(this->expected_rate *
-                                         (remaining_s + kRetryExposureSeconds));
-  return has_answers && exposed <= this->ExposureLimit(now);
-}
-
-void RolloutController::UpdateCanaryShare(TimePoint now) {
-  const double exposed = static_cast<double>(this->totals.to_candidate);
-  const double remaining_s = Seconds(this->options.deadline - now);
-  // The limit if no further request arrived, so that the bound holds at any
-  // time.
-  const double exposure_limit_now =
-      kUsableExposureFraction *
-      (this->options.exposure.share * static_cast<double>(this->totals.sent) +
-       this->options.exposure.slack);
-  double share = kInitialCanaryShare;
-  if (this->expected_rate > 0 && remaining_s > 0) {
-    const double exposure_limit = this->ExposureLimit(now);
-    const double full_phase_attempts =
-        UpperCountBound(this->expected_rate * Seconds(kFullPhaseLead));
-    const double canary_attempts = std::min(
-        exposure_limit - std::min(full_phase_attempts,
-                                  kMaxFullPhaseFraction * exposure_limit),
-        kMaxCanaryAttempts);
-    const double canary_remaining_s = std::max(
-        Seconds(this->FullPhaseStart() - now), kMinCanarySpreadSeconds);
-    share = std::max(0.0, canary_attempts - exposed) /
-            (this->expected_rate * canary_remaining_s);
-  }
-  share = std::min(share, kMaxCanaryShare);
-  if (remaining_s <= 0) {
-    // Past the deadline the candidate still needs requests, to resolve what has
-    // delayed the decision.
-    share = this->options.exposure.share;
-  } else if (exposed >= exposure_limit_now) {
-    share = 0;
-  }
-  const double current_share =
-      this->current_directive.candidate_permille / double{kAllPermille};
-  if (std::abs(share - current_share) > kMinShareChange * current_share) {
-    this->SetDirective(static_cast<uint32_t>(std::lround(share * kAllPermille)),
-                       /*allows_stable=*/true);
-  }
+bool RolloutController::LacksEvidence(const FleetState& fleet,
+                                      TimePoint now) const {
+  const TimePoint evidence_due =
+      std::max(this->options.deadline + kEvidenceGrace,
+               this->reachable_since +
+                   std::min<Duration>(kMinEvidenceTime, this->duration()));
+  return now >= evidence_due && this->HasCandidateCapacity(fleet) &&
+         fleet.may_expose && this->version_comparison.is_evidence_weak() &&
+         this->version_comparison.candidate_answers() < kMinEvidenceAnswers;
 }
 
 void RolloutController::TickCanary(const FleetState& fleet, TimePoint now) {
@@ -314,8 +188,7 @@
     this->SetDirective(kAllPermille, /*allows_stable=*/true);
     return;
   }
-  const Duration overtime = std::max(kMinOvertime, this->duration());
-  if (now >= this->options.deadline + overtime) {
+  if (this->IsOvertimeOver(now)) {
     this->Decide(RolloutState::kRolledBack, this->HasCandidateCapacity(fleet)
                                                 ? "in_doubt"
                                                 : "too_few_targets");
@@ -333,10 +206,14 @@
     this->SetDirective(0, /*allows_stable=*/true);
     return;
   }
-  if (!this->version_comparison.is_evidence_weak()) {
+  const Duration phase_duration = now - this->phase_entered_at;
+  if (!this->version_comparison.is_evidence_weak() ||
+      !this->version_comparison.is_evidence_sufficient()) {
+    if (this->IsOvertimeOver(now) && phase_duration >= kMinEvidenceTime) {
+      this->Decide(RolloutState::kRolledBack, "in_doubt");
+    }
     return;
   }
-  const Duration phase_duration = now - this->phase_entered_at;
   const size_t phase_answers =
       this->version_comparison.candidate_answers() - this->answers_before_full;
   const bool is_drain_due = now >= this->options.deadline - kDrainLead;
@@ -367,6 +244,14 @@
     this->Decide(RolloutState::kRolledBack, "worse");
     return;
   }
+  if (!this->HasCandidateCapacity(fleet) || !fleet.may_expose) {
+    this->reachable_since = now;
+  }
+  if (this->current_phase != RolloutPhase::kDraining &&
+      this->LacksEvidence(fleet, now)) {
+    this->Decide(RolloutState::kRolledBack, "no_evidence");
+    return;
+  }
   switch (this->current_phase) {
     case RolloutPhase::kCanary:
       this->TickCanary(fleet, now);
--- a/knapweedroad/rollout/rollout_controller.h
+++ b/knapweedroad/rollout/rollout_controller.h
@@ -21,7 +21,9 @@
 //
 // The rollout is rolled back from any phase if the candidate's answers become
 // worse than those of the stable version, and from the canary phase if it has
-// lasted too long past the deadline.
+// lasted too long past the deadline. It is also rolled back if the candidate
+// has given too few answers by the deadline although requests could be sent to
+// it: a version is completed only on evidence that it is as good.
 
 #ifndef KNAPWEEDROAD_ROLLOUT_ROLLOUT_CONTROLLER_H_
 #define KNAPWEEDROAD_ROLLOUT_ROLLOUT_CONTROLLER_H_
@@ -78,12 +80,16 @@
   // run concurrently.
   size_t candidate_slots = 0;
   size_t stable_slots = 0;
+  // Whether the owner's directives are applied. Without a quorum it exposes
+  // nothing.
+  bool may_expose = true;
 };
 
 // The end of a rollout, for the control hosts to agree on.
 struct RolloutDecision {
   RolloutState state = RolloutState::kRunning;
-  // One of "as_good", "worse", "in_doubt" and "too_few_targets", for the log.
+  // One of "as_good", "worse", "no_evidence", "in_doubt" and
+  // "too_few_targets", for the log.
   std::string_view cause;
 };
 
@@ -126,6 +132,10 @@
   }
 
  private:
+  // The candidate answers needed to evaluate the full phase.
+  static constexpr size_t kMinFullPhaseAnswers = 20;
+  static constexpr uint32_t kAllPermille = 1000;
+
   struct AttemptCounts {
     uint64_t sent = 0;
     uint64_t to_candidate = 0;
@@ -150,6 +160,10 @@
   bool IsCandidateWorse() const;
   // Returns whether the candidate's targets can take the service's traffic.
   bool HasCandidateCapacity(const FleetState& fleet) const;
+  bool IsOvertimeOver(TimePoint now) const;
+  // Returns whether the candidate had the time until the deadline, or later if
+  // it couldn't get requests before, to give enough answers, and didn't.
+  bool LacksEvidence(const FleetState& fleet, TimePoint now) const;
   // Returns the earliest start of the full phase.
   TimePoint FullPhaseStart() const;
   bool CanEnterFullPhase(const FleetState& fleet, TimePoint now) const;
@@ -170,6 +184,8 @@
   std::map<HostId, Reporter> reporters;
   AttemptCounts totals;
   TimePoint started_at;
+  // Since when the candidate can get requests without interruption.
+  TimePoint reachable_since;
   // Attempts per second: the smoothed recent rate, and the rate assumed until
   // the deadline.
   double recent_rate = 0;
--- a/knapweedroad/rollout/rollout_controller_test.cc
+++ b/knapweedroad/rollout/rollout_controller_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+#include <vector>
+
 #include "knapweedroad/rollout/rollout_simulation.h"
 
 namespace knapweedroad {
@@ -143,6 +146,122 @@
   cr_expect(result.sent_to_candidate == 0);
 }
 
+// Guards against completing a version that no request has tried: its callers
+// would meet its faults only when the old targets are gone.
+Test(rollout_controller, a_version_without_requests_is_rolled_back) {
+  const RolloutSimulationResult result = RunRolloutSimulation({.rate = 1e-6});
+  cr_expect(result.state == RolloutState::kRolledBack);
+  cr_expect(result.cause == "no_evidence", "%s", result.cause.c_str());
+  cr_expect(result.ended_after <= seconds(14));
+}
+
+// Guards against completing a version that fails most requests because the few
+// answers until the deadline happened to be good.
+Test(rollout_controller, a_few_good_answers_do_not_complete_a_failing_version) {
+  constexpr uint64_t kManySeeds = 40;
+  constexpr double kMaxCompletedShare = 0.05;
+  for (const double rate : {0.3, 0.6, 1.0, 2.0}) {
+    double completed = 0;
+    for (uint64_t seed = 1; seed <= kManySeeds; ++seed) {
+      const RolloutSimulationResult result = RunRolloutSimulation(
+          {.rate = rate, .fault = {.share = 0.6}, .seed = seed});
+      completed += result.state == RolloutState::kCompleted ? 1 : 0;
+    }
+    cr_expect(completed <= kManySeeds * kMaxCompletedShare, "rate %g: %g", rate,
+              completed);
+  }
+}
+
+// Guards against rolling back a good version of a service with few requests
+// although the candidate could get enough of them before the deadline.
+Test(rollout_controller, a_good_version_with_few_requests_completes) {
+  constexpr uint64_t kManySeeds = 40;
+  constexpr double kMinCompletedShare = 0.9;
+  double completed = 0;
+  for (uint64_t seed = 1; seed <= kManySeeds; ++seed) {
+    const RolloutSimulationResult result =
+        RunRolloutSimulation({.rate = 1.2, .seed = seed});
+    completed += result.state == RolloutState::kCompleted ? 1 : 0;
+  }
+  cr_expect(completed >= kManySeeds * kMinCompletedShare, "%g", completed);
+}
+
+// A controller of a rollout whose deadline is at 20 s, which reports of an
+// entry host reach.
+struct DirectWorld {
+  explicit DirectWorld(Duration started_at)
+      : controller({.record = {.service = ServiceId("s"), .number = 1},
+                    .ordered_at = TimePoint(seconds(10)),
+                    .deadline = TimePoint(seconds(20))},
+                   TimePoint(started_at)),
+        now(started_at) {}
+
+  // Advances the time by steps of 100 ms. In each the service gets a request,
+  // and the candidate answers it if it gets any share.
+  void RunUntil(Duration until, bool has_requests) {
+    while (this->now < until) {
+      this->now += milliseconds(100);
+      const TimePoint at(this->now);
+      RolloutProgress progress{
+          .service = ServiceId("s"),
+          .rollout_number = 1,
+          .directive_sequence = this->controller.directive().sequence};
+      if (has_requests) {
+        progress.sent = ++this->sent;
+        if (this->controller.directive().candidate_permille > 0) {
+          ++this->sent_to_candidate;
+          progress.answers.push_back({.target = TargetId("t"),
+                                      .route = "r",
+                                      .is_candidate = true,
+                                      .samples = std::string(1, '\x20')});
+        }
+      }
+      progress.sent_to_candidate = this->sent_to_candidate;
+      this->controller.OnReport(HostId("e"), 1, progress, false, at);
+      this->controller.Tick({.entry_hosts = this->hosts,
+                             .candidate_slots = this->candidate_slots,
+                             .stable_slots = 4,
+                             .may_expose = this->may_expose},
+                            at);
+    }
+  }
+
+  std::vector<HostId> hosts = {HostId("e")};
+  RolloutController controller;
+  Duration now;
+  uint64_t sent = 0;
+  uint64_t sent_to_candidate = 0;
+  size_t candidate_slots = 4;
+  bool may_expose = true;
+};
+
+// Guards against a new owner that rolls back a good version because it has none
+// of the answers that its predecessor had collected.
+Test(rollout_controller, a_new_owner_near_the_deadline_collects_answers) {
+  DirectWorld world(milliseconds(19'900));
+  world.RunUntil(seconds(25), /*has_requests=*/true);
+  cr_assert(world.controller.decision());
+  cr_expect(world.controller.decision()->state == RolloutState::kCompleted,
+            "%s", world.controller.decision()->cause.data());
+}
+
+// Guards against a verdict on a version that got no requests only because its
+// owner had to expose nothing, or had no warm targets of it.
+Test(rollout_controller, a_version_that_could_not_get_requests_gets_time) {
+  for (const bool has_targets : {true, false}) {
+    DirectWorld world(seconds(10));
+    world.may_expose = !has_targets;
+    world.candidate_slots = has_targets ? 4 : 0;
+    world.RunUntil(seconds(22), /*has_requests=*/false);
+    cr_expect(!world.controller.decision());
+    world.may_expose = true;
+    world.candidate_slots = 4;
+    world.RunUntil(seconds(26), /*has_requests=*/true);
+    cr_assert(world.controller.decision());
+    cr_expect(world.controller.decision()->state == RolloutState::kCompleted);
+  }
+}
+
 Test(rollout_controller, a_report_of_an_earlier_rollout_is_ignored) {
   RolloutController controller(
       {.record = {.service = ServiceId("s"), .number = 2},
--- a/knapweedroad/rollout/version_comparison.cc
+++ b/knapweedroad/rollout/version_comparison.cc
@@ -16,6 +16,9 @@
 // The number of answers that the threshold is computed for when there are
 // fewer.
 constexpr size_t kMinAnswersForThreshold = 8;
+// The support that an answer adds if the stable version fails so often that no
+// worse version can be told from it. Equals that of a good answer otherwise.
+constexpr double kSupportBesideFailingStable = 0.316;
 
 }  // namespace
 
@@ -141,11 +144,15 @@
       stable_bad_share * this->options.worse_factor,
       this->options.min_worse_bad_share, this->options.max_worse_bad_share);
   if (worse_bad_share <= stable_bad_share) {
+    // The stable version fails nearly always, so that no answer speaks against
+    // the candidate.
+    this->support += kSupportBesideFailingStable;
     return;
   }
   const double log_likelihood_ratio =
       is_bad ? std::log(worse_bad_share / stable_bad_share)
              : std::log((1 - worse_bad_share) / (1 - stable_bad_share));
+  this->support = std::max(0.0, this->support - log_likelihood_ratio);
   AddEvidence(route.evidence, target, log_likelihood_ratio);
   AddEvidence(this->all_routes, target, log_likelihood_ratio);
   this->is_candidate_worse = this->is_candidate_worse ||
@@ -191,7 +198,8 @@
          << std::llround(SumWithoutWorstTarget(route.evidence) * 10) << "e-1) ";
   }
   text << "against:"
-       << std::llround(SumWithoutWorstTarget(this->all_routes) * 10) << "e-1";
+       << std::llround(SumWithoutWorstTarget(this->all_routes) * 10)
+       << "e-1,support:" << std::llround(this->support * 10) << "e-1";
   return std::move(text).str();
 }
 
--- a/knapweedroad/rollout/version_comparison.h
+++ b/knapweedroad/rollout/version_comparison.h
@@ -45,6 +45,10 @@
   // several targets, the one with the most evidence against it is left out,
   // because that target alone may be faulty.
   double base_threshold = 1.5;
+  // The support at which the candidate's answers suffice to call it as good.
+  // The default takes five good answers in a row, which a version that fails
+  // half of its requests gives in 1 of 32 cases.
+  double min_support = 1.5;
   // The half-life of the counts of the stable version's answers.
   Duration stable_half_life = std::chrono::seconds(4);
 };
@@ -72,6 +76,12 @@
   // threshold, for each route and for all together, and it isn't found worse.
   bool is_evidence_weak() const;
 
+  // Returns whether the candidate has given enough good answers to call it as
+  // good. False while there are none, unlike is_evidence_weak().
+  bool is_evidence_sufficient() const {
+    return this->support >= this->options.min_support;
+  }
+
   // Return the number of the candidate's answers, and of the bad ones of them.
   size_t candidate_answers() const { return this->candidate_total; }
   size_t candidate_bad_answers() const { return this->candidate_bad_total; }
@@ -132,6 +142,10 @@
   VersionComparisonOptions options;
   std::map<std::string, RouteState> routes;
   Evidence all_routes;
+  // The sum of the negated log likelihood ratios over all routes, kept at zero
+  // or above: how much likelier the answers since the last bad ones are from a
+  // version like the stable one than from a worse one.
+  double support = 0;
   size_t candidate_total = 0;
   size_t candidate_bad_total = 0;
   bool is_stable_frozen = false;
