Rollout model: a version completes only after it has answered

The first answer takes no step of a host, so that the steps left for other behaviour stay as many as before.

--- a/spec/rollout.pml
+++ b/spec/rollout.pml
@@ -4,7 +4,7 @@
    Shown: never both outcomes; nothing is sent to the candidate before the order
    is agreed; after "completed" is agreed, no host that hears the owner sends to
    the stable version; after "rolled back" no host that has heard it sends to
-   the candidate.
+   the candidate; "completed" is agreed only if the candidate has answered.
 
    The agreed value is a register that is changed step by step (agreement.pml
    shows that). Time is left out but for one thing: a directive outlives the
@@ -15,7 +15,8 @@
    Broken variants: -DNO_CONFIRM completes without confirmations, -DTWO_ENDS
    lets each owner write its outcome without looking, -DNO_ORDER exposes before
    the order, -DKEEP_CONFIRMED counts a confirmation whose directive has
-   expired, -DNO_FLIGHT confirms while requests still run at the old version. */
+   expired, -DNO_FLIGHT confirms while requests still run at the old version,
+   -DNO_EVIDENCE seals without an answer of the candidate. */
 
 #define HOSTS 2
 
@@ -30,6 +31,13 @@
 #else
 #define IS_CONFIRMED ((confirmed[0] || given_up[0]) && (confirmed[1] || given_up[1]))
 #endif
+
+/* One answer stands for as many as the owner needs. */
+#ifdef NO_EVIDENCE
+#define HAS_EVIDENCE(owner) true
+#else
+#define HAS_EVIDENCE(owner) (evidence[owner])
+#endif
 #define OWNERS 2
 
 mtype = { unordered, running, completed, rolled_back };
@@ -46,8 +54,12 @@
 bool reachable[HOSTS] = true;
 bool given_up[HOSTS] = false;
 byte stable_requests[HOSTS] = 0;
+/* Whether the candidate has answered a request of any host. */
+bool answered = false;
 
-/* Of each owner: it has decided to seal, and which hosts have confirmed. */
+/* Of each owner: it has heard of an answer of the candidate, it has decided to
+   seal, and which hosts have confirmed. */
+bool evidence[OWNERS] = false;
 bool sealing[OWNERS] = false;
 bool confirmed[HOSTS] = false;
 
@@ -60,6 +72,7 @@
     :: state != unordered ->
 #endif
       assert(!ended || state == outcome);
+      assert(outcome != completed || answered);
       state = outcome;
       ended = true
     :: else -> skip
@@ -79,6 +92,7 @@
       state == running && owner != me ->
       owner = me;
       sealing[me] = false;
+      evidence[me] = false;
       h = 0;
       do
       :: h < HOSTS -> confirmed[h] = false; h++
@@ -102,8 +116,14 @@
       :: else -> skip
       fi
     }
-  :: atomic { state == running && owner == me && !sealing[me] ->
-      sealing[me] = true }
+  /* A report with an answer. */
+  :: atomic {
+      state == running && owner == me && !evidence[me] &&
+      answered && (reachable[0] || reachable[1]) ->
+      evidence[me] = true
+    }
+  :: atomic { state == running && owner == me && !sealing[me] &&
+      HAS_EVIDENCE(me) -> sealing[me] = true }
   /* A report: it tells the directive in force and what still runs. */
   :: atomic {
       state == running && owner == me && sealing[me] ->
@@ -170,7 +190,12 @@
     :: atomic {
         heard[me] == completed || (heard[me] != rolled_back && directive[me] != stable_only) ->
         assert(state != unordered);
-        assert(!(state == rolled_back && heard[me] == rolled_back))
+        assert(!(state == rolled_back && heard[me] == rolled_back));
+        /* The first answer takes no step, to keep the others' number. */
+        if
+        :: !answered -> answered = true; steps--
+        :: else -> skip
+        fi
       }
     :: skip
     fi
