Target cost: the service time that targets report

Machines that other processes use are slow for about half a second. Hosts learned of that only from slow answers, and then avoided the target for seconds. Reports that don't agree with the latencies lose their weight. Hedges and retries avoid targets whose machine is slow. Where there are more hosts than connections, targets to which a host is connected are preferred.

Nothing changes for targets that don't report it.

--- a/knapweedroad/routing/balanced_target.h
+++ b/knapweedroad/routing/balanced_target.h
@@ -13,6 +13,7 @@
 #include "knapweedroad/registry/target_record.h"
 #include "knapweedroad/rollout/version_split.h"
 #include "knapweedroad/routing/concurrency_limit.h"
+#include "knapweedroad/routing/machine_slowdown.h"
 #include "knapweedroad/routing/target_load.h"
 
 namespace knapweedroad {
@@ -23,6 +24,9 @@
   std::vector<BalancedTarget*> targets;
   // Smoothed latency of all targets, in ns; zero until the first answer.
   double latency_ns = 0;
+  // The smoothed service time that the targets report, in percent.
+  double usual_percent = 100;
+  bool reports_service_time = false;
   // The configured number of connections that each target accepts from all
   // entry hosts together; zero if unknown.
   size_t max_connections = 0;
@@ -48,13 +52,16 @@
   size_t in_flight = 0;
   // The send times of unanswered attempts, oldest first.
   std::vector<TimePoint> sent_times;
-  // Smoothed latency in ns; zero until the first answer.
+  // Smoothed latency in ns at the usual service time of the target's machine;
+  // zero until the first answer.
   double latency_ns = 0;
   // When `latency_ns` was last updated.
   TimePoint latency_at;
   // The load that the target last reported, and when.
   TargetLoad load;
   TimePoint load_at;
+  // How slow the target's machine is at the moment, as far as it reports that.
+  MachineSlowdown slowdown;
   ConcurrencyLimit limit;
   // Smoothed share of failed attempts, from 0 to 1, at `failure_share_at`. It
   // decays with time; see FailureShare().
--- a/knapweedroad/routing/load_balancer.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -1,14 +1,12 @@
 #include "knapweedroad/routing/load_balancer.h"
 
 #include <algorithm>
-#include <array>
 #include <limits>
 #include <utility>
 
 #include <xxhash.h>
 
 #include "knapweedroad/routing/route_table.h"
-#include "knapweedroad/routing/target_cost.h"
 
 namespace knapweedroad {
 namespace {
@@ -29,19 +27,6 @@
 // Control hosts remove a target without heartbeats after the same time.
 constexpr Duration kRemoveSilentAfter = std::chrono::seconds(60);
 
-// The cost factor for a target of another zone. Its answers cause traffic
-// between zones, and latencies smoothed from few values differ by chance.
-constexpr double kOtherZoneFactor = 1.6;
-// The cost factors if the request prefers certain zones, by their order, and
-// for the remaining zones. The partial answers from one preferred zone are sent
-// to this zone together.
-constexpr std::array kPreferredZoneFactors = {1.3, 1.6};
-constexpr double kUnpreferredZoneFactor = 2.1;
-
-// One cost estimate in this many ignores the outlier lists, so that some host
-// detects when a target has recovered.
-constexpr unsigned kIgnoreOutliersOneIn = 300;
-
 uint64_t RankHash(const HostId& host, const TargetId& target) {
   return XXH64(target.str().data(), target.str().size(),
                XXH64(host.str().data(), host.str().size(), 0));
@@ -264,39 +249,6 @@
   }
 }
 
-double LoadBalancer::ZoneFactor(const BalancedTarget& target,
-                                std::span<const ZoneId> preferred_zones) const {
-  if (!this->IsInOtherZone(target)) {
-    return 1;
-  }
-  if (preferred_zones.empty()) {
-    return kOtherZoneFactor;
-  }
-  const auto found = std::ranges::find(preferred_zones, target.record.zone);
-  const auto rank = static_cast<size_t>(found - preferred_zones.begin());
-  return rank < kPreferredZoneFactors.size() && found != preferred_zones.end()
-             ? kPreferredZoneFactors[rank]
-             : kUnpreferredZoneFactor;
-}
-
-double LoadBalancer::EstimateCost(const BalancedTarget& target,
-                                  std::span<const ZoneId> preferred_zones,
-                                  TimePoint now) {
-  const bool are_connections_scarce = now < this->connections_scarce_until;
-  const CostContext context{
-      .usual_latency_ns = target.service->latency_ns,
-      .uses_shared_outcomes = this->random() % kIgnoreOutliersOneIn != 0,
-      .zone_factor = this->ZoneFactor(target, preferred_zones),
-      .is_outside_subset = !this->IsInSubset(target),
-      .needs_scarce_connection =
-          are_connections_scarce && this->options.has_idle_connection &&
-          !this->options.has_idle_connection(target.record.id)};
-  // A random factor of up to 2% breaks ties.
-  return CostOf(target, context, now) *
-         (1 + 0.02 * static_cast<double>(this->random()) /
-                  static_cast<double>(std::minstd_rand::max()));
-}
-
 std::optional<TargetId> LoadBalancer::Pick(
     const ServiceId& service_id,
     std::span<const TargetId> tried,
@@ -340,7 +292,8 @@
     if (rank == kNone || rank > best_rank) {
       continue;
     }
-    const double cost = this->EstimateCost(target, preferred_zones, now);
+    const double cost =
+        this->EstimateCost(target, preferred_zones, !tried.empty(), now);
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
       best_cost = cost;
--- a/knapweedroad/routing/load_balancer.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -260,6 +260,7 @@
   size_t ConnectionCap(const BalancedTarget& target, TimePoint now) const;
   double EstimateCost(const BalancedTarget& target,
                       std::span<const ZoneId> preferred_zones,
+                      bool is_extra_attempt,
                       TimePoint now);
   double ZoneFactor(const BalancedTarget& target,
                     std::span<const ZoneId> preferred_zones) const;
@@ -283,6 +284,11 @@
                           std::string_view health,
                           std::string_view cause,
                           Duration duration = Duration::zero()) const;
+  // Returns the latency that an answer would have had at the usual speed of the
+  // target's machine, and compares it with what the target reported.
+  static double LatencyAtUsualSpeed(BalancedTarget& target,
+                                    double latency_ns,
+                                    TimePoint now);
   // Adds the latency to the smoothed values of the target and its service, and
   // reports `outcome` together with it.
   void RecordLatency(BalancedTarget& target,
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -14,10 +14,8 @@
 
 using std::chrono::milliseconds;
 
-// The weight of a new value in the smoothed latency of a target and of a
-// service.
+// The weight of a new value in the smoothed latency of a target.
 constexpr double kLatencyWeight = 0.15;
-constexpr double kServiceLatencyWeight = 0.02;
 // The weight of a new outcome in the smoothed share of failures.
 constexpr double kFailureWeight = 0.3;
 // A target is ejected as unresponsive if it has answered nothing for
@@ -46,11 +44,6 @@
 // connections have failed.
 constexpr Duration kStaleConnectionTimeout = std::chrono::seconds(12);
 
-// An attempt that takes this many times the usual latency is reported to other
-// hosts at once.
-constexpr double kSlowFactor = 3;
-constexpr double kNsPerUs = 1e3;
-
 }  // namespace
 
 void LoadBalancer::OnSent(const TargetId& id, TimePoint now) {
@@ -94,38 +87,6 @@
   target.unhealthy_probes = 0;
 }
 
-void LoadBalancer::RecordLatency(BalancedTarget& target,
-                                 double latency_ns,
-                                 double weight,
-                                 TargetOutcomes outcome,
-                                 TimePoint now) {
-  target.latency_ns =
-      target.latency_ns <= 0
-          ? latency_ns
-          : target.latency_ns * (1 - weight) + latency_ns * weight;
-  target.latency_at = now;
-  outcome.timed = 1;
-  outcome.latency_us = static_cast<uint64_t>(latency_ns / kNsPerUs);
-  this->ReportOutcome(target, std::move(outcome));
-  BalancedService& service = *target.service;
-  service.latency_ns = service.latency_ns <= 0
-                           ? latency_ns
-                           : service.latency_ns * (1 - kServiceLatencyWeight) +
-                                 latency_ns * kServiceLatencyWeight;
-}
-
-void LoadBalancer::RecordLoad(BalancedTarget& target,
-                              const std::optional<TargetLoad>& load,
-                              TimePoint now) {
-  if (!load) {
-    return;
-  }
-  target.load = *load;
-  target.load_at = now;
-  target.limit.OnLoadReport(*load, target.record.slots,
-                            this->ConnectionCap(target, now));
-}
-
 void LoadBalancer::OnAnswered(const TargetId& id,
                               Duration latency,
                               const std::optional<TargetLoad>& load,
@@ -135,9 +96,9 @@
     return;
   }
   this->EndAttempt(*target);
+  this->RecordLoad(*target, load, now);
   this->RecordLatency(*target, static_cast<double>(latency.count()),
                       kLatencyWeight, {.answered = 1}, now);
-  this->RecordLoad(*target, load, now);
   CountOutcome(*target, 0, kFailureWeight, now);
   target->last_success = now;
   if (this->IsInOtherZone(*target)) {
@@ -216,6 +177,7 @@
     this->EndAttempt(*target);
     this->Eject(*target, "unreachable", now);
     target->is_ejected_as_unresponsive = false;
+    target->slowdown.Forget();
   }
 }
 
@@ -279,6 +241,7 @@
   if (BalancedTarget* const target = this->Lookup(id)) {
     target->needs_probe = true;
     target->next_probe = std::min(target->next_probe, now);
+    target->slowdown.Forget();
   }
 }
 
@@ -349,47 +312,4 @@
   // it reports that it is unhealthy.
 }
 
-void LoadBalancer::UpdateOutliers(
-    const HostId& control_host,
-    std::optional<std::vector<TargetOutlier>> outliers,
-    TimePoint now) {
-  if (this->outliers.Update(control_host, std::move(outliers), now)) {
-    this->ApplyOutliers();
-  }
-}
-
-void LoadBalancer::ExpireOutliers(TimePoint now) {
-  if (this->outliers.ExpireLists(now)) {
-    this->ApplyOutliers();
-  }
-}
-
-void LoadBalancer::ApplyOutliers() {
-  for (auto& [id, target] : this->targets) {
-    target.shared_failure_share = 0;
-    target.shared_slowdown = 1;
-  }
-  for (const auto& [id, outlier] : this->outliers.WorstByTarget()) {
-    if (BalancedTarget* const target = this->Lookup(id)) {
-      target->shared_failure_share =
-          static_cast<double>(outlier.failed) / TargetOutlier::kFailedUnits;
-      target->shared_slowdown = static_cast<double>(outlier.slowdown);
-    }
-  }
-}
-
-// Only outcomes that the target itself caused are shared: answers, refusals,
-// and broken or late answers. A connection failure is not shared, as it doesn't
-// show whether the target can be reached from another zone.
-void LoadBalancer::ReportOutcome(const BalancedTarget& target,
-                                 TargetOutcomes outcome) {
-  if (this->options.on_outcome) {
-    outcome.target = target.record.id;
-    const bool is_slow = outcome.timed > 0 &&
-                         static_cast<double>(outcome.latency_us) * kNsPerUs >
-                             kSlowFactor * target.service->latency_ns;
-    this->options.on_outcome(outcome, outcome.failed > 0 || is_slow);
-  }
-}
-
 }  // namespace knapweedroad
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -45,6 +45,15 @@
 // second one leaves another host without any.
 constexpr double kScarceConnectionFactor = 4;
 
+// The factor for an attempt that needs a new connection where there are more
+// entry hosts than connections. A new one takes time of the target. With a
+// higher factor hosts keep to targets whose machines are slow.
+constexpr double kSharedConnectionFactor = 1.4;
+// The factor for a hedge or a retry on a target whose machine is slow at the
+// moment, in addition to its slowdown. It exceeds the factor of another zone,
+// as an extra attempt on a slow machine seldom shortens the wait.
+constexpr double kSlowExtraAttemptFactor = 2;
+
 double Decay(Duration age, Duration half_life) {
   return std::exp2(-static_cast<double>(age.count()) /
                    static_cast<double>(half_life.count()));
@@ -105,6 +114,7 @@
           std::max(latency, context.usual_latency_ns * target.shared_slowdown);
     }
   }
+  latency *= target.slowdown.Factor(now);
   const double reported =
       static_cast<double>(target.load.running + target.load.waiting) *
       Decay(now - target.load_at, kLoadHalfLife);
@@ -120,8 +130,12 @@
       failure_cost * std::max(loaded_latency, context.usual_latency_ns);
   cost += StallCost(target, latency, now);
   cost *= context.zone_factor;
+  cost *= context.is_extra_attempt && target.slowdown.IsSlow(now)
+              ? kSlowExtraAttemptFactor
+              : 1;
   cost *= context.is_outside_subset ? kOutsideSubsetFactor : 1;
   cost *= context.needs_scarce_connection ? kScarceConnectionFactor : 1;
+  cost *= context.needs_shared_connection ? kSharedConnectionFactor : 1;
   return cost;
 }
 
--- a/knapweedroad/routing/target_cost.h
+++ b/knapweedroad/routing/target_cost.h
@@ -1,6 +1,7 @@
 // Estimates the cost of an attempt on a target, by which the targets of one
-// service are compared: its expected latency in ns, increased for load,
-// failures, a stalled attempt and the target's zone.
+// service are compared: its expected latency in ns, increased for a machine
+// that is slow at the moment, load, failures, a stalled attempt and the
+// target's zone.
 //
 //   double cost = CostOf(target, {.usual_latency_ns = 9e6}, now);
 
@@ -19,6 +20,9 @@
   double usual_latency_ns = 0;
   // Whether outcomes that other hosts reported for the target are included.
   bool uses_shared_outcomes = true;
+  // Whether the attempt is a hedge or a retry. It should be answered soon, so
+  // that a target whose machine is slow at the moment costs more.
+  bool is_extra_attempt = false;
   // Multiplies the cost for the zone that the target is in.
   double zone_factor = 1;
   // Whether the target is outside the subset of targets to which this host
@@ -27,6 +31,8 @@
   // Whether the attempt needs a new connection while targets have refused
   // connections for lack of them.
   bool needs_scarce_connection = false;
+  // Whether the attempt needs a new connection where hosts share too few.
+  bool needs_shared_connection = false;
 };
 
 // Returns the expected cost in ns; lower is better.
