--- a/knapweedroad/routing/target_cost_test.cc
+++ b/knapweedroad/routing/target_cost_test.cc
@@ -104,7 +104,7 @@
 // by what it reports: always normal but slow, always slow but normal, or
 // changing ten times a second.
 Test(target_cost, false_reports_change_little) {
-  const std::function<uint32_t(Duration)> kReports[] = {
+  const std::function<uint32_t(Duration)> reports[] = {
       [](Duration) { return 100; }, [](Duration) { return 1000; },
       [](Duration at) {
         std::minstd_rand random(
@@ -112,8 +112,8 @@
         random.discard(3);
         return 30 + random() % 600;
       }};
-  for (const auto& report : kReports) {
-    const bool is_slow = &report == &kReports[0];
+  for (const auto& report : reports) {
+    const bool is_slow = &report == &reports[0];
     const auto [with, without] = Compare(
         {.slowness = [&](size_t target,
                          Duration) { return target == 0 && is_slow ? 2.5 : 1; },
