Only the owner of a rollout ends it

A former owner that had not heard of its replacement could end the rollout: entry hosts no longer report to it, so it would find no evidence.

--- a/knapweedroad/edge/rollout_owner.cc
+++ b/knapweedroad/edge/rollout_owner.cc
@@ -216,9 +216,10 @@
   if (ends.empty()) {
     return;
   }
-  this->Agree("ends of roll-outs", [ends](std::vector<RolloutRecord>& records) {
+  this->Agree("ends of roll-outs", [ends, self = this->options.self](
+                                       std::vector<RolloutRecord>& records) {
     for (const Ended& ended : ends) {
-      FinishRollout(records, ended.service, ended.number, ended.state);
+      FinishRollout(records, ended.service, ended.number, self, ended.state);
     }
   });
 }
--- a/knapweedroad/rollout/rollout_orders.cc
+++ b/knapweedroad/rollout/rollout_orders.cc
@@ -97,10 +97,11 @@
 void FinishRollout(std::vector<RolloutRecord>& rollouts,
                    const ServiceId& service,
                    uint64_t number,
+                   const HostId& owner,
                    RolloutState state) {
   for (RolloutRecord& record : rollouts) {
     if (record.service == service && record.number == number &&
-        record.state == RolloutState::kRunning) {
+        record.owner == owner && record.state == RolloutState::kRunning) {
       record.state = state;
     }
   }
--- a/knapweedroad/rollout/rollout_orders.h
+++ b/knapweedroad/rollout/rollout_orders.h
@@ -3,7 +3,7 @@
 // each has to be deterministic, and applying one again has to change nothing.
 //
 //   ApplyOrder(state.rollouts, {.service = service, .candidate = v2, ...});
-//   FinishRollout(state.rollouts, service, number, RolloutState::kCompleted);
+//   FinishRollout(state.rollouts, service, number, owner, state);
 
 #ifndef KNAPWEEDROAD_ROLLOUT_ROLLOUT_ORDERS_H_
 #define KNAPWEEDROAD_ROLLOUT_ROLLOUT_ORDERS_H_
@@ -49,10 +49,12 @@
                 const RolloutRequest& request);
 
 // Sets the state of the service's rollout to `state` if it has this number and
-// is running. Changes nothing otherwise.
+// owner and is running. Changes nothing otherwise: a former owner gets no more
+// reports and can't judge the candidate.
 void FinishRollout(std::vector<RolloutRecord>& rollouts,
                    const ServiceId& service,
                    uint64_t number,
+                   const HostId& owner,
                    RolloutState state);
 
 // Changes the owner of the service's rollout to `to` if the rollout is running
--- a/knapweedroad/rollout/rollout_orders_test.cc
+++ b/knapweedroad/rollout/rollout_orders_test.cc
@@ -8,13 +8,14 @@
 using std::chrono::seconds;
 
 const ServiceId kService("s");
+const HostId kOwner("c1");
 
 RolloutRequest MakeRequest(const char* version, int64_t at_s) {
   return {.service = kService,
           .candidate = VersionId(version),
           .serving_version = VersionId("v1"),
           .duration = seconds(12),
-          .owner = HostId("c1"),
+          .owner = kOwner,
           .now_ms = at_s * 1000,
           .resend_window = seconds(6)};
 }
@@ -25,9 +26,9 @@
   cr_assert(rollouts.size() == 1);
   cr_expect(rollouts[0].state == RolloutState::kRunning);
   cr_expect(rollouts[0].stable == VersionId("v1"));
-  FinishRollout(rollouts, kService, rollouts[0].number,
+  FinishRollout(rollouts, kService, rollouts[0].number, kOwner,
                 RolloutState::kRolledBack);
-  FinishRollout(rollouts, kService, rollouts[0].number,
+  FinishRollout(rollouts, kService, rollouts[0].number, kOwner,
                 RolloutState::kCompleted);
   cr_expect(rollouts[0].state == RolloutState::kRolledBack);
 }
@@ -42,7 +43,7 @@
   resent.owner = HostId("c2");
   ApplyOrder(rollouts, resent);
   cr_expect(rollouts == running);
-  FinishRollout(rollouts, kService, 1, RolloutState::kRolledBack);
+  FinishRollout(rollouts, kService, 1, kOwner, RolloutState::kRolledBack);
   const auto ended = rollouts;
   ApplyOrder(rollouts, resent);
   cr_expect(rollouts == ended);
@@ -52,7 +53,7 @@
      the_same_order_after_the_resend_window_starts_a_new_rollout) {
   std::vector<RolloutRecord> rollouts;
   ApplyOrder(rollouts, MakeRequest("v2", 100));
-  FinishRollout(rollouts, kService, 1, RolloutState::kRolledBack);
+  FinishRollout(rollouts, kService, 1, kOwner, RolloutState::kRolledBack);
   ApplyOrder(rollouts, MakeRequest("v2", 200));
   cr_expect(rollouts[0].state == RolloutState::kRunning);
   cr_expect(rollouts[0].number == 2);
@@ -80,7 +81,7 @@
 Test(rollout_orders, a_completed_candidate_becomes_the_next_stable_version) {
   std::vector<RolloutRecord> rollouts;
   ApplyOrder(rollouts, MakeRequest("v2", 100));
-  FinishRollout(rollouts, kService, 1, RolloutState::kCompleted);
+  FinishRollout(rollouts, kService, 1, kOwner, RolloutState::kCompleted);
   ApplyOrder(rollouts, MakeRequest("v3", 200));
   cr_expect(rollouts[0].stable == VersionId("v2"));
 }
@@ -90,10 +91,22 @@
   std::vector<RolloutRecord> rollouts;
   ApplyOrder(rollouts, MakeRequest("v2", 100));
   ApplyOrder(rollouts, MakeRequest("v3", 101));
-  FinishRollout(rollouts, kService, 1, RolloutState::kCompleted);
+  FinishRollout(rollouts, kService, 1, kOwner, RolloutState::kCompleted);
   cr_expect(rollouts[0].state == RolloutState::kRunning);
 }
 
+// Guards against a rollback by a former owner, which hears of no answers
+// because entry hosts report to its successor.
+Test(rollout_orders, a_former_owner_finishes_nothing) {
+  std::vector<RolloutRecord> rollouts;
+  ApplyOrder(rollouts, MakeRequest("v2", 100));
+  TakeOverRollout(rollouts, kService, kOwner, HostId("c2"));
+  FinishRollout(rollouts, kService, 1, kOwner, RolloutState::kRolledBack);
+  cr_expect(rollouts[0].state == RolloutState::kRunning);
+  FinishRollout(rollouts, kService, 1, HostId("c2"), RolloutState::kCompleted);
+  cr_expect(rollouts[0].state == RolloutState::kCompleted);
+}
+
 Test(rollout_orders, a_rollout_is_taken_over_only_from_its_owner) {
   std::vector<RolloutRecord> rollouts;
   ApplyOrder(rollouts, MakeRequest("v2", 100));
