The requests of fronts are named FrontRequest

Two structs of one name, CallerRequest in host/ and in edge/, were one type for the linker: with its new fields the one of edge/ was copied by the code made for the other, and entry hosts of the real program ended at their first request. The load reports of targets are named TargetLoadReport for the same reason.

--- a/bench/accounts/account_cost.cc
+++ b/bench/accounts/account_cost.cc
@@ -18,6 +18,7 @@
 #include "knapweedroad/accounts/account_table.h"
 #include "knapweedroad/routing/route_table.h"
 #include "platform/read_configuration.h"
+#include "platform/sample_accounts.h"
 
 namespace knapweedroad {
 namespace {
@@ -29,34 +30,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-// As long as a random key of 160 bits in hexadecimal.
-std::string Key(size_t number) {
-  constexpr size_t kDigits = 40;
-  std::mt19937_64 random(number);
-  std::string key = "k" + std::to_string(number) + "-";
-  while (key.size() < kDigits) {
-    key += "0123456789abcdef"[random() % 16];
-  }
-  return key;
-}
-
-std::string Configuration(size_t accounts) {
-  std::string text =
-      R"({"Version":1,"Routes":[{"Name":"r","Hostname":"a","PathPrefix":"/",
-      "RouteType":"safe","TimeoutMs":900,"Service":"s"}],
-      "Services":[{"Name":"s"}],"Tenants":[)";
-  for (size_t i = 0; i < accounts; ++i) {
-    text += i == 0 ? "" : ",";
-    text += R"({"Name":"account-)" + std::to_string(i) + R"(","ApiKeys":[)";
-    for (size_t key = 0; key < kKeysPerAccount; ++key) {
-      text += key == 0 ? "\"" : ",\"";
-      text += Key(i * kKeysPerAccount + key) + "\"";
-    }
-    text += R"(],"RatePerS":5,"Burst":10,"Priority":1})";
-  }
-  return text + "]}";
-}
-
 double MillisecondsSince(Clock::time_point start) {
   return std::chrono::duration<double, std::milli>(Clock::now() - start)
       .count();
@@ -101,7 +74,7 @@
 void MeasureLookup(const AccountTable& table, size_t accounts) {
   std::vector<std::string> keys;
   for (size_t i = 0; i < accounts * kKeysPerAccount; ++i) {
-    keys.push_back(Key(i));
+    keys.push_back(platform::SampleKey(i));
   }
   std::ranges::shuffle(keys, std::mt19937(1));
   size_t found = 0;
@@ -116,7 +89,8 @@
 }
 
 void Measure(size_t accounts) {
-  const std::string text = Configuration(accounts);
+  const std::string text =
+      platform::SampleConfiguration(accounts, kKeysPerAccount);
   MeasureReading(text);
   const size_t before = mallinfo2().uordblks;
   const auto table = std::make_unique<RouteTable>(Read(text));
--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -53,7 +53,7 @@
          static_cast<double>(time.tv_nsec) / 1e3;
 }
 
-LoadReport ParseLoad(std::string_view) {
+TargetLoadReport ParseLoad(std::string_view) {
   return {.load = TargetLoad{.running = 1, .waiting = 0, .slots = 3}};
 }
 
--- a/knapweedroad/edge/header_names.h
+++ b/knapweedroad/edge/header_names.h
@@ -17,7 +17,7 @@
 namespace knapweedroad {
 
 // A target's report of its load, as far as it could be read.
-struct LoadReport {
+struct TargetLoadReport {
   std::optional<TargetLoad> load;
   // Whether the report, or a part of it, was ignored.
   bool is_malformed = false;
@@ -51,7 +51,7 @@
   std::string ready_path = "/ready";
 
   // Read the values of `load` and `cold_left`; nothing if they are malformed.
-  std::function<LoadReport(std::string_view)> parse_load;
+  std::function<TargetLoadReport(std::string_view)> parse_load;
   std::function<std::optional<Duration>(std::string_view)> parse_cold_left;
 };
 
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -220,7 +220,7 @@
   } else if (IsSameName(name, this->header_names.not_run)) {
     reply.says_not_run = true;
   } else if (IsSameName(name, this->header_names.load)) {
-    const LoadReport report = this->header_names.parse_load(value);
+    const TargetLoadReport report = this->header_names.parse_load(value);
     reply.load = report.load;
     reply.has_malformed_load = report.is_malformed;
   } else if (IsSameName(name, this->header_names.target)) {
--- a/knapweedroad/edge/target_links_test.cc
+++ b/knapweedroad/edge/target_links_test.cc
@@ -133,7 +133,8 @@
   Runtime runtime;
   HeaderNames header_names;
   header_names.parse_load = [](std::string_view) {
-    return LoadReport{.load = TargetLoad{.slots = 2}, .is_malformed = true};
+    return TargetLoadReport{.load = TargetLoad{.slots = 2},
+                            .is_malformed = true};
   };
   HttpServer target(
       runtime, {.endpoint = {"127.0.0.1", 0},
--- a/knapweedroad/host/caller_answer.cc
+++ b/knapweedroad/host/caller_answer.cc
@@ -15,8 +15,7 @@
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-HttpResponse Answered(const CallerRequest& request,
-                      const SnapshotId& snapshot) {
+HttpResponse Answered(const FrontRequest& request, const SnapshotId& snapshot) {
   HttpResponse response;
   response.headers["Knapweed-Request-Id"] = request.request_id;
   response.headers["Knapweed-Snapshot"] = snapshot.ToString();
@@ -27,7 +26,7 @@
 
 }  // namespace
 
-HttpResponse QueryResponse(const CallerRequest& request,
+HttpResponse QueryResponse(const FrontRequest& request,
                            const QueryAnswer& answer,
                            const HostId& host) {
   HttpResponse response = Answered(request, answer.snapshot);
@@ -52,7 +51,7 @@
   return response;
 }
 
-HttpResponse RecordResponse(const CallerRequest& request,
+HttpResponse RecordResponse(const FrontRequest& request,
                             const RecordReply& reply,
                             const HostId& host) {
   if (!reply.found) {
--- a/knapweedroad/host/caller_answer.h
+++ b/knapweedroad/host/caller_answer.h
@@ -11,12 +11,12 @@
 
 namespace knapweedroad {
 
-HttpResponse QueryResponse(const CallerRequest& request,
+HttpResponse QueryResponse(const FrontRequest& request,
                            const QueryAnswer& answer,
                            const HostId& host);
 
 // 200 with the record, or 404 with outcome `run`.
-HttpResponse RecordResponse(const CallerRequest& request,
+HttpResponse RecordResponse(const FrontRequest& request,
                             const RecordReply& reply,
                             const HostId& host);
 
--- a/knapweedroad/host/caller_request.cc
+++ b/knapweedroad/host/caller_request.cc
@@ -117,7 +117,7 @@
 }
 
 tl::expected<void, QueryRefusal> ReadTenant(const HttpRequest& http,
-                                            CallerRequest& request) {
+                                            FrontRequest& request) {
   const auto tenant = NameHeader(http, "Knapweed-Tenant");
   const auto request_class = NameHeader(http, "Knapweed-Class");
   if (!tenant || !request_class) {
@@ -151,7 +151,7 @@
 }
 
 tl::expected<void, QueryRefusal> ReadQueryBody(const HttpRequest& http,
-                                               CallerRequest& request) {
+                                               FrontRequest& request) {
   const auto body = nlohmann::json::parse(http.body, nullptr, false);
   if (!body.is_object() || !body.contains("query") ||
       !body["query"].is_string()) {
@@ -173,7 +173,7 @@
 
 tl::expected<void, QueryRefusal> ReadWork(const HttpRequest& http,
                                           const Route& route,
-                                          CallerRequest& request) {
+                                          FrontRequest& request) {
   const bool is_search = request.front->kind == FrontKind::kSearch;
   if (is_search != (route.work == AttemptWork::kSearch)) {
     return tl::unexpected(BadRequest(
@@ -212,7 +212,7 @@
   return IsName(id) ? std::string(id) : std::string();
 }
 
-tl::expected<CallerRequest, QueryRefusal> ReadCallerRequest(
+tl::expected<FrontRequest, QueryRefusal> ReadCallerRequest(
     const HttpRequest& http,
     const std::shared_ptr<const DeploymentConfig>& configuration,
     TimePoint received,
@@ -226,7 +226,7 @@
     return tl::unexpected(BadRequest(
         404, "Unknown front", "there is no front " + route->front.str()));
   }
-  CallerRequest request{
+  FrontRequest request{
       .front = std::shared_ptr<const FrontConfig>(configuration, front),
       .start = received};
   const auto id = NameHeader(http, "Knapweed-Request-Id");
--- a/knapweedroad/host/caller_request.h
+++ b/knapweedroad/host/caller_request.h
@@ -23,7 +23,7 @@
 
 namespace knapweedroad {
 
-struct CallerRequest {
+struct FrontRequest {
   // Keeps the front's configuration as it was when the request came.
   std::shared_ptr<const FrontConfig> front;
   AttemptWork work = AttemptWork::kSearch;
@@ -48,7 +48,7 @@
 // The largest `limit` of a query.
 inline constexpr uint32_t kMaxHits = 1000;
 
-tl::expected<CallerRequest, QueryRefusal> ReadCallerRequest(
+tl::expected<FrontRequest, QueryRefusal> ReadCallerRequest(
     const HttpRequest& http,
     const std::shared_ptr<const DeploymentConfig>& configuration,
     TimePoint received,
--- a/knapweedroad/host/caller_request_test.cc
+++ b/knapweedroad/host/caller_request_test.cc
@@ -18,7 +18,7 @@
   return std::make_shared<const DeploymentConfig>(all);
 }
 
-tl::expected<CallerRequest, QueryRefusal> Read(const HttpRequest& http) {
+tl::expected<FrontRequest, QueryRefusal> Read(const HttpRequest& http) {
   return ReadCallerRequest(http, Configuration(), TimePoint(1s),
                            [] { return std::string("made-1"); });
 }
@@ -35,7 +35,7 @@
   return request ? 200 : request.error().status;
 }
 
-Test(CallerRequest, ReadsAQueryWithItsDefaults) {
+Test(FrontRequest, ReadsAQueryWithItsDefaults) {
   const auto request = Read(Query());
   cr_assert(request.has_value());
   cr_assert(request->deadline == TimePoint(1s) + 500ms);
@@ -44,13 +44,13 @@
   cr_assert(request->request_id == "made-1");
 }
 
-Test(CallerRequest, ADeadlineIsAtMostTheFronts) {
+Test(FrontRequest, ADeadlineIsAtMostTheFronts) {
   HttpRequest http = Query();
   http.headers["Knapweed-Deadline-Ms"] = "60000";
   cr_assert(Read(http)->deadline == TimePoint(1s) + 2s);
 }
 
-Test(CallerRequest, EveryMistakeHasItsStatusAndDidNotRun) {
+Test(FrontRequest, EveryMistakeHasItsStatusAndDidNotRun) {
   HttpRequest no_tenant = Query();
   no_tenant.headers.clear();
   HttpRequest stranger = Query();
@@ -75,7 +75,7 @@
 // A letter goes out twice: its lookup ran, the answer was lost, and a resend
 // met a host that was just starting and called it "not run", so the caller took
 // a new key.
-Test(CallerRequest, AResentLookupRefusedUnreadMayHaveRunBefore) {
+Test(FrontRequest, AResentLookupRefusedUnreadMayHaveRunBefore) {
   HttpRequest lookup{.method = "POST",
                      .path = "/v1/fronts/notices/records/r1/lookup"};
   cr_expect(OutcomeUnread(lookup) == RunOutcome::kUnknown);
@@ -84,7 +84,7 @@
   cr_expect(OutcomeUnread(Query()) == RunOutcome::kNotRun);
 }
 
-Test(CallerRequest, ALookupNeedsItsKey) {
+Test(FrontRequest, ALookupNeedsItsKey) {
   HttpRequest lookup{.method = "POST",
                      .path = "/v1/fronts/notices/records/r1/lookup",
                      .headers = {{"Knapweed-Tenant", "press"}}};
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -50,17 +50,17 @@
         options(std::move(options)),
         random(this->options.seed) {}
 
-  std::shared_ptr<FrontRuntime> FrontOf(const CallerRequest& request);
-  QueryHooks HooksFor(const CallerRequest& request);
-  AttemptCall CallFor(const CallerRequest& request, const SendAttempt& send);
-  HttpResponse AnswerQuery(const CallerRequest& request,
+  std::shared_ptr<FrontRuntime> FrontOf(const FrontRequest& request);
+  QueryHooks HooksFor(const FrontRequest& request);
+  AttemptCall CallFor(const FrontRequest& request, const SendAttempt& send);
+  HttpResponse AnswerQuery(const FrontRequest& request,
                            const FrontPtr& front,
                            HttpExchange& exchange);
-  HttpResponse AnswerRecord(const CallerRequest& request,
+  HttpResponse AnswerRecord(const FrontRequest& request,
                             const FrontPtr& front,
                             HttpExchange& exchange);
-  HttpResponse AnswerLookup(const CallerRequest& request);
-  void CountEnd(const CallerRequest& request,
+  HttpResponse AnswerLookup(const FrontRequest& request);
+  void CountEnd(const FrontRequest& request,
                 FrontRuntime& front,
                 const QueryRunStats& stats,
                 bool abandoned);
@@ -73,7 +73,7 @@
 };
 
 std::shared_ptr<FrontRuntime> Coordinator::State::FrontOf(
-    const CallerRequest& request) {
+    const FrontRequest& request) {
   auto& entry = this->fronts[request.front->name];
   if (entry == nullptr || *entry->front != *request.front) {
     entry = std::make_shared<FrontRuntime>(request.front);
@@ -81,7 +81,7 @@
   return entry;
 }
 
-QueryHooks Coordinator::State::HooksFor(const CallerRequest& request) {
+QueryHooks Coordinator::State::HooksFor(const FrontRequest& request) {
   return {.candidates =
               [this, front = request.front->name](const ServiceId& service) {
                 return this->options.candidates(front, service);
@@ -94,7 +94,7 @@
           .random = [this] { return this->random(); }};
 }
 
-AttemptCall Coordinator::State::CallFor(const CallerRequest& request,
+AttemptCall Coordinator::State::CallFor(const FrontRequest& request,
                                         const SendAttempt& send) {
   return {.attempt = send.attempt,
           .target = send.target,
@@ -229,7 +229,7 @@
 
 }  // namespace
 
-void Coordinator::State::CountEnd(const CallerRequest& request,
+void Coordinator::State::CountEnd(const FrontRequest& request,
                                   FrontRuntime& front,
                                   const QueryRunStats& stats,
                                   bool abandoned) {
@@ -245,7 +245,7 @@
 
 namespace {
 
-void LogPartial(const CallerRequest& request, const QueryAnswer& answer) {
+void LogPartial(const FrontRequest& request, const QueryAnswer& answer) {
   std::string missing;
   for (const ServiceId& service : answer.missing_services) {
     missing += (missing.empty() ? "" : ",") + service.str();
@@ -260,7 +260,7 @@
 
 }  // namespace
 
-HttpResponse Coordinator::State::AnswerQuery(const CallerRequest& request,
+HttpResponse Coordinator::State::AnswerQuery(const FrontRequest& request,
                                              const FrontPtr& front,
                                              HttpExchange& exchange) {
   using Live = LiveRun<QueryRun, SearchReply>;
@@ -295,7 +295,7 @@
   return ProblemResponse(std::get<QueryRefusal>(*result), request.request_id);
 }
 
-HttpResponse Coordinator::State::AnswerRecord(const CallerRequest& request,
+HttpResponse Coordinator::State::AnswerRecord(const FrontRequest& request,
                                               const FrontPtr& front,
                                               HttpExchange& exchange) {
   using Live = LiveRun<RecordRun, RecordReply>;
@@ -324,7 +324,7 @@
   return ProblemResponse(std::get<QueryRefusal>(*result), request.request_id);
 }
 
-HttpResponse Coordinator::State::AnswerLookup(const CallerRequest& request) {
+HttpResponse Coordinator::State::AnswerLookup(const FrontRequest& request) {
   const RecordResult result = this->options.lookup(request);
   if (const auto* reply = std::get_if<RecordReply>(&result)) {
     return RecordResponse(request, *reply, this->options.host);
@@ -332,7 +332,7 @@
   return ProblemResponse(std::get<QueryRefusal>(result), request.request_id);
 }
 
-RecordResult Coordinator::RunLookup(const CallerRequest& request) {
+RecordResult Coordinator::RunLookup(const FrontRequest& request) {
   using Live = LiveRun<LookupRun, RecordReply>;
   const std::shared_ptr<State> self = this->state;
   auto live = std::make_shared<Live>(
@@ -359,7 +359,7 @@
 
 Coordinator::~Coordinator() = default;
 
-HttpResponse Coordinator::Answer(const CallerRequest& request,
+HttpResponse Coordinator::Answer(const FrontRequest& request,
                                  HttpExchange& exchange) {
   const std::shared_ptr<State> self = this->state;
   const std::shared_ptr<FrontRuntime> front = self->FrontOf(request);
--- a/knapweedroad/host/coordinator.h
+++ b/knapweedroad/host/coordinator.h
@@ -40,7 +40,7 @@
   std::function<std::vector<TargetCandidate>(const FrontId&, const ServiceId&)>
       candidates;
   // Runs a lookup at the host that is responsible for its key.
-  std::function<RecordResult(const CallerRequest&)> lookup;
+  std::function<RecordResult(const FrontRequest&)> lookup;
   uint64_t seed = 1;
 };
 
@@ -50,11 +50,11 @@
   ~Coordinator();
 
   // Blocks the calling fiber until the answer or refusal is there.
-  HttpResponse Answer(const CallerRequest& request, HttpExchange& exchange);
+  HttpResponse Answer(const FrontRequest& request, HttpExchange& exchange);
 
   // Runs a lookup from this host, whoever is responsible for its key. Blocks
   // the calling fiber.
-  RecordResult RunLookup(const CallerRequest& request);
+  RecordResult RunLookup(const FrontRequest& request);
 
   // A new configuration is in force: measured state of fronts that are gone
   // is dropped.
--- a/knapweedroad/host/host.cc
+++ b/knapweedroad/host/host.cc
@@ -172,7 +172,7 @@
                                                            Runtime::Now());
                        },
                    .lookup =
-                       [this](const CallerRequest& request) {
+                       [this](const FrontRequest& request) {
                          return this->lookups.Run(request);
                        },
                    .seed = RandomNumber()}),
@@ -181,7 +181,7 @@
           {.settings = this->settings,
            .links = this->links,
            .run =
-               [this](const CallerRequest& request) {
+               [this](const FrontRequest& request) {
                  return this->coordinator.RunLookup(request);
                },
            .find_front =
--- a/knapweedroad/host/lookup_service.cc
+++ b/knapweedroad/host/lookup_service.cc
@@ -70,7 +70,7 @@
 };
 
 // A key is unique to its tenant and front.
-std::string FullKey(const CallerRequest& request) {
+std::string FullKey(const FrontRequest& request) {
   return request.front->name.str() + "/" + request.tenant.str() + "/" +
          request.idempotency_key;
 }
@@ -92,11 +92,11 @@
     }
   }
 
-  RecordResult RunHere(const CallerRequest& request);
+  RecordResult RunHere(const FrontRequest& request);
   RecordResult WaitFor(const std::string& key,
                        WaiterId waiter,
                        TimePoint deadline);
-  RecordResult RunAt(const HostId& host, const CallerRequest& request);
+  RecordResult RunAt(const HostId& host, const FrontRequest& request);
   tl::expected<std::string, std::string> OnCall(const std::string& body);
 
   Runtime& runtime;
@@ -128,7 +128,7 @@
                       .retry_after = kDefaultRetryAfter};
 }
 
-RecordResult LookupService::State::RunHere(const CallerRequest& request) {
+RecordResult LookupService::State::RunHere(const FrontRequest& request) {
   const std::string key = FullKey(request);
   const WaiterId waiter = ++this->last_waiter;
   this->is_first_send = request.first_send;
@@ -154,7 +154,7 @@
 }
 
 RecordResult LookupService::State::RunAt(const HostId& host,
-                                         const CallerRequest& request) {
+                                         const FrontRequest& request) {
   PeerClient* peer = this->options.links.Find(host);
   if (peer == nullptr) {
     return Unreachable({.detail = "is not known here"}, request.first_send);
@@ -189,18 +189,18 @@
     return tl::unexpected(call.error());
   }
   const TimePoint now = Runtime::Now();
-  CallerRequest request{.front = this->options.find_front(call->front),
-                        .work = AttemptWork::kLookup,
-                        .tenant = call->tenant,
-                        .request_class = call->request_class,
-                        .tenant_weight = call->tenant_weight,
-                        .class_weight = call->class_weight,
-                        .start = now,
-                        .deadline = now + Duration(call->remaining_ns),
-                        .request_id = call->request_id,
-                        .idempotency_key = call->idempotency_key,
-                        .first_send = call->first_send,
-                        .record_id = call->record_id};
+  FrontRequest request{.front = this->options.find_front(call->front),
+                       .work = AttemptWork::kLookup,
+                       .tenant = call->tenant,
+                       .request_class = call->request_class,
+                       .tenant_weight = call->tenant_weight,
+                       .class_weight = call->class_weight,
+                       .start = now,
+                       .deadline = now + Duration(call->remaining_ns),
+                       .request_id = call->request_id,
+                       .idempotency_key = call->idempotency_key,
+                       .first_send = call->first_send,
+                       .record_id = call->record_id};
   if (request.front == nullptr) {
     return tl::unexpected(std::string("there is no such front here"));
   }
@@ -220,7 +220,7 @@
       });
 }
 
-RecordResult LookupService::Run(const CallerRequest& request) {
+RecordResult LookupService::Run(const FrontRequest& request) {
   const TargetId key(FullKey(request));
   const HostId host = RendezvousOrder(key, this->state->hosts).front();
   return host == this->state->options.settings.name
--- a/knapweedroad/host/lookup_service.h
+++ b/knapweedroad/host/lookup_service.h
@@ -31,7 +31,7 @@
   const HostSettings& settings;
   PeerLinks& links;
   // Runs the lookup here, now; blocks the calling fiber.
-  std::function<RecordResult(const CallerRequest&)> run;
+  std::function<RecordResult(const FrontRequest&)> run;
   // The front as it is configured on this host, or null.
   std::function<std::shared_ptr<const FrontConfig>(const FrontId&)> find_front;
 };
@@ -45,7 +45,7 @@
   void Start();
 
   // Blocks the calling fiber until the result.
-  RecordResult Run(const CallerRequest& request);
+  RecordResult Run(const FrontRequest& request);
 
  private:
   struct State;
