--- a/knapweedroad/base/boot_clock.h
+++ b/knapweedroad/base/boot_clock.h
@@ -20,7 +20,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
   // The name that the standard requires.
-  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
+  static constexpr bool is_steady =
+      true;  // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept;
 };
