--- a/knapweedroad/base/boot_clock.h
+++ b/knapweedroad/base/boot_clock.h
@@ -19,9 +19,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  // The name that the standard requires.
-  static constexpr bool is_steady =
-      true;  // NOLINT(readability-identifier-naming)
+  // The standard requires this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   static time_point now() noexcept;
 };
