Quotas: the first leader grants as soon as a quorum has confirmed it

A new term waits for the lease of the term before. The first term has none before it, so after a loss of power of all hosts, or at the first start, a second passed in which every request of an account with a limit was rejected. The test of the wait now uses the second term; the first term has its own.

--- a/knapweedroad/quota/leader_lease.cc
+++ b/knapweedroad/quota/leader_lease.cc
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace knapweedroad {
+namespace {
+
+constexpr uint64_t kFirstTerm = 1;
+
+}  // namespace
 
 LeaderLease::LeaderLease(LeaderLeaseOptions options)
     : options(std::move(options)) {}
@@ -14,6 +19,10 @@
   }
   this->newest = leader;
   this->confirmed_at.reset();
+  if (leader.term == kFirstTerm) {
+    this->term_begins = now;
+    return;
+  }
   // Twice the drift, so that it ends strictly later than the lease of the term
   // before, by any clock.
   this->term_begins =
--- a/knapweedroad/quota/leader_lease.h
+++ b/knapweedroad/quota/leader_lease.h
@@ -27,8 +27,9 @@
 // The lease of a term is held for `length` after the begin of the newest
 // confirmation by a quorum that the agreed state still names this host and
 // term. A new term begins `length` plus the clock drift after this host learned
-// of it, when all confirmations of the term before have ended. No two hosts
-// hold it at the same time, as the agreed state names one host at a time.
+// of it, when all confirmations of the term before have ended; the first term
+// has none before it and begins at once. No two hosts hold it at the same time,
+// as the agreed state names one host at a time.
 class LeaderLease {
  public:
   explicit LeaderLease(LeaderLeaseOptions options);
--- a/knapweedroad/quota/leader_lease_test.cc
+++ b/knapweedroad/quota/leader_lease_test.cc
@@ -29,6 +29,17 @@
   cr_assert_eq(after.term(), 2u);
 }
 
+// Guards against requests that wait for a lease that nobody else can hold, for
+// example after all hosts were restarted.
+Test(LeaderLease, TheFirstTermBeginsWithItsConfirmation) {
+  LeaderLease lease({.self = kFirst.host});
+  lease.OnAgreed(kFirst, At(0));
+  cr_assert_not(lease.IsHeld(At(0)));
+  lease.OnConfirmed(kFirst, At(10));
+  cr_assert(lease.IsHeld(At(10)));
+  cr_assert_not(lease.IsHeld(At(1010)));
+}
+
 // Guards against a leader that grants without a quorum.
 Test(LeaderLease, EndsWithoutANewConfirmation) {
   LeaderLease lease({.self = kFirst.host});
--- a/knapweedroad/quota/quota_leadership_test.cc
+++ b/knapweedroad/quota/quota_leadership_test.cc
@@ -54,7 +54,7 @@
 // and against one that never begins.
 Test(quota_leadership, a_term_grants_only_after_a_lease_length) {
   World world;
-  world.leadership.OnAgreed(1, kFirstTerm, world.now);
+  world.leadership.OnAgreed(1, {.host = kSelf, .term = 2}, world.now);
   world.now += 900ms;
   world.leadership.OnConfirmed(1, world.now);
   cr_expect(world.Ask(1) == 0);
