Targets without a reported service time are judged as before; slowness counts once

A health answer's load changed the cost and the concurrency limit of targets that report no service time; it now counts only with one. The slowdown of a machine was multiplied into the latency that other hosts had measured, which contains it already. The waiting time of an abandoned attempt could lower a target's latency, and a slow machine was taken for silent sooner than before. A rollout without a quorum until after its overtime was rolled back as in doubt at once; it now gets the time that its candidate could get requests.

--- a/knapweedroad/rollout/rollout_controller.cc
+++ b/knapweedroad/rollout/rollout_controller.cc
@@ -209,7 +209,10 @@
   const Duration phase_duration = now - this->phase_entered_at;
   if (!this->version_comparison.is_evidence_weak() ||
       !this->version_comparison.is_evidence_sufficient()) {
-    if (this->IsOvertimeOver(now) && phase_duration >= kMinEvidenceTime) {
+    const bool had_requests =
+        fleet.may_expose && now - this->reachable_since >= kMinEvidenceTime;
+    if (this->IsOvertimeOver(now) && phase_duration >= kMinEvidenceTime &&
+        had_requests) {
       this->Decide(RolloutState::kRolledBack, "in_doubt");
     }
     return;
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -195,8 +195,9 @@
     if (target.sent_times.empty() || target.is_ejected) {
       continue;
     }
+    const double slowdown = std::max(1.0, target.slowdown.Factor(now));
     const double usual_ns =
-        std::max(target.latency_ns, target.service->latency_ns);
+        std::max(target.latency_ns * slowdown, target.service->latency_ns);
     const Duration max_silence = std::max<Duration>(
         kMinUnresponsiveAge,
         Duration(static_cast<int64_t>(kUnresponsiveFactor * usual_ns)));
@@ -229,8 +230,10 @@
   this->EndAttempt(*target);
   const auto latency_ns = static_cast<double>(waited.count());
   const double usual_ns = target->service->latency_ns;
+  // The waiting time is a lower bound, so it must not lower the latency.
+  const double slowdown = std::max(1.0, target->slowdown.Factor(now));
   if (latency_ns > kAbandonedFactor * usual_ns &&
-      latency_ns > target->latency_ns) {
+      latency_ns > target->latency_ns * slowdown) {
     this->RecordLatency(*target, latency_ns, kAbandonedWeight, {}, now);
   }
 }
@@ -286,7 +289,11 @@
     this->ReportHealthChange(*target, "gone", "another_at_its_address");
     return;
   }
-  this->RecordLoad(*target, result.load, now);
+  // Health answers are rare and only partly about this host's attempts, so they
+  // count where targets report the state of their machine with them.
+  if (result.load && result.load->service_time_percent > 0) {
+    this->RecordLoad(*target, result.load, now);
+  }
   const bool is_colder = result.cold_left > Duration::zero() &&
                          now + result.cold_left > target->cold_until;
   if (result.is_reachable && this->IsInOtherZone(*target)) {
--- a/knapweedroad/routing/target_cost.cc
+++ b/knapweedroad/routing/target_cost.cc
@@ -103,7 +103,9 @@
 double CostOf(const BalancedTarget& target,
               const CostContext& context,
               TimePoint now) {
-  double latency = ExpectedLatency(target, context.usual_latency_ns, now);
+  // The latency that other hosts measured contains the slowdown already.
+  double latency = ExpectedLatency(target, context.usual_latency_ns, now) *
+                   target.slowdown.Factor(now);
   double failure_cost = kFailureCostFactor * FailureShare(target, now);
   if (context.uses_shared_outcomes) {
     failure_cost = std::max(failure_cost, kSharedFailureCostFactor *
@@ -114,7 +116,6 @@
           std::max(latency, context.usual_latency_ns * target.shared_slowdown);
     }
   }
-  latency *= target.slowdown.Factor(now);
   const double reported =
       static_cast<double>(target.load.running + target.load.waiting) *
       Decay(now - target.load_at, kLoadHalfLife);
