A caller's pipelined requests no longer use up the stack

Requests that are answered as soon as they have been read were dispatched from within the answer to the one before. About a thousand pipelined requests fit into one read, so a caller could end an entry host with requests to unknown routes and, since keys are checked, with requests without a key. Found by review.

Also from the review: a permit is given back only while it is too young to have been reported as spent, else one token could pay for two requests; permits aren't asked for or given back while the host shuts down.

--- a/knapweedroad/edge/caller_server.cc
+++ b/knapweedroad/edge/caller_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "knapweedroad/edge/caller_message.h"
@@ -322,8 +323,17 @@
   this->Enter(Phase::kIdle);
   if (this->inbox.empty()) {
     this->inbox = {};
+    this->AwaitBytes();
+    return;
   }
-  this->Parse();
+  // Posted, as requests that are answered at once would otherwise nest, and
+  // the stack would grow with the number of pipelined requests.
+  asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+    if (self->phase == Phase::kIdle && self->socket.is_open() &&
+        !self->inbox.empty()) {
+      self->Parse();
+    }
+  });
 }
 
 void CallerServer::State::Connection::Sweep(TimePoint now) {
--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -80,11 +80,15 @@
            .take_permit =
                [this](const AccountId& account,
                       std::function<void(const QuotaDecision&)> on_decision) {
-                 this->quota->Take(account, std::move(on_decision));
+                 if (this->quota != nullptr) {
+                   this->quota->Take(account, std::move(on_decision));
+                 }
                },
            .return_permit =
                [this](const AccountId& account) {
-                 this->quota->Return(account);
+                 if (this->quota != nullptr) {
+                   this->quota->Return(account);
+                 }
                }}),
       parts{.runtime = runtime,
             .header_names = this->options.header_names,
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -22,6 +22,7 @@
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/edge/unserved_services.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/quota/quota_tolerance.h"
 #include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_table.h"
@@ -348,7 +349,10 @@
           end.kind == RunEndKind::kAnswer,
       Runtime::Now());
   this->Log(end, status);
-  if (end.kind == RunEndKind::kNotRun) {
+  // The pool has reported an older permit as spent.
+  const bool is_permit_fresh =
+      decided - this->request->received < kPermitLifetime;
+  if (end.kind == RunEndKind::kNotRun && is_permit_fresh) {
     this->parts.admission.OnNotRun(*this->table, *this->route,
                                    this->request->account);
   }
