--- a/knapweedroad/routing/target_cost_test.cc
+++ b/knapweedroad/routing/target_cost_test.cc
@@ -46,6 +46,20 @@
   return random() % 7 == 0 ? 2.5 : 1;
 }
 
+// Guards against a slow machine that is avoided for the product of what it
+// reports and what other hosts measured, although both are the same slowness.
+Test(target_cost, slowness_that_other_hosts_measured_counts_once) {
+  constexpr double kUsualNs = 10e6;
+  constexpr double kSharedSlowdown = 3;
+  BalancedTarget target;
+  target.record.slots = 4;
+  target.slowdown.OnReport(250, 100, kStart);
+  target.shared_slowdown = kSharedSlowdown;
+  const double cost = CostOf(target, {.usual_latency_ns = kUsualNs}, kStart);
+  cr_expect(cost >= kUsualNs * kSharedSlowdown, "%g", cost);
+  cr_expect(cost < kUsualNs * kSharedSlowdown * 1.01, "%g", cost);
+}
+
 // Load pattern: noisy neighbours. Without the value a host learns of a slow
 // machine only from the answers that it has waited for.
 Test(target_cost, noisy_neighbours_get_less_than_half_of_the_requests) {
