Logs tell a lost target and equal content apart from other broken attempts

Callers saw 502; operators saw attempts end as 'broken', whether the target had closed the connection, the time was over or the bytes were no answer, and could not tell that requests with different ids had the same content.

An attempt whose target closed the connection without a byte of an answer now ends as 'disconnected', also where another host gathers (hosts of earlier versions read the new kind as broken), and writes target_lost with a fingerprint of the request's method, host, path and body. No decision changes.

--- a/knapweedroad/edge/caller_message.h
+++ b/knapweedroad/edge/caller_message.h
@@ -10,6 +10,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/routing/request_fingerprint.h"
 
 namespace knapweedroad {
 
@@ -40,6 +41,13 @@
   TimePoint received;
 };
 
+inline RequestFingerprint FingerprintOf(const CallerRequest& request) {
+  return MakeRequestFingerprint({.method = request.method,
+                                 .host = request.host,
+                                 .path = request.path,
+                                 .body = request.body});
+}
+
 struct CallerAnswer {
   int status = 200;
   // Header lines, each ended; without length and connection.
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -6,6 +6,7 @@
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
+#include "knapweedroad/edge/request_log.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_message.h"
@@ -76,6 +77,7 @@
   balancer.OnSent(start.target, now);
   Attempt& attempt = this->attempts[start.attempt];
   attempt.target = start.target;
+  attempt.service = record->service;
   attempt.sent = now;
   attempt.sampled =
       this->options.parts.sampler.OnSent(record->service, record->version);
@@ -282,6 +284,12 @@
   if (!outcome.word.empty()) {
     this->Note(attempt, outcome.word, reply.answer.status);
   }
+  if (reply.kind == ReplyKind::kDisconnected) {
+    LogTargetLost(*this->options.request, {.route = this->options.route.name,
+                                           .service = attempt.service,
+                                           .target = attempt.target,
+                                           .took = took});
+  }
   this->Sample(attempt, outcome, reply);
   return outcome.outcome;
 }
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -105,6 +105,7 @@
  private:
   struct Attempt {
     TargetId target;
+    ServiceId service;
     TimePoint sent;
     SampledAttempt sampled;
     std::shared_ptr<TargetExchange> exchange;
--- a/knapweedroad/edge/request_log.cc
+++ b/knapweedroad/edge/request_log.cc
@@ -84,6 +84,17 @@
       .Info();
 }
 
+void LogTargetLost(const CallerRequest& request, const LostAttempt& lost) {
+  LogLine("target_lost")
+      .Add("fingerprint", ToString(FingerprintOf(request)))
+      .Add("id", request.id)
+      .Add("route", lost.route)
+      .Add("service", lost.service)
+      .Add("target", lost.target)
+      .Add("took_ms", Ms(lost.took))
+      .Info();
+}
+
 void LogCallerLeftUnadmitted(const CallerRequest& request,
                              std::string_view route,
                              Duration took) {
--- a/knapweedroad/edge/request_log.h
+++ b/knapweedroad/edge/request_log.h
@@ -66,6 +66,17 @@
 
 void LogCallerLeft(const RequestLogContext& context, Duration took);
 
+struct LostAttempt {
+  std::string_view route;
+  const ServiceId& service;
+  const TargetId& target;
+  Duration took{};
+};
+
+// A target closed the connection of an attempt without an answer. The
+// fingerprint finds all attempts of requests with the same content.
+void LogTargetLost(const CallerRequest& request, const LostAttempt& lost);
+
 // The caller left before its request was admitted or refused.
 void LogCallerLeftUnadmitted(const CallerRequest& request,
                              std::string_view route,
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -35,6 +35,8 @@
       return "connection_rejected";
     case ReplyKind::kBroken:
       return "broken";
+    case ReplyKind::kDisconnected:
+      return "disconnected";
   }
   return "unknown";
 }
@@ -172,7 +174,8 @@
       return;
     }
   }
-  this->Break();
+  this->Break(this->reader->got_some() ? ReplyKind::kBroken
+                                       : ReplyKind::kDisconnected);
 }
 
 void TargetConnection::Parse(std::string_view bytes) {
@@ -181,7 +184,7 @@
     const size_t used = this->reader->Put(bytes, error);
     bytes.remove_prefix(used);
     if (error) {
-      this->Break();
+      this->Break(ReplyKind::kBroken);
       return;
     }
     if (!this->reader->is_done()) {
@@ -289,11 +292,11 @@
   }
 }
 
-void TargetConnection::Break() {
+void TargetConnection::Break(ReplyKind kind) {
   const auto done = std::exchange(this->on_done, nullptr);
   this->Close();
   if (done) {
-    done({.kind = ReplyKind::kBroken});
+    done({.kind = kind});
   }
 }
 
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -29,6 +29,7 @@
 }  // namespace internal
 
 struct HeaderNames;
+enum class ReplyKind : uint8_t;
 struct TargetReply;
 
 // How an attempt to connect ended.
@@ -96,7 +97,7 @@
   // Whether the message just read was another request's.
   bool IsLeftOver() const;
   void Finish(bool has_extra_bytes);
-  void Break();
+  void Break(ReplyKind kind);
   TargetReply Convert();
   // Takes the line in, if it is one that a host reads itself.
   void ReadLine(std::string_view name,
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -176,7 +176,9 @@
          .request_id = std::move(this->send.request_id),
          .wants_header = this->send.wants_header},
         [self = this->shared_from_this()](TargetReply reply) {
-          if (self->is_fresh && reply.kind == ReplyKind::kBroken) {
+          const bool is_cut = reply.kind == ReplyKind::kBroken ||
+                              reply.kind == ReplyKind::kDisconnected;
+          if (self->is_fresh && is_cut) {
             self->RememberRejected();
           }
           if (reply.has_malformed_load) {
--- a/knapweedroad/edge/target_outcome.cc
+++ b/knapweedroad/edge/target_outcome.cc
@@ -56,6 +56,9 @@
       balancer.OnConnectionRejected(target, now);
       return {.outcome = AttemptOutcome::kNeverSent,
               .word = "connection_rejected"};
+    case ReplyKind::kDisconnected:
+      balancer.OnBroken(target, now);
+      return {.outcome = AttemptOutcome::kBroken, .word = "disconnected"};
     case ReplyKind::kBroken:
       break;
   }
--- a/knapweedroad/edge/target_prober.cc
+++ b/knapweedroad/edge/target_prober.cc
@@ -52,6 +52,7 @@
   const ProbeResult result{
       .is_reachable = is_reachable,
       .is_inconclusive = reply.kind == ReplyKind::kBroken ||
+                         reply.kind == ReplyKind::kDisconnected ||
                          reply.kind == ReplyKind::kRejected,
       .is_other_target =
           is_reachable && !reply.target.empty() && reply.target != target.str(),
--- a/knapweedroad/edge/target_reply.h
+++ b/knapweedroad/edge/target_reply.h
@@ -18,7 +18,10 @@
   kAnswered,     // a whole answer for this request
   kUnreachable,  // no connection: nothing was sent
   kRejected,     // a new connection was closed before anything was sent
-  kBroken,       // the connection ended, or the bytes are no answer
+  kBroken,       // no whole answer in time, or the bytes are no answer
+  // The target closed the connection before any byte of an answer. Not known to
+  // hosts of earlier versions, which treat it as kBroken.
+  kDisconnected,
 };
 
 std::string_view ToString(ReplyKind kind);
