A request under which targets end is sent to few more, and then refused

Callers saw 502 for a request that ends each target that runs it, and 503 for sound ones once its targets were gone: a closed connection counted as a failure of the target alone, so retries, hedges and callers' repeats at other hosts carried the request to ever new targets. Bounds held per shard, per request id and per service, none per content.

routing/query_of_death_detector remembers, by a fingerprint of the content, the targets that closed the connection of an attempt without an answer. A request that has lost targets is sent again to few at a time (at most three lost or at risk; one more where more were lost at once), no hedge or retry beyond that. The first answer clears it, for the shards of a scatter each by itself from then on. Three lost targets, one of which was asked after another was lost, condemn it for 60 s: 502 with Retry-After, repeats 503 at once, which is true, as nothing is sent. A target that answers a health probe within 500 ms, not cold, hasn't ended and doesn't count. edge/loss_sharing tells the entry hosts of the zone, and two of each other zone, which pass it on; 50 messages a second at most.

A sound request loses many targets only at once, with their domain or their connections: it is tried on one more, and sent to all others when that answers.

--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -28,10 +28,12 @@
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/header_names.h"
+#include "knapweedroad/edge/loss_sharing.h"
 #include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/query_of_death_detector.h"
 #include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/weighted_round_robin.h"
@@ -98,6 +100,7 @@
               {.header_names = this->header_names,
                .on_idle_closed = [](const TargetId&) {}}),
         gather_links(runtime, this->relays),
+        loss_sharing(runtime, {.detector = this->detector}),
         parts{.runtime = runtime,
               .header_names = this->header_names,
               .balancer = this->balancer,
@@ -110,6 +113,8 @@
               .sampler = AnswerSampler({.host = HostId("host"), .epoch = 1}),
               .relays = this->relays,
               .gather_links = this->gather_links,
+              .detector = this->detector,
+              .loss_sharing = this->loss_sharing,
               .table = MakeTable(shards)},
         callers(runtime,
                 {.endpoint = {"127.0.0.1", 0},
@@ -144,6 +149,8 @@
   TargetLinks links;
   RelayChoice relays{{}};
   GatherLinks gather_links;
+  QueryOfDeathDetector detector{{}};
+  LossSharing loss_sharing;
   EntryMetrics metrics;
   RequestAdmission admission{{}};
   WeightedRoundRobin rotation;
--- a/knapweedroad/edge/admit_request_test.cc
+++ b/knapweedroad/edge/admit_request_test.cc
@@ -15,12 +15,14 @@
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/gather_links.h"
+#include "knapweedroad/edge/loss_sharing.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/quota/quota_decision.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/query_of_death_detector.h"
 #include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/weighted_round_robin.h"
@@ -86,6 +88,8 @@
       {.header_names = names, .on_idle_closed = [](const TargetId&) {}}};
   RelayChoice relays{{}};
   GatherLinks gather_links{runtime, relays};
+  QueryOfDeathDetector detector{{}};
+  LossSharing loss_sharing{runtime, {.detector = detector}};
   WeightedRoundRobin rotation;
   EntryMetrics metrics;
   RequestAdmission admission{
@@ -104,6 +108,8 @@
                    .sampler = AnswerSampler({.host = HostId("e"), .epoch = 1}),
                    .relays = relays,
                    .gather_links = gather_links,
+                   .detector = detector,
+                   .loss_sharing = loss_sharing,
                    .table = MakeTable()};
 };
 
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -130,6 +130,16 @@
   if (this->quota != nullptr) {
     this->SetQuotaMetrics();
   }
+  this->metrics.SetGauge("suspect_requests",
+                         static_cast<double>(this->detector.suspect_count()));
+  this->metrics.SetGauge("condemned_requests",
+                         static_cast<double>(this->detector.condemned_count()));
+  this->metrics.SetGauge("loss_reports_sent",
+                         static_cast<double>(this->loss_sharing.sent()));
+  this->metrics.SetGauge("loss_reports_received",
+                         static_cast<double>(this->loss_sharing.received()));
+  this->metrics.SetGauge("loss_reports_dropped",
+                         static_cast<double>(this->loss_sharing.dropped()));
   this->metrics.SetGauge(
       "entry_hosts", static_cast<double>(this->balancer.entry_host_count()));
   return this->metrics.Print();
@@ -258,6 +268,8 @@
   if (++this->ticks % kSweepTicks == 0) {
     this->callers->Sweep(now);
     this->gather_relay.Sweep(now);
+    this->detector.Expire(now);
+    this->loss_sharing.Sweep(now);
     this->links.Prune([this](const TargetId& target) {
       const TargetRecord* const record = this->balancer.Find(target);
       return record != nullptr && record->phase != TargetPhase::kGone &&
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -19,6 +19,7 @@
 #include "knapweedroad/edge/freshness_client.h"
 #include "knapweedroad/edge/gather_links.h"
 #include "knapweedroad/edge/gather_relay.h"
+#include "knapweedroad/edge/loss_sharing.h"
 #include "knapweedroad/edge/quota_client.h"
 #include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/rollout_reporter.h"
@@ -31,6 +32,7 @@
 #include "knapweedroad/registry/outcome_recorder.h"
 #include "knapweedroad/routing/entry_host_lists.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/query_of_death_detector.h"
 #include "knapweedroad/routing/relay_choice.h"
 #include "knapweedroad/routing/weighted_round_robin.h"
 
@@ -88,6 +90,8 @@
   RelayChoice relays;
   GatherLinks gather_links;
   GatherRelay gather_relay;
+  QueryOfDeathDetector detector;
+  LossSharing loss_sharing;
   EntryMetrics metrics;
   RequestAdmission admission;
   WeightedRoundRobin rotation;
--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -73,6 +73,15 @@
                     .header_names = this->options.header_names,
                     .links = this->links,
                     .balancer = this->balancer}),
+      detector({}),
+      loss_sharing(
+          runtime,
+          {.self = this->options.settings.name,
+           .zone = this->options.settings.zone,
+           .detector = this->detector,
+           .entry_hosts = [this]() -> const std::vector<EntryHostRecord>& {
+             return this->entry_hosts.All();
+           }}),
       admission(
           {.newest_table = [this] { return this->routing.newest_table(); },
            .is_configuration_fresh =
@@ -106,7 +115,9 @@
             .sampler = AnswerSampler(
                 {.host = this->options.settings.name, .epoch = RandomSeed()}),
             .relays = this->relays,
-            .gather_links = this->gather_links},
+            .gather_links = this->gather_links,
+            .detector = this->detector,
+            .loss_sharing = this->loss_sharing},
       routing({.read = this->options.read_routing,
                .is_served =
                    [this](const ServiceId& service) {
@@ -127,7 +138,11 @@
       freshness({.bound = this->options.settings.revocation_bound}),
       prober(std::make_shared<TargetProber>(this->options.header_names,
                                             this->balancer,
-                                            this->links)),
+                                            this->links,
+                                            [this](const TargetId& target) {
+                                              this->detector.OnTargetAlive(
+                                                  target, Runtime::Now());
+                                            })),
       rollouts(std::make_shared<RolloutReporter>(
           runtime,
           this->parts.sampler,
@@ -178,7 +193,9 @@
       PeerServerOptions{
           .endpoint = this->options.settings.peer_address,
           .handler = [this](PeerMessageType type, const std::string& body) {
-            return AnswerGatherCall(this->gather_relay, type, body);
+            return type == PeerMessageType::kLossReport
+                       ? this->loss_sharing.OnReport(body)
+                       : AnswerGatherCall(this->gather_relay, type, body);
           }});
   if (const auto port = this->peers->Start(); !port) {
     return tl::unexpected(port.error().detail);
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
@@ -22,8 +23,11 @@
 class EntryMetrics;
 class GatherLinks;
 class LoadBalancer;
+class LossSharing;
+class QueryOfDeathDetector;
 class RelayChoice;
 class RequestAdmission;
+class RequestAttempts;
 class RouteTable;
 class Runtime;
 class TargetLinks;
@@ -46,7 +50,11 @@
   AnswerSampler sampler;
   RelayChoice& relays;
   GatherLinks& gather_links;
+  QueryOfDeathDetector& detector;
+  LossSharing& loss_sharing;
   AnswerLeadTime lead{{}};
+  // Those of requests that run, or have just ended.
+  std::unordered_set<RequestAttempts*> running_attempts;
   std::unordered_map<ServiceId, RetryBudget> budgets;
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -12,6 +12,7 @@
 #include "knapweedroad/edge/caller_server.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
+#include "knapweedroad/edge/loss_sharing.h"
 #include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/request_attempts.h"
 #include "knapweedroad/edge/request_gathers.h"
@@ -144,8 +145,13 @@
       RequestAttemptsOptions{.parts = this->parts,
                              .request = this->request,
                              .route = *this->route,
+                             .route_name = this->route->name,
                              .memory = *this->memory,
                              .deadline = this->deadline});
+  this->hooks.check_send = [attempts = this->attempts.get()](
+                               const ServiceId& service, size_t unsent) {
+    return attempts->CheckSend(service, unsent);
+  };
   this->run.emplace(std::move(options), this->hooks);
   this->exchange->on_abandoned = [self = this->shared_from_this()] {
     self->Abandon();
@@ -289,7 +295,10 @@
           .account = LoggedAccount(this->table.get(), this->request->account),
           .run = *this->run,
           .allowed = this->deadline - this->request->received,
-          .attempt_log = this->attempts->log()};
+          .attempt_log = this->attempts->log(),
+          .fingerprint = this->attempts->loss_count() > 0
+                             ? this->attempts->fingerprint()
+                             : RequestFingerprint()};
 }
 
 void EntryRequest::Log(const RunEnd& end, int status) {
@@ -344,6 +353,12 @@
   const TimePoint decided = Runtime::Now();
   const int status = this->AnswerCaller(end);
   this->attempts->ReleaseAfterAnswer();
+  // The caller is about to repeat it at another host.
+  const bool is_failed =
+      end.kind == RunEndKind::kFailed || end.kind == RunEndKind::kExpired;
+  if (is_failed && this->attempts->loss_count() > 0) {
+    this->parts.loss_sharing.Share(this->attempts->fingerprint());
+  }
   this->parts.balancer.reachability().OnRequestEnded(
       /*is_served=*/end.kind == RunEndKind::kParts ||
           end.kind == RunEndKind::kAnswer,
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -6,6 +6,7 @@
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
+#include "knapweedroad/edge/loss_sharing.h"
 #include "knapweedroad/edge/request_log.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/edge/target_links.h"
@@ -51,10 +52,33 @@
   return reply;
 }
 
+AttemptFate FateOf(const TargetOutcome& outcome, const TargetReply& reply) {
+  if (reply.kind == ReplyKind::kDisconnected) {
+    return AttemptFate::kLost;
+  }
+  return outcome.outcome == AttemptOutcome::kAnswer ||
+                 outcome.outcome == AttemptOutcome::kFailure
+             ? AttemptFate::kAnswered
+             : AttemptFate::kUnknown;
+}
+
+AttemptFate FateOfReleased(const TargetReply& reply) {
+  if (reply.kind == ReplyKind::kDisconnected) {
+    return AttemptFate::kLost;
+  }
+  return IsAnswer(reply) ? AttemptFate::kAnswered : AttemptFate::kUnknown;
+}
+
 }  // namespace
 
 RequestAttempts::RequestAttempts(RequestAttemptsOptions options)
-    : options(std::move(options)) {}
+    : options(std::move(options)) {
+  this->options.parts.running_attempts.insert(this);
+}
+
+RequestAttempts::~RequestAttempts() {
+  this->options.parts.running_attempts.erase(this);
+}
 
 std::string RequestAttempts::Bytes(const TargetId& target) const {
   return MakeTargetMessage(this->options.parts.header_names,
@@ -78,6 +102,10 @@
   Attempt& attempt = this->attempts[start.attempt];
   attempt.target = start.target;
   attempt.service = record->service;
+  if (this->IsSuspect()) {
+    this->options.parts.detector.OnSent(this->fingerprint(),
+                                        {attempt.service, attempt.target});
+  }
   attempt.sent = now;
   attempt.sampled =
       this->options.parts.sampler.OnSent(record->service, record->version);
@@ -219,9 +247,10 @@
 
 // That another host or the way to it is gone says nothing of the target.
 void RequestAttempts::TakeLost(uint32_t number, TimePoint now) {
-  const Attempt& attempt = this->attempts[number];
+  Attempt& attempt = this->attempts[number];
   this->options.parts.balancer.OnAbandoned(attempt.target, Duration::zero(),
                                            now);
+  this->RecordFate(attempt, AttemptFate::kUnknown, now);
   this->options.parts.sampler.OnEnded(attempt.sampled);
   this->Note(attempt, "lost", 0);
 }
@@ -253,6 +282,83 @@
   }
 }
 
+RequestFingerprint RequestAttempts::fingerprint() {
+  if (!this->known_fingerprint) {
+    this->known_fingerprint = FingerprintOf(*this->options.request);
+  }
+  return *this->known_fingerprint;
+}
+
+bool RequestAttempts::IsSuspect() {
+  const QueryOfDeathDetector& detector = this->options.parts.detector;
+  if (this->checked_revision != detector.revision()) {
+    this->checked_revision = detector.revision();
+    const bool was_suspect = this->is_suspect;
+    this->is_suspect =
+        !detector.is_empty() && detector.IsSuspect(this->fingerprint());
+    if (this->is_suspect && !was_suspect) {
+      this->ReportAttempts();
+    }
+  }
+  return this->is_suspect;
+}
+
+void RequestAttempts::ReportAttempts() {
+  QueryOfDeathDetector& detector = this->options.parts.detector;
+  for (const Attempt& attempt : this->attempts) {
+    if (attempt.answered) {
+      detector.OnAnsweredBefore(this->fingerprint(), attempt.service,
+                                *attempt.answered);
+    } else if (attempt.exchange != nullptr || attempt.is_gathered) {
+      detector.OnSent(this->fingerprint(), {attempt.service, attempt.target});
+    }
+  }
+}
+
+SendPermission RequestAttempts::CheckSend(const ServiceId& service,
+                                          size_t unsent) {
+  return this->IsSuspect() ? this->options.parts.detector.Check(
+                                 this->fingerprint(), service, unsent)
+                           : SendPermission::kAllowed;
+}
+
+void RequestAttempts::RecordFate(Attempt& attempt,
+                                 AttemptFate fate,
+                                 TimePoint now) {
+  if (fate == AttemptFate::kAnswered) {
+    attempt.answered = now;
+  }
+  if (fate == AttemptFate::kLost) {
+    this->RecordLoss(attempt, now);
+  } else if (this->IsSuspect()) {
+    this->options.parts.detector.OnEnded(this->fingerprint(),
+                                         {attempt.service, attempt.target},
+                                         fate, attempt.sent, now);
+  }
+}
+
+void RequestAttempts::RecordLoss(const Attempt& attempt, TimePoint now) {
+  QueryOfDeathDetector& detector = this->options.parts.detector;
+  ++this->losses;
+  const bool is_condemned =
+      detector.OnEnded(this->fingerprint(), {attempt.service, attempt.target},
+                       AttemptFate::kLost, attempt.sent, now);
+  // Other callers' requests with the same content may be out as well.
+  for (RequestAttempts* const other : this->options.parts.running_attempts) {
+    other->IsSuspect();
+  }
+  LogTargetLost(*this->options.request, {.route = this->options.route_name,
+                                         .service = attempt.service,
+                                         .target = attempt.target,
+                                         .took = now - attempt.sent});
+  if (is_condemned) {
+    LogQueryOfDeath(
+        *this->options.request, this->options.route_name,
+        detector.MakeReport(this->fingerprint()).value_or(LossReport()));
+  }
+  this->options.parts.loss_sharing.ShareSoon(this->fingerprint());
+}
+
 void RequestAttempts::LearnPartBytes(size_t bytes) {
   double& known = this->options.memory.part_bytes;
   const auto seen = static_cast<double>(bytes);
@@ -284,12 +390,7 @@
   if (!outcome.word.empty()) {
     this->Note(attempt, outcome.word, reply.answer.status);
   }
-  if (reply.kind == ReplyKind::kDisconnected) {
-    LogTargetLost(*this->options.request, {.route = this->options.route.name,
-                                           .service = attempt.service,
-                                           .target = attempt.target,
-                                           .took = took});
-  }
+  this->RecordFate(attempt, FateOf(outcome, reply), now);
   this->Sample(attempt, outcome, reply);
   return outcome.outcome;
 }
@@ -309,6 +410,7 @@
       continue;
     }
     this->Note(attempt, "unanswered", 0);
+    this->RecordFate(attempt, AttemptFate::kUnknown, now);
     this->options.parts.balancer.OnAbandoned(attempt.target, now - attempt.sent,
                                              now);
     this->options.parts.sampler.OnGivenUp(attempt.sampled, attempt.target,
@@ -325,17 +427,20 @@
   this->ReleaseGathered(grace);
   LoadBalancer* const balancer = &this->options.parts.balancer;
   AnswerSampler* const sampler = &this->options.parts.sampler;
-  for (Attempt& attempt : this->attempts) {
+  for (size_t index = 0; index < this->attempts.size(); ++index) {
+    Attempt& attempt = this->attempts[index];
     if (attempt.exchange == nullptr) {
       continue;
     }
     this->Note(attempt, "unanswered", 0);
     attempt.exchange->Abandon(
-        grace, [balancer, sampler, target = attempt.target, sent = attempt.sent,
+        grace, [self = this->shared_from_this(), index, balancer, sampler,
+                target = attempt.target, sent = attempt.sent,
                 sampled = attempt.sampled,
                 route = this->options.route.name](const TargetReply& reply) {
           const TimePoint now = Runtime::Now();
           LearnReleased(*balancer, target, reply, now - sent, now);
+          self->RecordFate(self->attempts[index], FateOfReleased(reply), now);
           if (IsAnswer(reply)) {
             sampler->OnAnswered(sampled, target, route, reply.latency);
           } else {
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -26,6 +27,8 @@
 #include "knapweedroad/edge/target_outcome.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/rollout/answer_sampler.h"
+#include "knapweedroad/routing/query_of_death_detector.h"
+#include "knapweedroad/routing/request_fingerprint.h"
 
 namespace knapweedroad {
 
@@ -44,6 +47,8 @@
   // Still read after a release: a connection may only then be made.
   std::shared_ptr<const CallerRequest> request;
   const RouteConfig& route;
+  // Read after a release as well.
+  std::string route_name;
   RouteMemory& memory;
   TimePoint deadline;
 };
@@ -54,6 +59,7 @@
 
   // `parts` outlives all attempts, `route` and `memory` the last call.
   explicit RequestAttempts(RequestAttemptsOptions options);
+  ~RequestAttempts();
 
   // `on_reply` is called once, unless the attempt is released before.
   void Send(const AttemptStart& start, OnReply on_reply);
@@ -100,6 +106,14 @@
   void ReleaseAfterAnswer();
   void ReleaseAfterCallerLeft();
 
+  // Returns whether one more attempt may be sent to the service beside those
+  // that are out and `unsent` more.
+  SendPermission CheckSend(const ServiceId& service, size_t unsent);
+  // The number of targets that were lost in this run.
+  size_t loss_count() const { return this->losses; }
+  // Of the request's content.
+  RequestFingerprint fingerprint();
+
   const std::string& log() const { return this->attempt_log.text(); }
 
  private:
@@ -111,6 +125,7 @@
     std::shared_ptr<TargetExchange> exchange;
     // Another host makes it, and hasn't told how it ended.
     bool is_gathered = false;
+    std::optional<TimePoint> answered;
   };
 
   // Counts an attempt that is about to be sent.
@@ -130,6 +145,13 @@
   void ReleaseGathered(Duration grace);
   void LearnPartBytes(size_t bytes);
   void Note(const Attempt& attempt, std::string_view end, int status);
+  // Whether the detector remembers the request. When that becomes so, tells it
+  // of the attempts that are out and of those that were answered.
+  bool IsSuspect();
+  void ReportAttempts();
+  void RecordFate(Attempt& attempt, AttemptFate fate, TimePoint now);
+  // Reports a lost target, and with it what was answered before.
+  void RecordLoss(const Attempt& attempt, TimePoint now);
   void Release(Duration grace);
 
   RequestAttemptsOptions options;
@@ -139,6 +161,11 @@
   std::set<HostId> told;
   uint64_t request_token = 0;
   AttemptLog attempt_log;
+  size_t losses = 0;
+  std::optional<RequestFingerprint> known_fingerprint;
+  // The result of IsSuspect() at this revision of the detector.
+  bool is_suspect = false;
+  uint64_t checked_revision = 0;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/request_log.cc
+++ b/knapweedroad/edge/request_log.cc
@@ -2,6 +2,7 @@
 
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/routing/loss_report.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_config.h"
 #include "knapweedroad/routing/route_table.h"
@@ -70,6 +71,10 @@
       .Add("attempt_log", context.attempt_log)
       .Add("unserved", is_whole ? std::string() : unserved());
   AddAccount(line, context.account);
+  const bool is_condemned = end.cause == kQueryOfDeath;
+  if (is_condemned || context.fingerprint != RequestFingerprint()) {
+    line.Add("fingerprint", ToString(FingerprintOf(context.request)));
+  }
   line.Info();
 }
 
@@ -95,6 +100,24 @@
       .Info();
 }
 
+void LogQueryOfDeath(const CallerRequest& request,
+                     std::string_view route,
+                     const LossReport& report) {
+  std::string targets;
+  for (const LostTarget& lost : report.lost) {
+    targets += (targets.empty() ? "" : " ") + lost.target.str() + "(" +
+               lost.service.str() + ",round:" + std::to_string(lost.round) +
+               ")";
+  }
+  LogLine("query_of_death")
+      .Add("fingerprint", ToString(FingerprintOf(request)))
+      .Add("id", request.id)
+      .Add("route", route)
+      .Add("lost", report.lost.size())
+      .Add("targets", targets)
+      .Warning();
+}
+
 void LogCallerLeftUnadmitted(const CallerRequest& request,
                              std::string_view route,
                              Duration took) {
--- a/knapweedroad/edge/request_log.h
+++ b/knapweedroad/edge/request_log.h
@@ -14,12 +14,14 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/routing/request_fingerprint.h"
 
 namespace knapweedroad {
 
 class RequestRun;
 class RouteTable;
 struct CallerRequest;
+struct LossReport;
 struct RouteConfig;
 struct RunEnd;
 
@@ -35,6 +37,8 @@
   Duration allowed{};
   // Of attempts without a plain answer, see AttemptLog.
   std::string_view attempt_log;
+  // Of the request's content if targets were lost under it; else zero.
+  RequestFingerprint fingerprint{};
 };
 
 // Returns the account as it is logged, an empty name if the request has none;
@@ -77,6 +81,12 @@
 // fingerprint finds all attempts of requests with the same content.
 void LogTargetLost(const CallerRequest& request, const LostAttempt& lost);
 
+// The request is condemned as a query of death. `report`: the targets that were
+// lost under it.
+void LogQueryOfDeath(const CallerRequest& request,
+                     std::string_view route,
+                     const LossReport& report);
+
 // The caller left before its request was admitted or refused.
 void LogCallerLeftUnadmitted(const CallerRequest& request,
                              std::string_view route,
--- a/knapweedroad/edge/run_answer.cc
+++ b/knapweedroad/edge/run_answer.cc
@@ -40,7 +40,11 @@
     case RunEndKind::kFailed:
       break;
   }
-  return Refusal(kBadGateway, std::nullopt, options.is_diverting);
+  return Refusal(kBadGateway,
+                 end.retry_after > Duration::zero()
+                     ? std::optional(end.retry_after)
+                     : std::nullopt,
+                 options.is_diverting);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -21,6 +21,10 @@
 // A service without any usable target is likely to have one after the next
 // round of health questions.
 constexpr Duration kRetryWhenDown = milliseconds(400);
+// A condemned request is refused for as long as it is remembered. Another one
+// of the same caller needn't wait, so the time is that of a caller who repeats
+// it by hand.
+constexpr Duration kRetryWhenCondemned = std::chrono::seconds(30);
 // Kept of the longest wait by each request: callers that wait less take over.
 constexpr double kWaitMemory = 0.999;
 
@@ -59,7 +63,8 @@
           .deadline = request.received + std::min(told, route.timeout),
           .hedge_delay = UsualAtMost(route, memory.latency),
           .busy_retry_after = route.latency_target / kBusyRetryPart,
-          .no_target_retry_after = kRetryWhenDown};
+          .no_target_retry_after = kRetryWhenDown,
+          .condemned_retry_after = kRetryWhenCondemned};
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/target_prober.cc
+++ b/knapweedroad/edge/target_prober.cc
@@ -20,8 +20,12 @@
 
 TargetProber::TargetProber(const HeaderNames& header_names,
                            LoadBalancer& balancer,
-                           TargetLinks& links)
-    : header_names(header_names), balancer(balancer), links(links) {}
+                           TargetLinks& links,
+                           std::function<void(const TargetId&)> on_alive)
+    : header_names(header_names),
+      balancer(balancer),
+      links(links),
+      on_alive(std::move(on_alive)) {}
 
 void TargetProber::Probe(TimePoint now) {
   for (const DueProbe& probe : this->balancer.DueProbes(now)) {
@@ -60,6 +64,10 @@
       .cold_left = reply.cold_left.value_or(Duration::zero()),
       .load = reply.load};
   this->balancer.OnProbeResult(target, result, Runtime::Now());
+  const bool is_warm = result.cold_left == Duration::zero();
+  if (is_reachable && !result.is_other_target && is_warm) {
+    this->on_alive(target);
+  }
   LogLine("target_probed")
       .Add("target", target)
       .Add("end", ToString(reply.kind))
--- a/knapweedroad/edge/target_prober.h
+++ b/knapweedroad/edge/target_prober.h
@@ -7,6 +7,7 @@
 #ifndef KNAPWEEDROAD_EDGE_TARGET_PROBER_H_
 #define KNAPWEEDROAD_EDGE_TARGET_PROBER_H_
 
+#include <functional>
 #include <memory>
 
 #include "knapweedroad/base/id.h"
@@ -23,9 +24,11 @@
 class TargetProber : public std::enable_shared_from_this<TargetProber> {
  public:
   // All outlive it; replies that come after its end are dropped.
+  // `on_alive` is called with a target that has answered and is not cold.
   TargetProber(const HeaderNames& header_names,
                LoadBalancer& balancer,
-               TargetLinks& links);
+               TargetLinks& links,
+               std::function<void(const TargetId&)> on_alive);
 
   // Asks all that are due, by the load balancer.
   void Probe(TimePoint now);
@@ -37,6 +40,7 @@
   const HeaderNames& header_names;
   LoadBalancer& balancer;
   TargetLinks& links;
+  std::function<void(const TargetId&)> on_alive;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -56,20 +56,46 @@
   return shard;
 }
 
-bool RequestRun::StartAttempt(size_t index,
-                              bool is_hedge,
-                              TimePoint now,
-                              RunStep& step) {
+SendPermission RequestRun::CheckSend(size_t index, const RunStep& step) {
+  Shard& shard = this->shards[index];
+  SendPermission permission =
+      this->hooks.check_send
+          ? this->hooks.check_send(this->options.services[index],
+                                   step.starts.size())
+          : SendPermission::kAllowed;
+  // An attempt that is out may yet be answered, which clears the request.
+  const bool is_undecided =
+      permission == SendPermission::kRefused &&
+      std::ranges::any_of(
+          this->shards, [](const Shard& other) { return other.in_flight > 0; });
+  if (is_undecided) {
+    permission = SendPermission::kHeld;
+  }
+  shard.is_held = permission == SendPermission::kHeld;
+  this->has_held_attempts = this->has_held_attempts || shard.is_held;
+  shard.is_condemned = permission == SendPermission::kRefused;
+  return permission;
+}
+
+RequestRun::StartResult RequestRun::StartAttempt(size_t index,
+                                                 bool is_hedge,
+                                                 TimePoint now,
+                                                 RunStep& step) {
   Shard& shard = this->shards[index];
   const ServiceId& service = this->options.services[index];
+  const SendPermission permission = this->CheckSend(index, step);
+  if (permission != SendPermission::kAllowed) {
+    return permission == SendPermission::kHeld ? StartResult::kHeld
+                                               : StartResult::kRefused;
+  }
   const auto target = this->hooks.pick_target(service, shard.tried);
   if (!target) {
-    return false;
+    return StartResult::kNoTarget;
   }
   if (shard.delivered > 0) {
     if (!this->hooks.spend_extra_attempt(service, is_hedge)) {
       shard.extra_attempt_refused = true;
-      return false;
+      return StartResult::kOverBudget;
     }
     ++this->extra_count;
   }
@@ -85,7 +111,43 @@
   ++this->may_have_run_count;
   step.starts.push_back(
       {.attempt = attempt, .service_index = index, .target = *target});
-  return true;
+  return StartResult::kStarted;
+}
+
+void RequestRun::StartOrWait(size_t index, TimePoint now, RunStep& step) {
+  Shard& shard = this->shards[index];
+  switch (this->StartAttempt(index, /*is_hedge=*/false, now, step)) {
+    case StartResult::kStarted:
+      return;
+    case StartResult::kHeld:
+      shard.waits_for_target = true;
+      return;
+    case StartResult::kNoTarget:
+      shard.waits_for_target = this->hooks.has_untried_target(
+          this->options.services[index], shard.tried);
+      break;
+    case StartResult::kOverBudget:
+    case StartResult::kRefused:
+      shard.waits_for_target = false;
+      break;
+  }
+  if (!shard.waits_for_target) {
+    this->SetState(shard, ShardState::kFailed);
+  }
+}
+
+void RequestRun::StartHeldAttempts(TimePoint now, RunStep& step) {
+  if (!std::exchange(this->has_held_attempts, false)) {
+    return;
+  }
+  for (size_t i = 0; i < this->shards.size(); ++i) {
+    const Shard& shard = this->shards[i];
+    if (shard.state == ShardState::kPending && shard.is_held &&
+        shard.waits_for_target && now >= shard.retry_at) {
+      this->cached_wake_at.reset();
+      this->StartOrWait(i, now, step);
+    }
+  }
 }
 
 void RequestRun::SkipOverloadedShards() {
@@ -105,13 +167,16 @@
     if (shard.state != ShardState::kSkipped) {
       continue;
     }
-    const bool has_target =
-        this->hooks.has_untried_target(this->options.services[i], shard.tried);
-    this->SetState(shard,
-                   has_target ? ShardState::kPending : ShardState::kFailed);
-    shard.waits_for_target =
-        has_target && (now < shard.retry_at ||
-                       !this->StartAttempt(i, /*is_hedge=*/false, now, step));
+    if (!this->hooks.has_untried_target(this->options.services[i],
+                                        shard.tried)) {
+      this->SetState(shard, ShardState::kFailed);
+      continue;
+    }
+    this->SetState(shard, ShardState::kPending);
+    shard.waits_for_target = true;
+    if (now >= shard.retry_at) {
+      this->StartOrWait(i, now, step);
+    }
   }
 }
 
@@ -151,13 +216,7 @@
     if (this->shards[i].state == ShardState::kSkipped) {
       continue;
     }
-    if (!this->StartAttempt(i, /*is_hedge=*/false, now, step)) {
-      this->shards[i].waits_for_target =
-          this->hooks.has_untried_target(this->options.services[i], {});
-      if (!this->shards[i].waits_for_target) {
-        this->SetState(this->shards[i], ShardState::kFailed);
-      }
-    }
+    this->StartOrWait(i, now, step);
   }
   return this->FinishStep(std::move(step), now);
 }
@@ -177,6 +236,7 @@
     this->answer_sources.push_back(
         {.shard_index = static_cast<size_t>(shard - this->shards.data())});
   }
+  this->StartHeldAttempts(now, step);
   return this->FinishStep(std::move(step), now);
 }
 
@@ -245,6 +305,7 @@
     this->answer_sources.push_back(
         {.shard_index = index, .is_merged = merged.size() > 1});
   }
+  this->StartHeldAttempts(now, step);
   return this->FinishStep(std::move(step), now);
 }
 
@@ -298,6 +359,7 @@
     shard->error_answer.reset();
   }
   this->Retry(index, failure != AttemptFailure::kMayHaveRun, now, step);
+  this->StartHeldAttempts(now, step);
   return this->FinishStep(std::move(step), now);
 }
 
@@ -315,7 +377,18 @@
   const bool may_retry = (this->options.idempotent || is_proven_not_run) &&
                          shard.attempt_count < this->options.max_attempts &&
                          now < this->options.deadline;
-  if (may_retry && this->StartAttempt(index, /*is_hedge=*/false, now, step)) {
+  const StartResult result =
+      may_retry ? this->StartAttempt(index, /*is_hedge=*/false, now, step)
+                : StartResult::kNoTarget;
+  if (result == StartResult::kStarted) {
+    return;
+  }
+  if (result == StartResult::kHeld) {
+    shard.waits_for_target = true;
+    return;
+  }
+  if (result == StartResult::kRefused) {
+    this->SetState(shard, ShardState::kFailed);
     return;
   }
   if (may_retry && this->SkipUnreachedShard(shard, now)) {
@@ -365,11 +438,7 @@
       if (now < shard.retry_at) {
         continue;
       }
-      if (!this->StartAttempt(i, /*is_hedge=*/false, now, step) &&
-          !this->hooks.has_untried_target(this->options.services[i],
-                                          shard.tried)) {
-        this->SetState(shard, ShardState::kFailed);
-      }
+      this->StartOrWait(i, now, step);
       continue;
     }
     const bool is_due = this->options.idempotent && shard.in_flight > 0 &&
@@ -382,7 +451,7 @@
     // A late answer that still waits needs this shard: its attempt counts as a
     // retry.
     const bool is_hedge = now < this->options.latency_target_at;
-    if (!this->StartAttempt(i, is_hedge, now, step)) {
+    if (this->StartAttempt(i, is_hedge, now, step) != StartResult::kStarted) {
       shard.hedge_at =
           now + (shard.extra_attempt_refused ? kRefusedHedgeRetryDelay
                                              : kHedgeRetryDelay);
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -26,6 +26,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/routing/query_of_death_detector.h"
 
 namespace knapweedroad {
 
@@ -81,6 +82,9 @@
   kExpired,  // the deadline passed; a target may have run the request
 };
 
+// RunEnd::cause of a request that is condemned as a query of death.
+inline constexpr std::string_view kQueryOfDeath = "query_of_death";
+
 // Returns the kind's name in logs and metrics.
 std::string_view ToString(RunEndKind kind);
 
@@ -95,8 +99,8 @@
   // number of shards that have not.
   std::vector<TargetAnswer> parts;
   size_t missing_parts = 0;
-  // Set with kNotRun: after how long the caller's next request is likely to
-  // succeed.
+  // After how long the caller's next request is likely to succeed. Set with
+  // kNotRun, and with kFailed if the request is condemned as a query of death.
   Duration retry_after{};
 };
 
@@ -136,6 +140,8 @@
   // and where a service has no usable target.
   Duration busy_retry_after{};
   Duration no_target_retry_after{};
+  // The same where the request is condemned as a query of death.
+  Duration condemned_retry_after{};
 };
 
 // The decisions that a run leaves to its owner.
@@ -154,6 +160,11 @@
   // `latency_target_at`; all others are retries.
   std::function<bool(const ServiceId& service, bool is_hedge)>
       spend_extra_attempt;
+  // Returns whether one more attempt may be sent to the service, see
+  // QueryOfDeathDetector. `unsent` attempts of the run were started in the same
+  // step. If unset, all may be sent.
+  std::function<SendPermission(const ServiceId& service, size_t unsent)>
+      check_send;
   // Chooses at most `max_shards` shards that the request doesn't ask at first,
   // because they are overloaded: indices into `services`. If unset, all are
   // asked.
@@ -213,6 +224,14 @@
   // can't make a success.
   enum class ShardState : uint8_t { kPending, kAnswered, kFailed, kSkipped };
 
+  enum class StartResult : uint8_t {
+    kStarted,
+    kNoTarget,    // no target can take an attempt now
+    kOverBudget,  // an extra attempt isn't allowed
+    kHeld,        // not until attempts of the same request have ended
+    kRefused,     // the request is condemned
+  };
+
   struct Shard {
     ShardState state = ShardState::kPending;
     // Targets that are not picked again.
@@ -240,6 +259,10 @@
     // Whether the last extra attempt was not allowed.
     bool extra_attempt_refused = false;
     bool is_part_reported = false;
+    // Whether the last attempt was held back, or refused, as that of a query of
+    // death.
+    bool is_held = false;
+    bool is_condemned = false;
   };
 
   // Marks the attempt as ended and returns its shard; null if the attempt is
@@ -253,9 +276,18 @@
   // target, an attempt may have reached a target, or the request has waited too
   // long.
   bool SkipUnreachedShard(Shard& shard, TimePoint now);
-  // Returns false if no target can take an attempt now, or if an extra attempt
-  // isn't allowed.
-  bool StartAttempt(size_t index, bool is_hedge, TimePoint now, RunStep& step);
+  StartResult StartAttempt(size_t index,
+                           bool is_hedge,
+                           TimePoint now,
+                           RunStep& step);
+  // Whether an attempt may be sent as far as the detector of queries of death
+  // is concerned.
+  SendPermission CheckSend(size_t index, const RunStep& step);
+  // Starts an attempt of a shard without one. If that isn't possible now, lets
+  // the shard wait, or fails it if it can't be possible later.
+  void StartOrWait(size_t index, TimePoint now, RunStep& step);
+  // Starts attempts that were held back until a target has answered.
+  void StartHeldAttempts(TimePoint now, RunStep& step);
   // Sends another attempt after a failure, or waits, skips or fails the shard.
   void Retry(size_t index,
              bool is_proven_not_run,
@@ -305,6 +337,8 @@
   size_t extra_count = 0;
   // Attempts without proof that no target has run them.
   size_t may_have_run_count = 0;
+  // Whether an attempt was held back since StartHeldAttempts().
+  bool has_held_attempts = false;
   bool ended = false;
 };
 
--- a/knapweedroad/routing/request_run_end.cc
+++ b/knapweedroad/routing/request_run_end.cc
@@ -61,6 +61,16 @@
       return;
     }
   }
+  const bool is_condemned = std::ranges::any_of(
+      this->shards, [](const Shard& shard) { return shard.is_condemned; });
+  if (is_condemned) {
+    this->End(step,
+              {.kind = this->may_have_run_count == 0 ? RunEndKind::kNotRun
+                                                     : RunEndKind::kFailed,
+               .cause = kQueryOfDeath,
+               .retry_after = this->options.condemned_retry_after});
+    return;
+  }
   if (this->may_have_run_count == 0) {
     const bool any_declined = std::ranges::any_of(
         this->shards, [](const Shard& shard) { return shard.was_declined; });
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -526,5 +526,82 @@
   cr_expect(run.OnWake(kStart + milliseconds(31)).starts.size() == 1);
 }
 
+// Guards against the parts of one scatter that are each sent to a second target
+// although all first ones have ended under it.
+Test(request_run, parts_of_a_suspect_are_tried_one_by_one) {
+  Fixture fixture(3);
+  size_t allowed = 1;
+  fixture.hooks.check_send = [&](const ServiceId&, size_t unsent) {
+    return unsent < allowed ? SendPermission::kAllowed : SendPermission::kHeld;
+  };
+  allowed = 3;
+  RequestRun run = fixture.MakeRun();
+  cr_assert(run.Start(kStart).starts.size() == 3);
+  allowed = 1;
+  const auto lose = [&](uint32_t attempt) {
+    return run.OnAttemptFailed(attempt, AttemptFailure::kMayHaveRun, kStart);
+  };
+  cr_expect(lose(0).starts.size() == 1);
+  allowed = 0;
+  const RunStep held = lose(1);
+  cr_expect(held.starts.empty() && !held.end);
+  cr_expect(lose(2).starts.empty());
+  cr_expect(run.OnWake(kStart + milliseconds(4)).starts.empty());
+  // The one that was tried is answered.
+  allowed = 3;
+  const RunStep cleared =
+      run.OnAnswer(3, OkAnswer("1"), kStart + milliseconds(9));
+  cr_expect(cleared.starts.size() == 2);
+  run.OnAnswer(4, OkAnswer("2"), kStart + milliseconds(12));
+  const RunStep end = run.OnAnswer(5, OkAnswer("3"), kStart + milliseconds(12));
+  cr_expect(end.end && end.end->missing_parts == 0);
+}
+
+// Guards against callers who wait for their deadline although no part will be
+// sent again.
+Test(request_run, a_condemned_request_ends_at_once) {
+  Fixture fixture(3);
+  SendPermission permission = SendPermission::kAllowed;
+  fixture.hooks.check_send = [&](const ServiceId&, size_t) {
+    return permission;
+  };
+  fixture.options.condemned_retry_after = milliseconds(30'000);
+  RequestRun run = fixture.MakeRun();
+  run.Start(kStart);
+  permission = SendPermission::kRefused;
+  // The attempts that are out may be answered, which would clear the request.
+  cr_expect(!run.OnAttemptFailed(0, AttemptFailure::kMayHaveRun, kStart).end);
+  cr_expect(!run.OnAttemptFailed(1, AttemptFailure::kMayHaveRun, kStart).end);
+  const RunStep end =
+      run.OnAttemptFailed(2, AttemptFailure::kMayHaveRun, kStart);
+  cr_assert(end.end && end.end->kind == RunEndKind::kFailed);
+  cr_expect(end.end->cause == kQueryOfDeath);
+  cr_expect(end.end->retry_after == milliseconds(30'000));
+
+  // A repeat is refused before anything is sent, which proves that it did not
+  // run.
+  RequestRun repeat = fixture.MakeRun();
+  const RunStep refused = repeat.Start(kStart);
+  cr_expect(refused.starts.empty());
+  cr_assert(refused.end && refused.end->kind == RunEndKind::kNotRun);
+  cr_expect(refused.end->cause == kQueryOfDeath);
+}
+
+// Guards against an answer that fails as a whole because one of its shards is
+// condemned.
+Test(request_run, a_condemned_shard_is_left_out) {
+  Fixture fixture(3);
+  fixture.hooks.check_send = [&](const ServiceId& service, size_t) {
+    return service == ServiceId("c") ? SendPermission::kRefused
+                                     : SendPermission::kAllowed;
+  };
+  RequestRun run = fixture.MakeRun();
+  cr_assert(run.Start(kStart).starts.size() == 2);
+  run.OnAnswer(0, OkAnswer("1"), kStart);
+  const RunStep end = run.OnAnswer(1, OkAnswer("2"), kStart);
+  cr_assert(end.end && end.end->kind == RunEndKind::kParts);
+  cr_expect(end.end->missing_parts == 1);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/wire/peer_message_type.h
+++ b/knapweedroad/wire/peer_message_type.h
@@ -30,6 +30,7 @@
   kConfirm = 19,       // ConfirmCall -> ConfirmReply
   kRefill = 20,        // RefillCall -> RefillReply
   kPermit = 21,        // PermitCall -> PermitReply
+  kLossReport = 22,    // LossReport -> nothing
 };
 
 }  // namespace knapweedroad
