Queries to listed fronts are not sent to one target after another that ends

The holder of a target's lease now says that the target closed the connection without an answer (AttemptEnd 10; hosts of earlier versions read it as a failed connection), the coordinator's detector decides as an entry host's does, and ServiceCall asks it before each attempt. Each host decides by itself; the losses aren't told to others. Lookups that may run once are never resent after they may have run.

--- a/knapweedroad/host/attempt_outcome.cc
+++ b/knapweedroad/host/attempt_outcome.cc
@@ -26,6 +26,8 @@
     case AttemptEnd::kAnswered:
     case AttemptEnd::kBroken:
       return FailureKind::kInvalidReply;
+    case AttemptEnd::kTargetLost:
+      return FailureKind::kTargetLost;
     case AttemptEnd::kNotHolder:
     case AttemptEnd::kConnection:
     case AttemptEnd::kCancelled:
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -10,6 +10,7 @@
 #include "knapweedroad/host/attempt_router.h"
 #include "knapweedroad/host/caller_answer.h"
 #include "knapweedroad/host/problem.h"
+#include "knapweedroad/host/query_watch.h"
 #include "knapweedroad/metrics/host_metrics.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
@@ -52,6 +53,10 @@
 
   std::shared_ptr<FrontRuntime> FrontOf(const FrontRequest& request);
   QueryHooks HooksFor(const FrontRequest& request);
+  // The same for a request that is sent again after it may have run.
+  QueryHooks WatchedHooksFor(const FrontRequest& request,
+                             const std::shared_ptr<QueryWatch>& watch);
+  std::shared_ptr<QueryWatch> WatchFor(const FrontRequest& request);
   AttemptCall CallFor(const FrontRequest& request, const SendAttempt& send);
   HttpResponse AnswerQuery(const FrontRequest& request,
                            const FrontPtr& front,
@@ -70,6 +75,7 @@
   std::mt19937_64 random;
   uint64_t last_attempt = 0;
   std::map<FrontId, std::shared_ptr<FrontRuntime>> fronts;
+  QueryOfDeathDetector detector{{}};
 };
 
 std::shared_ptr<FrontRuntime> Coordinator::State::FrontOf(
@@ -94,6 +100,28 @@
           .random = [this] { return this->random(); }};
 }
 
+QueryHooks Coordinator::State::WatchedHooksFor(
+    const FrontRequest& request,
+    const std::shared_ptr<QueryWatch>& watch) {
+  QueryHooks hooks = this->HooksFor(request);
+  hooks.check_send = [watch](const ServiceId& service, size_t unsent) {
+    return watch->CheckSend(service, unsent);
+  };
+  return hooks;
+}
+
+std::shared_ptr<QueryWatch> Coordinator::State::WatchFor(
+    const FrontRequest& request) {
+  this->detector.Expire(Runtime::Now());
+  const bool is_search = request.work == AttemptWork::kSearch;
+  return std::make_shared<QueryWatch>(
+      this->detector,
+      MakeRequestFingerprint(
+          {.method = is_search ? "search" : "record",
+           .host = request.front->name.str(),
+           .body = is_search ? request.query_body : request.record_id}));
+}
+
 AttemptCall Coordinator::State::CallFor(const FrontRequest& request,
                                         const SendAttempt& send) {
   return {.attempt = send.attempt,
@@ -114,6 +142,17 @@
 
 namespace {
 
+AttemptFate FateOf(const AttemptReply& reply) {
+  switch (reply.end) {
+    case AttemptEnd::kAnswered:
+      return AttemptFate::kAnswered;
+    case AttemptEnd::kTargetLost:
+      return AttemptFate::kLost;
+    default:
+      return AttemptFate::kUnknown;
+  }
+}
+
 // A run of the query core with the fibers that carry out its actions. `Run` is
 // QueryRun, RecordRun or LookupRun; `Result` is what it ends with.
 template <typename Run, typename Reply>
@@ -128,11 +167,13 @@
           AttemptRouter& router,
           MakeCall make_call,
           ReadReply read_reply,
+          std::shared_ptr<QueryWatch> watch,
           typename std::add_rvalue_reference<Run>::type run)
       : runtime(runtime),
         router(router),
         make_call(std::move(make_call)),
         read_reply(std::move(read_reply)),
+        watch(std::move(watch)),
         run(std::move(run)),
         changed(runtime) {}
 
@@ -197,7 +238,19 @@
   void Attempt(const SendAttempt& send) {
     AttemptCall call = this->make_call(send);
     const std::string request_id = call.request_id;
+    const AttemptTarget target{send.service, send.target};
+    if (this->watch != nullptr) {
+      this->watch->OnSent(target, Runtime::Now());
+    }
     AttemptReply reply = this->router.Run(std::move(call), send.deadline);
+    if (this->watch != nullptr &&
+        this->watch->OnEnded(target, FateOf(reply), Runtime::Now())) {
+      LogLine("query_of_death")
+          .Add("request_id", request_id)
+          .Add("service", send.service)
+          .Add("target", send.target)
+          .Warning();
+    }
     if (LogLine::TraceIsOn()) {
       LogLine("attempt_ended")
           .Add("request_id", request_id)
@@ -222,6 +275,8 @@
   AttemptRouter& router;
   MakeCall make_call;
   ReadReply read_reply;
+  // Null for requests that are sent once.
+  std::shared_ptr<QueryWatch> watch;
   Run run;
   TimedEvent changed;
   std::optional<Result> result;
@@ -264,11 +319,12 @@
                                              const FrontPtr& front,
                                              HttpExchange& exchange) {
   using Live = LiveRun<QueryRun, SearchReply>;
+  const std::shared_ptr<QueryWatch> watch = this->WatchFor(request);
   auto live = std::make_shared<Live>(
       this->runtime, this->options.router,
       [self = this->shared_from_this(), request,
        front](const SendAttempt& send) { return self->CallFor(request, send); },
-      [](const AttemptReply& reply) { return ReadSubReply(reply); },
+      [](const AttemptReply& reply) { return ReadSubReply(reply); }, watch,
       QueryRun({.front = *request.front,
                 .own_zone = this->options.own_zone,
                 .request_id = request.request_id,
@@ -276,7 +332,7 @@
                 .start = request.start,
                 .deadline = request.deadline,
                 .state = front->state,
-                .hooks = this->HooksFor(request)}));
+                .hooks = this->WatchedHooksFor(request, watch)}));
   exchange.on_abandoned = [live] { live->Abandon(); };
   const auto result = live->RunToEnd();
   this->CountEnd(request, *front, live->decisions().stats(),
@@ -299,18 +355,20 @@
                                               const FrontPtr& front,
                                               HttpExchange& exchange) {
   using Live = LiveRun<RecordRun, RecordReply>;
+  const std::shared_ptr<QueryWatch> watch = this->WatchFor(request);
   auto live = std::make_shared<Live>(
       this->runtime, this->options.router,
       [self = this->shared_from_this(), request,
        front](const SendAttempt& send) { return self->CallFor(request, send); },
       [](AttemptReply reply) { return ReadRecordReply(std::move(reply)); },
+      watch,
       RecordRun({.front = *request.front,
                  .service = request.front->services.front().name,
                  .own_zone = this->options.own_zone,
                  .start = request.start,
                  .deadline = request.deadline,
                  .state = front->state,
-                 .hooks = this->HooksFor(request)}));
+                 .hooks = this->WatchedHooksFor(request, watch)}));
   exchange.on_abandoned = [live] { live->Abandon(); };
   const auto result = live->RunToEnd();
   this->CountEnd(request, *front, live->decisions().stats(),
@@ -341,6 +399,7 @@
         return self->CallFor(request, send);
       },
       [](AttemptReply reply) { return ReadRecordReply(std::move(reply)); },
+      /*watch=*/nullptr,
       LookupRun({.front = *request.front,
                  .service = request.front->services.front().name,
                  .own_zone = self->options.own_zone,
--- a/knapweedroad/host/target_exchange.cc
+++ b/knapweedroad/host/target_exchange.cc
@@ -143,6 +143,8 @@
     end.reply.end = AttemptEnd::kTimeout;
   } else if (error.kind == NetErrorKind::kCancelled) {
     end.reply.end = AttemptEnd::kNotHolder;
+  } else if (error.written && error.kind == NetErrorKind::kClosed) {
+    end.reply.end = AttemptEnd::kTargetLost;
   }
   if (!error.written) {
     end.result.status = error.kind == NetErrorKind::kConnect
--- a/knapweedroad/query/call_context.h
+++ b/knapweedroad/query/call_context.h
@@ -5,11 +5,13 @@
 #define KNAPWEEDROAD_QUERY_CALL_CONTEXT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/send_permission.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/config/front_config.h"
 #include "knapweedroad/target/attempt_id.h"
@@ -27,6 +29,10 @@
   std::function<AttemptId()> next_attempt_id;
   // Returns a random number, uniform over all 64-bit values.
   std::function<uint64_t()> random;
+  // Returns whether one more attempt may be sent to the service, see
+  // QueryOfDeathDetector. `unsent` attempts of the query are about to be sent.
+  // If unset, all may be sent.
+  std::function<SendPermission(const ServiceId&, size_t unsent)> check_send;
 };
 
 // Counts of the attempts of one caller's request, for metrics.
--- a/knapweedroad/query/query_hedge_test.cc
+++ b/knapweedroad/query/query_hedge_test.cc
@@ -193,5 +193,42 @@
   cr_assert_geq(*slow, milliseconds(40));
 }
 
+// Guards against services of one query that each send it to a second target
+// although all first ones have ended under it.
+Test(QueryHedge, ServicesThatAreHeldBackSendOnceTheQueryIsCleared) {
+  QueryTestFixture fixture;
+  SendPermission permission = SendPermission::kAllowed;
+  QueryHooks hooks = fixture.Hooks();
+  hooks.check_send = [&permission](const ServiceId&, size_t) {
+    return permission;
+  };
+  QueryRun run = fixture.MakeRun(hooks);
+  const auto sends = Sends(run.Start(fixture.At(0)));
+  cr_assert_eq(sends.size(), 2);
+  permission = SendPermission::kHeld;
+  const TargetAttemptFailure lost{.outcome = RunOutcome::kUnknown,
+                                  .kind = FailureKind::kTargetLost};
+  cr_expect(run.OnFailure(sends[0].attempt, lost, fixture.At(5)).empty());
+  cr_expect(run.OnTimer(fixture.At(9)).empty());
+  permission = SendPermission::kAllowed;
+  const auto again = Sends(run.OnTimer(fixture.At(13)));
+  cr_assert_eq(again.size(), 1);
+  cr_expect(again[0].target != sends[0].target);
+}
+
+// Guards against callers who wait for their deadline although their query will
+// not be sent again.
+Test(QueryHedge, ACondemnedQueryIsRefusedAtOnce) {
+  QueryTestFixture fixture;
+  QueryHooks hooks = fixture.Hooks();
+  hooks.check_send = [](const ServiceId&, size_t) {
+    return SendPermission::kRefused;
+  };
+  QueryRun run = fixture.MakeRun(hooks);
+  const auto refusal = Refusal(run.Start(fixture.At(0)));
+  cr_assert(refusal.has_value());
+  cr_expect(refusal->outcome == RunOutcome::kNotRun);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/query/query_test_fixture.h
+++ b/knapweedroad/query/query_test_fixture.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "knapweedroad/query/front_state.h"
@@ -106,14 +107,16 @@
     return hooks;
   }
 
-  QueryRun MakeRun() {
+  QueryRun MakeRun() { return this->MakeRun(this->Hooks()); }
+
+  QueryRun MakeRun(QueryHooks hooks) {
     return QueryRun({.front = this->front,
                      .own_zone = ZoneId("here"),
                      .request_id = "q-1",
                      .start = this->At(0),
                      .deadline = this->At(100),
                      .state = this->state,
-                     .hooks = this->Hooks()});
+                     .hooks = std::move(hooks)});
   }
 
   TimePoint At(int milliseconds) const {
--- a/knapweedroad/query/service_call.cc
+++ b/knapweedroad/query/service_call.cc
@@ -20,6 +20,9 @@
 // slot is tried again, and before a target is retried.
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(1);
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(1);
+// Delay before an attempt is tried again that was held back until others of the
+// same query have ended.
+constexpr Duration kHeldRetryDelay = std::chrono::milliseconds(4);
 
 // Returns the time after which an attempt to that zone counts as slow, or
 // nullopt with too few samples. Soon after a host starts there are enough
@@ -57,6 +60,14 @@
                         TimePoint now,
                         QueryActions& actions) {
   if (!this->TrySend(context, AttemptPurpose::kFirst, now, actions)) {
+    this->RetryIfHeldOrFail(now);
+  }
+}
+
+void ServiceCall::RetryIfHeldOrFail(TimePoint now) {
+  if (this->last_permission == SendPermission::kHeld) {
+    this->retry_at = now + kHeldRetryDelay;
+  } else {
     this->Fail();
   }
 }
@@ -111,13 +122,20 @@
     return;
   }
   this->AllowRefusedHedgeTargets();
+  this->last_permission = SendPermission::kAllowed;
   if (this->RetryOnAnotherTarget(context, failure.outcome, now, actions)) {
     return;
   }
+  if (this->last_permission != SendPermission::kAllowed) {
+    this->RetryIfHeldOrFail(now);
+    return;
+  }
   // An open connection may be dead although its target is healthy. If there is
   // no other target, the same one is retried once, since a new connection may
   // work.
-  if (failure.kind == FailureKind::kConnection && !this->retried_same_target) {
+  const bool is_connection_lost = failure.kind == FailureKind::kConnection ||
+                                  failure.kind == FailureKind::kTargetLost;
+  if (is_connection_lost && !this->retried_same_target) {
     this->retried_same_target = true;
     this->retry_at = now + kMinRetryDelay;
     return;
@@ -180,6 +198,17 @@
                           AttemptPurpose purpose,
                           TimePoint now,
                           QueryActions& actions) {
+  if (context.hooks.check_send) {
+    const auto unsent =
+        std::ranges::count_if(actions, [](const QueryAction& action) {
+          return std::holds_alternative<SendAttempt>(action);
+        });
+    this->last_permission =
+        context.hooks.check_send(this->service_id, static_cast<size_t>(unsent));
+    if (this->last_permission != SendPermission::kAllowed) {
+      return false;
+    }
+  }
   const auto candidates = context.hooks.candidates(this->service_id);
   const ServiceConfig& config =
       ServiceConfigOrDefault(context.front, this->service_id);
@@ -259,7 +288,11 @@
                            TimePoint now,
                            QueryActions& actions) {
   this->retry_at.reset();
-  this->tried.clear();
+  const bool was_held = this->last_permission == SendPermission::kHeld;
+  if (!was_held) {
+    this->tried.clear();
+  }
+  this->last_permission = SendPermission::kAllowed;
   TokenBudget& budget = context.state.retry_budget;
   if (budget.CanTake() &&
       this->TrySend(context, AttemptPurpose::kRetry, now, actions)) {
@@ -267,6 +300,10 @@
     context.stats.retries += 1;
     return;
   }
+  if (this->last_permission != SendPermission::kAllowed) {
+    this->RetryIfHeldOrFail(now);
+    return;
+  }
   this->ScheduleRetryOrFail(context, now);
 }
 
--- a/knapweedroad/query/service_call.h
+++ b/knapweedroad/query/service_call.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/send_permission.h"
 #include "knapweedroad/base/snapshot_id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/query/call_context.h"
@@ -111,6 +112,8 @@
                             TimePoint now,
                             QueryActions& actions);
   void ScheduleRetryOrFail(const CallContext& context, TimePoint now);
+  // After TrySend() was not permitted.
+  void RetryIfHeldOrFail(TimePoint now);
   void Fail();
 
   ServiceId service_id;
@@ -128,6 +131,8 @@
   std::optional<Duration> shortest_retry_after;
   // Whether a target was retried because its connection had failed.
   bool retried_same_target = false;
+  // What hooks.check_send said last.
+  SendPermission last_permission = SendPermission::kAllowed;
   // The number of rounds in which all targets were tried and failed.
   uint32_t failed_rounds = 0;
 };
--- a/knapweedroad/query/target_attempt_failure.h
+++ b/knapweedroad/query/target_attempt_failure.h
@@ -24,6 +24,8 @@
   kTimeout,
   // The connection to the target or to the lease holder failed.
   kConnection,
+  // The target closed the connection without an answer.
+  kTargetLost,
   // The target is shutting down and accepts no new work.
   kLeaving,
   // The reply is malformed or comes from another snapshot.
--- a/knapweedroad/routing/query_of_death_detector.h
+++ b/knapweedroad/routing/query_of_death_detector.h
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/send_permission.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/routing/loss_report.h"
 #include "knapweedroad/routing/request_fingerprint.h"
@@ -47,13 +48,6 @@
   size_t max_losses = 64;
 };
 
-// Whether an attempt may be sent.
-enum class SendPermission : uint8_t {
-  kAllowed,
-  kHeld,     // later, depending on the attempts that are out
-  kRefused,  // the request is condemned
-};
-
 // How an attempt ended for its target.
 enum class AttemptFate : uint8_t {
   kAnswered,  // the target has answered, with success or failure
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -25,8 +25,8 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/send_permission.h"
 #include "knapweedroad/base/time.h"
-#include "knapweedroad/routing/query_of_death_detector.h"
 
 namespace knapweedroad {
 
--- a/knapweedroad/wire/attempt_reply.h
+++ b/knapweedroad/wire/attempt_reply.h
@@ -22,6 +22,9 @@
   kLeaving,     // the target takes no new work
   kBroken,      // the target's answer can't be used
   kCancelled,   // the coordinator cancelled it
+  // The target closed the connection without an answer, and may have run it.
+  // Not known to hosts of earlier versions, which treat it as kConnection.
+  kTargetLost,
 };
 
 struct AttemptReply {
