--- a/knapweedroad/edge/loss_sharing_test.cc
+++ b/knapweedroad/edge/loss_sharing_test.cc
@@ -24,7 +24,7 @@
 class Host {
  public:
   Host(Runtime& runtime,
-       EntryHostRecord record,
+       const EntryHostRecord& record,
        const std::vector<EntryHostRecord>& all,
        double max_burst)
       : sharing(
--- a/knapweedroad/routing/query_of_death_detector.cc
+++ b/knapweedroad/routing/query_of_death_detector.cc
@@ -198,14 +198,14 @@
 }
 
 size_t QueryOfDeathDetector::condemned_count() const {
+  const auto is_condemned = [this](const auto& entry) {
+    return std::ranges::any_of(entry.second.losses, [&](const Loss& loss) {
+      return this->Check(entry.first, loss.attempt.service) ==
+             SendPermission::kRefused;
+    });
+  };
   return static_cast<size_t>(
-      std::ranges::count_if(this->requests, [this](const auto& entry) {
-        const auto& [request, suspect] = entry;
-        return std::ranges::any_of(suspect.losses, [&](const Loss& loss) {
-          return this->Check(request, loss.attempt.service) ==
-                 SendPermission::kRefused;
-        });
-      }));
+      std::ranges::count_if(this->requests, is_condemned));
 }
 
 size_t QueryOfDeathDetector::LossCount(RequestFingerprint request) const {
