--- a/knapweedroad/registry/registry_fuzz.cc
+++ b/knapweedroad/registry/registry_fuzz.cc
@@ -17,6 +17,7 @@
 #include "knapweedroad/registry/agreed_state.h"
 #include "knapweedroad/registry/watch_messages.h"
 #include "knapweedroad/rollout/rollout_messages.h"
+#include "knapweedroad/routing/loss_report.h"
 #include "knapweedroad/wire/codec.h"
 
 namespace knapweedroad {
@@ -57,7 +58,7 @@
   }
   const std::string_view bytes(reinterpret_cast<const char*>(data + 1),
                                size - 1);
-  switch (data[0] % 7) {
+  switch (data[0] % 8) {
     case 0:
       CheckRoundTrip<WatchCall>(bytes);
       break;
@@ -76,6 +77,9 @@
     case 5:
       CheckRoundTrip<RolloutReportReply>(bytes);
       break;
+    case 6:
+      CheckRoundTrip<LossReport>(bytes);
+      break;
     default:
       CheckAgreedStateRoundTrip(bytes);
       break;
