An answer between two losses of targets begins the count anew

A sound request that many callers send would have been condemned for a minute once three of a shard's targets had crashed under it within that minute, however often the shard had answered between: found on reading, not seen in a run. Losses from before the service's last answer don't count any more.

query_of_death_detector/an_answer_between_losses_begins_anew fails without it (refused at the third and later losses) and passes with it; routing_test 147 of 147.

--- a/knapweedroad/routing/query_of_death_detector.cc
+++ b/knapweedroad/routing/query_of_death_detector.cc
@@ -19,10 +19,14 @@
     const ServiceId& service,
     size_t unsent) {
   const bool is_whole = suspect.answered.empty();
+  const auto answered = suspect.answered.find(service);
   Evidence evidence{.in_flight = is_whole ? unsent : 0};
   std::optional<uint32_t> round;
   for (const Loss& loss : suspect.losses) {
-    if (!is_whole && loss.attempt.service != service) {
+    const bool is_before_answer =
+        answered != suspect.answered.end() && loss.at < answered->second;
+    const bool is_of_service = is_whole || loss.attempt.service == service;
+    if (!is_of_service || is_before_answer) {
       continue;
     }
     ++evidence.lost;
--- a/knapweedroad/routing/query_of_death_detector_test.cc
+++ b/knapweedroad/routing/query_of_death_detector_test.cc
@@ -123,6 +123,23 @@
   cr_expect(fixture.Check(ServiceId("u")) == SendPermission::kAllowed);
 }
 
+// Guards against a sound request that many callers send, and that is condemned
+// because now and then one of its targets crashes.
+Test(query_of_death_detector, an_answer_between_losses_begins_anew) {
+  Fixture fixture;
+  for (int i = 1; i <= 5; ++i) {
+    fixture.SendAndLose(Fixture::Of("s", i));
+    cr_expect(fixture.Check() == SendPermission::kAllowed);
+    fixture.Answer(Fixture::Of("s", 9));
+    fixture.now += seconds(1);
+  }
+  fixture.SendAndLose(Fixture::Of("s", 6));
+  fixture.SendAndLose(Fixture::Of("s", 7));
+  cr_expect(fixture.Check() == SendPermission::kAllowed);
+  fixture.SendAndLose(Fixture::Of("s", 8));
+  cr_expect(fixture.Check() == SendPermission::kRefused);
+}
+
 // Guards against a request whose caller repeats it at another host, which knows
 // nothing of the losses before.
 Test(query_of_death_detector, losses_at_other_hosts_count) {
