Sound requests of a host whose connections are reset are served at other hosts

The report to other hosts now says whether a service has answered, so that they judge each by itself, too. And while nothing has answered a request that has lost targets, it is sent over new connections: where the target has ended, nothing is sent, and where its connections were reset, it is answered.

--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -122,6 +122,12 @@
   const TimePoint now = Runtime::Now();
   Attempt& attempt = this->attempts[start.attempt];
   const bool may_run_again = route.idempotent || route.is_scatter;
+  // Whatever has reset the connections of its first attempts may have reset
+  // those that are idle as well. That they are lost again would say nothing of
+  // the request.
+  const bool needs_new_connection =
+      this->IsSuspect() &&
+      this->options.parts.detector.IsUnanswered(this->fingerprint());
   const auto self = this->shared_from_this();
   attempt.exchange = this->options.parts.links.Send(
       {.target = start.target,
@@ -129,7 +135,9 @@
        .bytes = [self, target = start.target] { return self->Bytes(target); },
        .request_id = this->options.request->id,
        .wants_header = !route.is_scatter,
-       .max_idle = may_run_again ? Duration::max() : kFreshIdle,
+       .max_idle = needs_new_connection ? Duration::zero()
+                   : may_run_again      ? Duration::max()
+                                        : kFreshIdle,
        .settles = !may_run_again,
        .keep_connection = !balancer.ShouldCloseConnections(now),
        .deadline = this->options.deadline},
--- a/knapweedroad/routing/loss_report.h
+++ b/knapweedroad/routing/loss_report.h
@@ -30,13 +30,16 @@
   // RequestFingerprint.
   uint64_t fingerprint = 0;
   std::vector<LostTarget> lost;
+  // Whether a service has answered the request since a target was lost, so that
+  // each is judged by itself.
+  bool has_answer = false;
   // How many more times it is passed on.
   uint8_t hops_left = 0;
 
   // For cereal.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->fingerprint, this->lost, this->hops_left);
+    archive(this->fingerprint, this->lost, this->has_answer, this->hops_left);
   }
 };
 
--- a/knapweedroad/routing/query_of_death_detector.cc
+++ b/knapweedroad/routing/query_of_death_detector.cc
@@ -18,7 +18,7 @@
     const Suspect& suspect,
     const ServiceId& service,
     size_t unsent) {
-  const bool is_whole = suspect.answered.empty();
+  const bool is_whole = suspect.IsUnanswered();
   const auto answered = suspect.answered.find(service);
   Evidence evidence{.in_flight = is_whole ? unsent : 0};
   std::optional<uint32_t> round;
@@ -67,6 +67,12 @@
                                             : SendPermission::kHeld;
 }
 
+bool QueryOfDeathDetector::IsUnanswered(RequestFingerprint request) const {
+  const auto found = this->requests.find(request);
+  return found != this->requests.end() && !found->second.losses.empty() &&
+         found->second.IsUnanswered();
+}
+
 QueryOfDeathDetector::Suspect* QueryOfDeathDetector::FindOrAdd(
     RequestFingerprint request) {
   const auto found = this->requests.find(request);
@@ -163,7 +169,8 @@
   if (found == this->requests.end()) {
     return std::nullopt;
   }
-  LossReport report{.fingerprint = static_cast<uint64_t>(request)};
+  LossReport report{.fingerprint = static_cast<uint64_t>(request),
+                    .has_answer = !found->second.IsUnanswered()};
   for (const Loss& loss : found->second.losses) {
     if (!IsCleared(found->second, loss.attempt.service)) {
       report.lost.push_back({.service = loss.attempt.service,
@@ -187,6 +194,7 @@
   if (before == 0) {
     suspect->round_began_at = now;
   }
+  suspect->has_remote_answer = suspect->has_remote_answer || report.has_answer;
   for (const LostTarget& lost : report.lost) {
     this->AddLoss(*suspect, {.attempt = {lost.service, lost.target},
                              .round = std::max<uint32_t>(lost.round, 1),
--- a/knapweedroad/routing/query_of_death_detector.h
+++ b/knapweedroad/routing/query_of_death_detector.h
@@ -76,6 +76,8 @@
   bool IsSuspect(RequestFingerprint request) const {
     return this->requests.contains(request);
   }
+  // Whether the request has lost a target and none has answered it.
+  bool IsUnanswered(RequestFingerprint request) const;
   // Rises when a request becomes suspect.
   uint64_t revision() const { return this->list_revision; }
   // Returns whether an attempt of the request may be sent to the service,
@@ -127,11 +129,18 @@
   };
 
   struct Suspect {
+    // Whether no service has answered: all are judged together.
+    bool IsUnanswered() const {
+      return this->answered.empty() && !this->has_remote_answer;
+    }
+
     std::vector<Loss> losses;
     // Attempts that are out, sent since the request became suspect.
     std::vector<AttemptTarget> in_flight;
     // The last answer of each service.
     std::map<ServiceId, TimePoint> answered;
+    // Whether another host has reported an answer.
+    bool has_remote_answer = false;
     uint32_t rounds = 0;
     // The first loss of the last round. An attempt that was sent later, and
     // lost, begins another one.
--- a/knapweedroad/routing/query_of_death_detector_test.cc
+++ b/knapweedroad/routing/query_of_death_detector_test.cc
@@ -158,6 +158,22 @@
   cr_expect(second.Check() == SendPermission::kRefused);
 }
 
+// Guards against a sound scatter that other hosts refuse although one of its
+// shards has answered at the host that tells them of its losses.
+Test(query_of_death_detector, an_answer_at_another_host_counts) {
+  Fixture first;
+  first.Lose(Fixture::Of("a", 1), kStart);
+  first.Answer(Fixture::Of("t", 1));
+  first.SendAndLose(Fixture::Of("b", 1));
+  first.SendAndLose(Fixture::Of("c", 1));
+  cr_expect(first.Check(ServiceId("b")) == SendPermission::kAllowed);
+  Fixture second;
+  second.detector.Merge(first.detector.MakeReport(kDeadly).value(), second.now);
+  for (const char* service : {"a", "b", "c", "d"}) {
+    cr_expect(second.Check(ServiceId(service)) == SendPermission::kAllowed);
+  }
+}
+
 // Guards against a sound request that is refused because connections to its
 // targets were reset, again and again, while the targets run on.
 Test(query_of_death_detector, targets_that_run_on_do_not_count) {
