Condemned requests say when they are no longer refused

Callers of a condemned request were told to come back after 30 s, when it is remembered for 60 s and they would be refused again. Retry-After is now the time for which it is remembered. A parameter of LossSharing that no caller used is gone.

--- a/knapweedroad/edge/loss_sharing.cc
+++ b/knapweedroad/edge/loss_sharing.cc
@@ -35,9 +35,8 @@
   void Share(RequestFingerprint request);
   // Sends the report to hosts of this zone, and of others if it may be passed
   // on.
-  void Send(LossReport report, const HostId& except);
-  std::vector<EntryHostRecord> Recipients(bool includes_other_zones,
-                                          const HostId& except) const;
+  void Send(LossReport report);
+  std::vector<EntryHostRecord> Recipients(bool includes_other_zones) const;
   bool TakeTokens(size_t messages, bool is_important);
   void SendTo(const EntryHostRecord& host, const std::string& bytes);
 
@@ -62,15 +61,14 @@
 };
 
 std::vector<EntryHostRecord> LossSharing::State::Recipients(
-    bool includes_other_zones,
-    const HostId& except) const {
+    bool includes_other_zones) const {
   std::vector<EntryHostRecord> recipients;
   if (!this->options.entry_hosts) {
     return recipients;
   }
   std::map<ZoneId, size_t> hosts_of_zone;
   for (const EntryHostRecord& host : this->options.entry_hosts()) {
-    if (host.host == this->options.self || host.host == except) {
+    if (host.host == this->options.self) {
       continue;
     }
     const bool is_own_zone = host.zone == this->options.zone;
@@ -121,9 +119,9 @@
   });
 }
 
-void LossSharing::State::Send(LossReport report, const HostId& except) {
+void LossSharing::State::Send(LossReport report) {
   const std::vector<EntryHostRecord> recipients =
-      this->Recipients(report.hops_left > 0, except);
+      this->Recipients(report.hops_left > 0);
   const bool is_important = report.lost.size() > 1;
   if (recipients.empty() ||
       !this->TakeTokens(recipients.size(), is_important)) {
@@ -144,7 +142,7 @@
   auto report = this->options.detector.MakeReport(request);
   if (report) {
     report->hops_left = 1;
-    this->Send(*std::move(report), HostId());
+    this->Send(*std::move(report));
   }
 }
 
@@ -183,7 +181,7 @@
       this->state->options.detector.Merge(*report, Runtime::Now());
   if (is_new && report->hops_left > 0) {
     report->hops_left = 0;
-    this->state->Send(*std::move(report), HostId());
+    this->state->Send(*std::move(report));
   }
   return std::string();
 }
--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/routing/query_of_death_detector.h"
 #include "knapweedroad/routing/route_table.h"
 
 namespace knapweedroad {
@@ -21,10 +22,8 @@
 // A service without any usable target is likely to have one after the next
 // round of health questions.
 constexpr Duration kRetryWhenDown = milliseconds(400);
-// A condemned request is refused for as long as it is remembered. Another one
-// of the same caller needn't wait, so the time is that of a caller who repeats
-// it by hand.
-constexpr Duration kRetryWhenCondemned = std::chrono::seconds(30);
+// Until then a condemned request is remembered, and refused again.
+constexpr Duration kRetryWhenCondemned = QueryOfDeathOptions().memory;
 // Kept of the longest wait by each request: callers that wait less take over.
 constexpr double kWaitMemory = 0.999;
 
--- a/knapweedroad/host/coordinator.cc
+++ b/knapweedroad/host/coordinator.cc
@@ -246,6 +246,7 @@
     if (this->watch != nullptr &&
         this->watch->OnEnded(target, FateOf(reply), Runtime::Now())) {
       LogLine("query_of_death")
+          .Add("fingerprint", ToString(this->watch->fingerprint()))
           .Add("request_id", request_id)
           .Add("service", send.service)
           .Add("target", send.target)
--- a/knapweedroad/host/query_watch.h
+++ b/knapweedroad/host/query_watch.h
@@ -30,6 +30,7 @@
     return this->detector.Check(this->request, service, unsent);
   }
 
+  RequestFingerprint fingerprint() const { return this->request; }
   void OnSent(const AttemptTarget& attempt, TimePoint now);
   // Returns whether the request is condemned by it.
   bool OnEnded(const AttemptTarget& attempt, AttemptFate fate, TimePoint now);
