An entry host's own work no longer grows with all targets of the deployment

What callers saw: late answers. On 0.12 of a core the choice of 90 targets took 18 ms, and every 100 ms a look at all targets held requests up for as long again.

Cause: whether a target belongs to this host's subset was asked of each target anew, against all others of its service (the square of a shard's targets); ejection, probes, removal and outlier lists went through all targets of the deployment ten times a second; each choice hashed all hosts' names for each cold target.

Change: the end of the subset is found once for each choice; costs of six warm targets are compared, and of those that may be cheaper; periodic work looks at targets in use, ejected or silent; the senders to a cold target are remembered until the list of hosts changes.

The test counts the targets looked at, with 100 and 10,000. entry_cost takes the targets a shard as a flag.

--- a/bench/entry/entry_cost.cc
+++ b/bench/entry/entry_cost.cc
@@ -1,7 +1,9 @@
 // What one gathered question costs an entry host: processor time, allocations
 // and bytes allocated for each sub-request, by how many shards it asks.
 //
-//   entry_cost [SHARDS...]
+//   entry_cost [--targets=N] [SHARDS...]
+//
+// Each shard has N targets, three by default.
 //
 // The real caller server, request, target table and links run in this thread
 // against stand-ins in another one. System calls are counted from outside:
@@ -43,7 +45,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr size_t kTargetsAShard = 3;
+constexpr size_t kDefaultTargetsPerShard = 3;
 constexpr size_t kWarmUpQuestions = 50;
 // So that each size sends about as many sub-requests.
 constexpr size_t kSubRequests = 40'000;
@@ -94,7 +96,10 @@
 // An entry host without its control part.
 class Entry {
  public:
-  Entry(Runtime& runtime, size_t shards, uint16_t target_port)
+  Entry(Runtime& runtime,
+        size_t shards,
+        size_t targets_per_shard,
+        uint16_t target_port)
       : balancer({.self = HostId("host"), .zone = ZoneId("a")}),
         links(runtime,
               {.header_names = this->header_names,
@@ -127,11 +132,11 @@
                      },
                  .limits = [] { return CallerLimits(); }}) {
     this->balancer.SetRouting(this->parts.table);
-    for (size_t i = 0; i < shards * kTargetsAShard; ++i) {
+    for (size_t i = 0; i < shards * targets_per_shard; ++i) {
       this->balancer.UpdateTarget(
           {.id = TargetId("i-" + std::to_string(1'000'000 + i)),
-           .service = ShardName(i / kTargetsAShard),
-           .zone = ZoneId(i % kTargetsAShard == 0 ? "a" : "b"),
+           .service = ShardName(i / targets_per_shard),
+           .zone = ZoneId(i % 3 == 0 ? "a" : "b"),
            .address = {"127.0.0.1", target_port},
            .slots = 3,
            .started_ms = 1,
@@ -171,9 +176,9 @@
   }
 }
 
-void Measure(Runtime& runtime, size_t shards) {
+void Measure(Runtime& runtime, size_t shards, size_t targets_per_shard) {
   StandInWorld world;
-  Entry entry(runtime, shards, world.StartTargets());
+  Entry entry(runtime, shards, targets_per_shard, world.StartTargets());
   const uint16_t port = entry.Start();
   AskAll(runtime, world, port, kWarmUpQuestions);
   const size_t questions = std::max<size_t>(kSubRequests / shards, 10);
@@ -196,9 +201,17 @@
 
 int main(int argc, char** argv) {
   using namespace knapweedroad;
+  constexpr std::string_view kTargetsFlag = "--targets=";
+  size_t targets_per_shard = kDefaultTargetsPerShard;
   std::vector<size_t> sizes;
   for (int i = 1; i < argc; ++i) {
-    sizes.push_back(std::strtoul(argv[i], nullptr, 10));
+    const std::string_view argument = argv[i];
+    if (argument.starts_with(kTargetsFlag)) {
+      targets_per_shard =
+          std::strtoul(argv[i] + kTargetsFlag.size(), nullptr, 10);
+    } else {
+      sizes.push_back(std::strtoul(argv[i], nullptr, 10));
+    }
   }
   if (sizes.empty()) {
     sizes = {10, 42, 63, 200, 1500};
@@ -208,7 +221,7 @@
   std::printf("%6s %12s %12s %14s %14s %10s\n", "shards", "us/question",
               "us/sub", "allocs/sub", "bytes/sub", "opened");
   for (const size_t shards : sizes) {
-    Measure(runtime, shards);
+    Measure(runtime, shards, targets_per_shard);
   }
   std::fflush(stdout);
   std::_Exit(0);
--- a/knapweedroad/edge/run_hooks.cc
+++ b/knapweedroad/edge/run_hooks.cc
@@ -19,7 +19,7 @@
   hooks.pick_target = [parts, gathers](const ServiceId& service,
                                        std::span<const TargetId> tried) {
     return parts->balancer.Pick(service, tried, Runtime::Now(),
-                                gathers->near_zones());
+                                {.zones = gathers->near_zones()});
   };
   hooks.has_untried_target = [parts](const ServiceId& service,
                                      std::span<const TargetId> tried) {
--- a/knapweedroad/routing/balanced_target.h
+++ b/knapweedroad/routing/balanced_target.h
@@ -94,6 +94,10 @@
   TimePoint last_success;
   // The earliest time of the next request while the target is cold.
   TimePoint next_cold_send;
+  // Whether this host may send requests to the target while it is cold, as of
+  // this revision of the list of entry hosts; zero: not known yet.
+  bool is_cold_sender = false;
+  uint64_t cold_sender_revision = 0;
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/routing/connection_share.cc
+++ b/knapweedroad/routing/connection_share.cc
@@ -33,6 +33,7 @@
                 : this->listed.size();
   this->changed_at = now;
   this->listed = std::move(next);
+  ++this->list_revision;
 }
 
 size_t ConnectionShare::host_count() const {
--- a/knapweedroad/routing/connection_share.h
+++ b/knapweedroad/routing/connection_share.h
@@ -10,6 +10,7 @@
 #define KNAPWEEDROAD_ROUTING_CONNECTION_SHARE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -26,6 +27,8 @@
   // Replaces the list of entry hosts, which includes this host.
   void SetHosts(std::vector<HostId> hosts, TimePoint now);
   const std::vector<HostId>& hosts() const { return this->listed; }
+  // Increases with each change of the list; at least one.
+  uint64_t revision() const { return this->list_revision; }
   // Returns the number of entry hosts that may hold connections to a target; at
   // least one. Hosts that were removed from the list a short while ago are
   // included.
@@ -45,6 +48,7 @@
   bool IsListSettling(TimePoint now) const;
 
   std::vector<HostId> listed;
+  uint64_t list_revision = 1;
   // When the list last changed; absent until the first list.
   std::optional<TimePoint> changed_at;
   // The number of hosts on the list before the last change, or the greatest of
--- a/knapweedroad/routing/load_balancer.cc
+++ b/knapweedroad/routing/load_balancer.cc
@@ -22,6 +22,8 @@
 // request per kColdSendInterval.
 constexpr size_t kMaxColdSenders = 3;
 constexpr Duration kColdSendInterval = milliseconds(1200);
+// The number of warm targets whose costs are always compared.
+constexpr size_t kMinWarmCandidates = 6;
 // A target without heartbeats stays usable for this time after its last answer.
 constexpr Duration kSilentGracePeriod = std::chrono::seconds(2);
 // Control hosts remove a target without heartbeats after the same time.
@@ -52,6 +54,9 @@
   service.max_connections =
       configured == nullptr ? 0 : configured->max_connections;
   service.cold_rate = configured == nullptr ? 0 : configured->cold_rate;
+  for (BalancedTarget* const target : service.targets) {
+    target->cold_sender_revision = 0;
+  }
   const auto split = this->version_splits.find(id);
   service.split = split == this->version_splits.end()
                       ? std::nullopt
@@ -98,7 +103,10 @@
   if (found == this->targets.end()) {
     return;
   }
-  std::erase(found->second.service->targets, &found->second);
+  BalancedTarget* const target = &found->second;
+  std::erase(target->service->targets, target);
+  this->active_targets.erase(target);
+  this->silent_targets.erase(target);
   this->targets.erase(found);
 }
 
@@ -120,8 +128,9 @@
     current->service = &this->GetOrAddService(record.service);
     current->service->targets.push_back(current);
   }
-  if (record.phase == TargetPhase::kSilent &&
-      current->record.phase != TargetPhase::kSilent) {
+  if (record.phase != TargetPhase::kSilent) {
+    this->silent_targets.erase(current);
+  } else if (this->silent_targets.insert(current).second) {
     current->silent_since = now;
   }
   current->record = record;
@@ -135,10 +144,10 @@
 
 // Limits the number of sending hosts so that the total rate stays below the
 // limit for cold targets. Every host computes the same set of senders.
-bool LoadBalancer::MaySendWhileCold(const BalancedTarget& target,
-                                    TimePoint now) const {
-  if (now < target.next_cold_send) {
-    return false;
+bool LoadBalancer::IsColdSender(BalancedTarget& target) const {
+  const uint64_t revision = this->connection_share.revision();
+  if (target.cold_sender_revision == revision) {
+    return target.is_cold_sender;
   }
   const double max_rate =
       target.service->cold_rate * this->options.cold_burst_factor +
@@ -152,7 +161,14 @@
       ++lower_ranked;
     }
   }
-  return lower_ranked < max_senders;
+  target.is_cold_sender = lower_ranked < max_senders;
+  target.cold_sender_revision = revision;
+  return target.is_cold_sender;
+}
+
+bool LoadBalancer::MaySendWhileCold(BalancedTarget& target,
+                                    TimePoint now) const {
+  return now >= target.next_cold_send && this->IsColdSender(target);
 }
 
 bool LoadBalancer::IsUsable(const BalancedTarget& target, TimePoint now) const {
@@ -173,31 +189,37 @@
              : this->connection_share.MaxPerTarget(max_connections, now);
 }
 
+LoadBalancer::SubsetKey LoadBalancer::SubsetKeyOf(
+    const BalancedTarget& target) const {
+  return {this->IsInOtherZone(target), target.subset_rank};
+}
+
 // If there are more hosts than a target accepts connections, each host uses a
 // subset of the targets. It prefers targets of its own zone, and the hash gives
 // each host a different order.
-bool LoadBalancer::IsInSubset(const BalancedTarget& target) const {
-  const BalancedService& service = *target.service;
-  const size_t max_connections = service.max_connections;
+std::optional<LoadBalancer::SubsetKey> LoadBalancer::SubsetEnd(
+    const BalancedService& service) {
   const size_t target_count = service.targets.size();
-  const size_t size = max_connections == 0 ? target_count
-                                           : this->connection_share.SubsetSize(
-                                                 target_count, max_connections);
+  const size_t size = service.max_connections == 0
+                          ? target_count
+                          : this->connection_share.SubsetSize(
+                                target_count, service.max_connections);
   if (size >= target_count) {
-    return true;
+    return std::nullopt;
   }
-  const auto key = [this](const BalancedTarget& ranked) {
-    return std::pair(this->IsInOtherZone(ranked), ranked.subset_rank);
-  };
-  size_t lower_ranked = 0;
-  for (const BalancedTarget* const other : service.targets) {
-    const bool is_in_use =
-        other->record.phase == TargetPhase::kServing && !other->is_ejected;
-    if (other != &target && is_in_use && key(*other) < key(target)) {
-      ++lower_ranked;
+  std::vector<SubsetKey>& in_use = this->subset_keys;
+  in_use.clear();
+  for (const BalancedTarget* const target : service.targets) {
+    if (target->record.phase == TargetPhase::kServing && !target->is_ejected) {
+      in_use.push_back(this->SubsetKeyOf(*target));
     }
   }
-  return lower_ranked < size;
+  if (in_use.size() < size) {
+    return std::nullopt;
+  }
+  const auto last = in_use.begin() + static_cast<std::ptrdiff_t>(size - 1);
+  std::ranges::nth_element(in_use, last);
+  return *last;
 }
 
 bool LoadBalancer::MaySend(const BalancedTarget& target, TimePoint now) const {
@@ -218,10 +240,10 @@
 
 void LoadBalancer::RemoveSilentTargets(TimePoint now) {
   std::vector<TargetId> expired;
-  for (const auto& [id, target] : this->targets) {
-    if (target.record.phase == TargetPhase::kSilent && target.in_flight == 0 &&
-        now - target.silent_since > kRemoveSilentAfter) {
-      expired.push_back(id);
+  for (const BalancedTarget* const target : this->silent_targets) {
+    if (target->in_flight == 0 &&
+        now - target->silent_since > kRemoveSilentAfter) {
+      expired.push_back(target->record.id);
     }
   }
   for (const TargetId& id : expired) {
@@ -241,19 +263,18 @@
   if (!this->zone_reachability.OnAnswered(now)) {
     return;
   }
-  for (auto& [id, target] : this->targets) {
-    if (target.is_ejected && this->IsInOtherZone(target)) {
-      target.next_probe = now;
-      target.failed_probes = 0;
+  for (BalancedTarget* const target : this->active_targets) {
+    if (target->is_ejected && this->IsInOtherZone(*target)) {
+      target->next_probe = now;
+      target->failed_probes = 0;
     }
   }
 }
 
-std::optional<TargetId> LoadBalancer::Pick(
-    const ServiceId& service_id,
-    std::span<const TargetId> tried,
-    TimePoint now,
-    std::span<const ZoneId> preferred_zones) {
+std::optional<TargetId> LoadBalancer::Pick(const ServiceId& service_id,
+                                           std::span<const TargetId> tried,
+                                           TimePoint now,
+                                           const PickPreferences& preferences) {
   const auto found = this->services.find(service_id);
   if (found == this->services.end()) {
     return std::nullopt;
@@ -269,49 +290,68 @@
     }
     avoids_candidate = split->candidate_share < 1;
   }
+  const PickContext pick =
+      this->MakePickContext(found->second, tried, preferences, now);
+  BalancedTarget* const best =
+      this->FindCheapest(found->second, avoids_candidate, pick);
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  if (this->IsCold(*best, now)) {
+    best->next_cold_send = now + kColdSendInterval;
+  } else if (best->is_ejected) {
+    const auto hosts =
+        static_cast<int64_t>(this->connection_share.host_count());
+    best->next_trial =
+        now + std::max(kMinTrialInterval, kTrialIntervalPerHost * hosts);
+  }
+  return best->record.id;
+}
+
+// Begins at a random target, and estimates the cost of as many as the choice
+// needs: with a good one among several, further ones would be little better,
+// and a scatter chooses a target for each of its shards.
+BalancedTarget* LoadBalancer::FindCheapest(const BalancedService& service,
+                                           bool avoids_candidate,
+                                           const PickContext& pick) {
   // Prefers warm targets, then trials of ejected targets, then cold targets.
   enum Rank { kWarm, kTrial, kCold, kNone };
   Rank best_rank = kNone;
   double best_cost = std::numeric_limits<double>::max();
   BalancedTarget* best = nullptr;
-  for (BalancedTarget* const candidate : found->second.targets) {
-    BalancedTarget& target = *candidate;
+  size_t warm_count = 0;
+  const size_t count = service.targets.size();
+  const size_t offset = count == 0 ? 0 : this->random() % count;
+  for (size_t i = 0; i < count; ++i) {
+    BalancedTarget& target = *service.targets[(offset + i) % count];
+    const double zone_factor = this->ZoneFactor(target, pick.preferred_zones);
+    const bool is_unlikely_better =
+        warm_count >= kMinWarmCandidates &&
+        best_cost <= service.latency_ns * zone_factor;
     const bool is_avoided =
-        avoids_candidate &&
-        target.record.version == found->second.split->candidate;
-    if (is_avoided || !this->MaySend(target, now) ||
-        std::ranges::find(tried, target.record.id) != tried.end()) {
+        avoids_candidate && target.record.version == service.split->candidate;
+    if (is_unlikely_better || is_avoided || !this->MaySend(target, pick.now) ||
+        std::ranges::find(pick.tried, target.record.id) != pick.tried.end()) {
       continue;
     }
-    Rank rank = kWarm;
-    if (this->IsCold(target, now)) {
-      rank = this->MaySendWhileCold(target, now) ? kCold : kNone;
-    } else if (target.is_ejected) {
-      rank = kTrial;
+    Rank rank = target.is_ejected ? kTrial : kWarm;
+    if (this->IsCold(target, pick.now)) {
+      const bool is_candidate =
+          best_rank >= kCold && this->MaySendWhileCold(target, pick.now);
+      rank = is_candidate ? kCold : kNone;
     }
     if (rank == kNone || rank > best_rank) {
       continue;
     }
-    const double cost =
-        this->EstimateCost(target, preferred_zones, !tried.empty(), now);
+    warm_count += rank == kWarm ? 1 : 0;
+    const double cost = this->EstimateCost(target, zone_factor, pick);
     if (rank < best_rank || cost < best_cost) {
       best_rank = rank;
       best_cost = cost;
       best = &target;
     }
   }
-  if (best == nullptr) {
-    return std::nullopt;
-  }
-  if (best_rank == kCold) {
-    best->next_cold_send = now + kColdSendInterval;
-  } else if (best_rank == kTrial) {
-    const auto hosts =
-        static_cast<int64_t>(this->connection_share.host_count());
-    best->next_trial =
-        now + std::max(kMinTrialInterval, kTrialIntervalPerHost * hosts);
-  }
-  return best->record.id;
+  return best;
 }
 
 bool LoadBalancer::IsServed(const ServiceId& service,
@@ -340,6 +380,35 @@
       });
 }
 
+std::vector<const TargetRecord*> LoadBalancer::ReadyTargetsInZone(
+    const ServiceId& service,
+    const ZoneId& zone,
+    TimePoint now) const {
+  std::vector<const TargetRecord*> ready;
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return ready;
+  }
+  for (const BalancedTarget* const target : found->second.targets) {
+    if (target->record.zone == zone && this->IsReady(*target, now)) {
+      ready.push_back(&target->record);
+    }
+  }
+  return ready;
+}
+
+size_t LoadBalancer::SubsetSize(const ServiceId& service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end() || found->second.targets.empty()) {
+    return 0;
+  }
+  const size_t target_count = found->second.targets.size();
+  const size_t max_connections = found->second.max_connections;
+  return max_connections == 0
+             ? target_count
+             : this->connection_share.SubsetSize(target_count, max_connections);
+}
+
 bool LoadBalancer::IsReady(const BalancedTarget& target, TimePoint now) const {
   return this->IsUsable(target, now) && !target.is_ejected &&
          !this->IsCold(target, now);
--- a/knapweedroad/routing/load_balancer.h
+++ b/knapweedroad/routing/load_balancer.h
@@ -25,6 +25,8 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "knapweedroad/base/time.h"
@@ -90,6 +92,14 @@
   std::optional<TargetLoad> load;
 };
 
+// How a target is to be chosen.
+struct PickPreferences {
+  // The extra cost of other zones is lower for these, and lowest for the first.
+  std::span<const ZoneId> zones;
+  // Another host sends the attempt, so this host's connections don't count.
+  bool is_sent_by_other_host = false;
+};
+
 // A health probe to send.
 struct DueProbe {
   TargetId target;
@@ -146,12 +156,11 @@
   // Returns the target of the service with the lowest expected latency, other
   // than those in `tried`, or nothing if no target can take a request now. The
   // caller sends an attempt to the target and calls OnSent().
-  // Targets of other zones cost more than those of this host's zone. The extra
-  // cost is lower for `preferred_zones`, and lowest for the first of them.
+  // Targets of other zones cost more than those of this host's zone.
   std::optional<TargetId> Pick(const ServiceId& service,
                                std::span<const TargetId> tried,
                                TimePoint now,
-                               std::span<const ZoneId> preferred_zones = {});
+                               const PickPreferences& preferences = {});
 
   // Returns whether the service has a target, other than those in `tried`, that
   // is usable, not ejected and not cold. It may be at its limit of attempts in
@@ -163,6 +172,16 @@
   // Like IsServed(), but considers only the targets of this host's zone.
   bool IsServedInZone(const ServiceId& service, TimePoint now) const;
 
+  // Returns the service's targets in the zone that are usable, not ejected and
+  // not cold. The pointers are valid as that of Find().
+  std::vector<const TargetRecord*> ReadyTargetsInZone(const ServiceId& service,
+                                                      const ZoneId& zone,
+                                                      TimePoint now) const;
+
+  // Returns the number of the service's targets to which this host keeps
+  // connections; zero if the service has no target.
+  size_t SubsetSize(const ServiceId& service) const;
+
   TargetCounts CountTargets(const ServiceId& service, TimePoint now) const;
 
   // Detects whether this zone is cut off from the other zones.
@@ -221,6 +240,10 @@
   // due.
   void OnIdleClosed(const TargetId& id, TimePoint now);
 
+  // Returns the number of targets that EjectUnresponsive() and DueProbes()
+  // examine: those with attempts in flight, ejected, or to be probed.
+  size_t active_target_count() const { return this->active_targets.size(); }
+
   // Ejects targets that have left attempts unanswered for long and have
   // answered nothing meanwhile. Must be called periodically, but not directly
   // after this process was suspended: all attempts would seem unanswered.
@@ -250,19 +273,43 @@
   // Whether an attempt may be sent now, if only as a trial.
   bool MaySend(const BalancedTarget& target, TimePoint now) const;
   // Whether an attempt may be sent now to a target that is cold.
-  bool MaySendWhileCold(const BalancedTarget& target, TimePoint now) const;
-  // Whether this host keeps connections to the target.
-  bool IsInSubset(const BalancedTarget& target) const;
+  bool MaySendWhileCold(BalancedTarget& target, TimePoint now) const;
+  // Whether this host is among those that may send to the target while it is
+  // cold.
+  bool IsColdSender(BalancedTarget& target) const;
+  // The position of a target in this host's order of a service's targets: those
+  // of its own zone come first.
+  using SubsetKey = std::pair<bool, uint64_t>;
+  SubsetKey SubsetKeyOf(const BalancedTarget& target) const;
+  // Returns the last target of the service to which this host keeps
+  // connections; absent if it keeps connections to all of them.
+  std::optional<SubsetKey> SubsetEnd(const BalancedService& service);
   // Returns the service, which is created with its configuration if needed.
   BalancedService& GetOrAddService(const ServiceId& id);
   // Copies the service's routing configuration and version split.
   void ApplyConfig(const ServiceId& id, BalancedService& service) const;
   // Returns how many connections this host may hold to the target.
   size_t ConnectionCap(const BalancedTarget& target, TimePoint now) const;
+  // What the costs of all targets of a service depend on in one choice.
+  struct PickContext {
+    std::span<const TargetId> tried;
+    std::span<const ZoneId> preferred_zones;
+    std::optional<SubsetKey> subset_end;
+    bool are_connections_scarce = false;
+    bool are_connections_shared = false;
+    TimePoint now;
+  };
+  PickContext MakePickContext(const BalancedService& service,
+                              std::span<const TargetId> tried,
+                              const PickPreferences& preferences,
+                              TimePoint now);
+  // Returns null if no target can take a request.
+  BalancedTarget* FindCheapest(const BalancedService& service,
+                               bool avoids_candidate,
+                               const PickContext& pick);
   double EstimateCost(const BalancedTarget& target,
-                      std::span<const ZoneId> preferred_zones,
-                      bool is_extra_attempt,
-                      TimePoint now);
+                      double zone_factor,
+                      const PickContext& pick);
   double ZoneFactor(const BalancedTarget& target,
                     std::span<const ZoneId> preferred_zones) const;
   // Returns whether the attempt should go to the candidate version: at random
@@ -307,8 +354,17 @@
   std::shared_ptr<const RouteTable> routing;
   std::set<ZoneId> zones_out_of_service;
   std::unordered_map<ServiceId, VersionSplit> version_splits;
+  // Periodic work examines only these, as most of many targets are idle. Those
+  // that no longer qualify are removed by EjectUnresponsive().
+  std::unordered_set<BalancedTarget*> active_targets;
+  // Targets whose record has the phase TargetPhase::kSilent.
+  std::unordered_set<BalancedTarget*> silent_targets;
   OutlierLists outliers;
+  // The targets that `outliers` named when it was last applied.
+  std::vector<TargetId> applied_outliers;
   ConnectionShare connection_share;
+  // Used by SubsetEnd() only; kept to avoid allocations.
+  std::vector<SubsetKey> subset_keys;
   ZoneReachability zone_reachability;
   // Before this time targets are assumed to have few free connections.
   TimePoint connections_scarce_until;
--- a/knapweedroad/routing/load_balancer_cost.cc
+++ b/knapweedroad/routing/load_balancer_cost.cc
@@ -40,33 +40,48 @@
              : kUnpreferredZoneFactor;
 }
 
-double LoadBalancer::EstimateCost(const BalancedTarget& target,
-                                  std::span<const ZoneId> preferred_zones,
-                                  bool is_extra_attempt,
-                                  TimePoint now) {
-  const BalancedService& service = *target.service;
-  const bool are_connections_scarce = now < this->connections_scarce_until;
+LoadBalancer::PickContext LoadBalancer::MakePickContext(
+    const BalancedService& service,
+    std::span<const TargetId> tried,
+    const PickPreferences& preferences,
+    TimePoint now) {
+  PickContext pick{
+      .tried = tried, .preferred_zones = preferences.zones, .now = now};
+  if (preferences.is_sent_by_other_host) {
+    return pick;
+  }
   // Only where targets report their service time, as in other deployments
   // requests are divided as before.
-  const bool are_connections_shared =
+  pick.are_connections_shared =
       service.reports_service_time && service.max_connections > 0 &&
       this->connection_share.SubsetSize(service.targets.size(),
                                         service.max_connections) <
           service.targets.size();
+  pick.are_connections_scarce = now < this->connections_scarce_until;
+  pick.subset_end = this->SubsetEnd(service);
+  return pick;
+}
+
+double LoadBalancer::EstimateCost(const BalancedTarget& target,
+                                  double zone_factor,
+                                  const PickContext& pick) {
   const bool needs_connection =
-      (are_connections_scarce || are_connections_shared) &&
+      (pick.are_connections_scarce || pick.are_connections_shared) &&
       this->options.has_idle_connection &&
       !this->options.has_idle_connection(target.record.id);
   const CostContext context{
-      .usual_latency_ns = service.latency_ns,
+      .usual_latency_ns = target.service->latency_ns,
       .uses_shared_outcomes = this->random() % kIgnoreOutliersOneIn != 0,
-      .is_extra_attempt = is_extra_attempt,
-      .zone_factor = this->ZoneFactor(target, preferred_zones),
-      .is_outside_subset = !this->IsInSubset(target),
-      .needs_scarce_connection = are_connections_scarce && needs_connection,
-      .needs_shared_connection = are_connections_shared && needs_connection};
+      .is_extra_attempt = !pick.tried.empty(),
+      .zone_factor = zone_factor,
+      .is_outside_subset =
+          pick.subset_end && this->SubsetKeyOf(target) > *pick.subset_end,
+      .needs_scarce_connection =
+          pick.are_connections_scarce && needs_connection,
+      .needs_shared_connection =
+          pick.are_connections_shared && needs_connection};
   // A random factor of up to 2% breaks ties.
-  return CostOf(target, context, now) *
+  return CostOf(target, context, pick.now) *
          (1 + 0.02 * static_cast<double>(this->random()) /
                   static_cast<double>(std::minstd_rand::max()));
 }
--- a/knapweedroad/routing/load_balancer_latency.cc
+++ b/knapweedroad/routing/load_balancer_latency.cc
@@ -100,15 +100,19 @@
 }
 
 void LoadBalancer::ApplyOutliers() {
-  for (auto& [id, target] : this->targets) {
-    target.shared_failure_share = 0;
-    target.shared_slowdown = 1;
+  for (const TargetId& id : this->applied_outliers) {
+    if (BalancedTarget* const target = this->Lookup(id)) {
+      target->shared_failure_share = 0;
+      target->shared_slowdown = 1;
+    }
   }
+  this->applied_outliers.clear();
   for (const auto& [id, outlier] : this->outliers.WorstByTarget()) {
     if (BalancedTarget* const target = this->Lookup(id)) {
       target->shared_failure_share =
           static_cast<double>(outlier.failed) / TargetOutlier::kFailedUnits;
       target->shared_slowdown = static_cast<double>(outlier.slowdown);
+      this->applied_outliers.push_back(id);
     }
   }
 }
--- a/knapweedroad/routing/load_balancer_outcomes.cc
+++ b/knapweedroad/routing/load_balancer_outcomes.cc
@@ -50,6 +50,7 @@
   if (BalancedTarget* const target = this->Lookup(id)) {
     ++target->in_flight;
     target->sent_times.push_back(now);
+    this->active_targets.insert(target);
   }
 }
 
@@ -134,6 +135,7 @@
     CountOutcome(*target, 1, kFailureWeight, now);
     this->ReportOutcome(*target, {.failed = 1});
     target->needs_probe = true;
+    this->active_targets.insert(target);
   }
 }
 
@@ -166,6 +168,7 @@
     this->ReportHealthChange(target, "ejected", cause, now - since);
   }
   target.needs_probe = true;
+  this->active_targets.insert(&target);
   if (this->IsInOtherZone(target)) {
     this->zone_reachability.OnUnanswered(target.record.id);
   }
@@ -191,7 +194,12 @@
 }
 
 void LoadBalancer::EjectUnresponsive(TimePoint now) {
-  for (auto& [id, target] : this->targets) {
+  std::erase_if(this->active_targets, [](const BalancedTarget* target) {
+    return target->sent_times.empty() && !target->is_ejected &&
+           !target->needs_probe;
+  });
+  for (const BalancedTarget* const active : this->active_targets) {
+    const BalancedTarget& target = *active;
     if (target.sent_times.empty() || target.is_ejected) {
       continue;
     }
@@ -204,7 +212,7 @@
     const TimePoint since =
         std::max(target.sent_times.front(), target.last_success);
     if (now - since > max_silence) {
-      this->OnUnresponsive(id, now);
+      this->OnUnresponsive(target.record.id, now);
     }
   }
 }
@@ -243,6 +251,7 @@
 void LoadBalancer::OnIdleClosed(const TargetId& id, TimePoint now) {
   if (BalancedTarget* const target = this->Lookup(id)) {
     target->needs_probe = true;
+    this->active_targets.insert(target);
     target->next_probe = std::min(target->next_probe, now);
     target->slowdown.Forget();
   }
@@ -258,7 +267,8 @@
 
 std::vector<DueProbe> LoadBalancer::DueProbes(TimePoint now) {
   std::vector<DueProbe> due;
-  for (auto& [id, target] : this->targets) {
+  for (BalancedTarget* const active : this->active_targets) {
+    BalancedTarget& target = *active;
     const bool is_wanted =
         (target.is_ejected || target.needs_probe) &&
         target.record.phase != TargetPhase::kGone &&
@@ -272,7 +282,8 @@
       continue;
     }
     target.next_probe = now + this->ProbeInterval(target);
-    due.push_back({id, target.record.address, service->health_path});
+    due.push_back(
+        {target.record.id, target.record.address, service->health_path});
   }
   return due;
 }
--- a/knapweedroad/routing/load_balancer_test.cc
+++ b/knapweedroad/routing/load_balancer_test.cc
@@ -518,7 +518,7 @@
   for (const char* zone : {"b", "c", "d"}) {
     const std::vector<ZoneId> preferred = {ZoneId(zone)};
     for (int i = 0; i < 20; ++i) {
-      cr_expect(balancer.Pick(kService, {}, kStart, preferred) ==
+      cr_expect(balancer.Pick(kService, {}, kStart, {.zones = preferred}) ==
                 TargetId(zone));
     }
   }
@@ -529,7 +529,55 @@
   balancer.UpdateTarget(Record("a", "a"), kStart);
   balancer.UpdateTarget(Record("b", "b"), kStart);
   const std::vector<ZoneId> preferred = {ZoneId("b")};
-  cr_expect(balancer.Pick(kService, {}, kStart, preferred) == TargetId("a"));
+  cr_expect(balancer.Pick(kService, {}, kStart, {.zones = preferred}) ==
+            TargetId("a"));
+}
+
+// Guards against periodic work over all targets of a large fleet on hosts that
+// send to few of them: it must grow with the targets in use only.
+Test(load_balancer, periodic_work_does_not_grow_with_the_number_of_targets) {
+  for (const size_t count : {100, 10'000}) {
+    LoadBalancer balancer = MakeBalancer(0, 1, 100);
+    for (size_t i = 0; i < count; ++i) {
+      balancer.UpdateTarget(Record(("t" + std::to_string(i)).c_str(), "a"),
+                            kStart);
+    }
+    cr_expect(balancer.active_target_count() == 0);
+    for (const char* id : {"t1", "t2", "t3"}) {
+      balancer.OnSent(TargetId(id), kStart);
+    }
+    balancer.OnUnreachable(TargetId("t1"), kStart);
+    balancer.OnAnswered(TargetId("t2"), milliseconds(5), std::nullopt, kStart);
+    balancer.EjectUnresponsive(kStart);
+    // The ejected target, and the one with an attempt in flight.
+    cr_expect(balancer.active_target_count() == 2);
+    cr_expect(balancer.DueProbes(kStart).size() == 1);
+    balancer.EjectUnresponsive(kStart + seconds(2));
+    cr_expect(balancer.Pick(kService, {}, kStart + seconds(2)).has_value());
+    balancer.OnProbeResult(TargetId("t1"),
+                           {.is_reachable = true, .is_healthy = true},
+                           kStart + seconds(2));
+    balancer.OnAnswered(TargetId("t3"), seconds(2), std::nullopt,
+                        kStart + seconds(2));
+    balancer.EjectUnresponsive(kStart + seconds(2));
+    cr_expect(balancer.active_target_count() == 0);
+  }
+}
+
+// Guards against a silent target that stays forever because periodic work no
+// longer looks at all targets.
+Test(load_balancer, a_target_that_is_silent_for_long_is_removed) {
+  LoadBalancer balancer = MakeBalancer(0, 1, 100);
+  balancer.UpdateTarget(Record("t", "a"), kStart);
+  TargetRecord silent = Record("t", "a");
+  silent.sequence = 2;
+  silent.phase = TargetPhase::kSilent;
+  balancer.UpdateTarget(silent, kStart);
+  balancer.RemoveSilentTargets(kStart + seconds(59));
+  cr_expect(balancer.Find(TargetId("t")) != nullptr);
+  balancer.RemoveSilentTargets(kStart + seconds(61));
+  cr_expect(balancer.Find(TargetId("t")) == nullptr);
+  balancer.EjectUnresponsive(kStart + seconds(61));
 }
 
 TargetRecord RecordOfVersion(const char* id,
