A roll-out whose owner is replaced completes in time

Cause: a control host that takes a roll-out over gets from each entry host its attempts since the order. It took them for attempts of its own first moment, so it expected many times the requests that came: its exposure limit, which counts expected requests, was too high in the full phase, and the canary's share too low to gather evidence before the deadline. Until the first reports of all hosts it knew too few attempts on the candidate.

Change: the mean rate counts from the order, a host's first report to this owner doesn't count as recent, and an owner that took over exposes nothing until all entry hosts have reported, or 1.2 s.

--- a/knapweedroad/rollout/rollout_controller.cc
+++ b/knapweedroad/rollout/rollout_controller.cc
@@ -24,8 +24,11 @@
 // The bad answers from which on any evidence that isn't weak leads to a
 // rollback.
 constexpr size_t kDecisiveBadAnswers = 40;
-// A host that hasn't reported for this long need not confirm.
+// A host that hasn't reported for this long need not confirm, and an owner that
+// took over doesn't wait for its counts.
 constexpr Duration kReporterTimeout = milliseconds(1200);
+// The owner that got the order starts within this time of it.
+constexpr Duration kFirstOwnerDelay = milliseconds(250);
 // The longest time to wait for attempts in flight on the stable version.
 constexpr Duration kDrainTimeout = milliseconds(1500);
 // A rollout that still lacks targets or clear evidence is rolled back this long
@@ -129,7 +132,13 @@
   if (progress.rollout_number != this->options.record.number) {
     return;
   }
-  Reporter& reporter = this->reporters[host];
+  const auto [found, is_new] = this->reporters.try_emplace(host);
+  Reporter& reporter = found->second;
+  if (is_new) {
+    // The host's attempts since the order, which an owner that took over must
+    // not take for those of the last moment.
+    this->sent_at_measurement += progress.sent;
+  }
   // A restarted host counts from zero.
   const AttemptCounts before =
       reporter.epoch == epoch ? reporter.counts : AttemptCounts();
@@ -151,6 +160,16 @@
   }
 }
 
+bool RolloutController::KnowsAllCounts(const FleetState& fleet,
+                                       TimePoint now) const {
+  const bool took_over =
+      this->started_at - this->options.ordered_at > kFirstOwnerDelay;
+  return !took_over || now - this->started_at > kReporterTimeout ||
+         std::ranges::all_of(fleet.entry_hosts, [&](const HostId& host) {
+           return this->reporters.contains(host);
+         });
+}
+
 bool RolloutController::IsCandidateWorse() const {
   return this->version_comparison.is_worse() ||
          (!this->version_comparison.is_evidence_weak() &&
@@ -194,7 +213,7 @@
                                                 : "too_few_targets");
     return;
   }
-  this->UpdateCanaryShare(now);
+  this->UpdateCanaryShare(fleet, now);
 }
 
 void RolloutController::TickFull(const FleetState& fleet, TimePoint now) {
--- a/knapweedroad/rollout/rollout_controller.h
+++ b/knapweedroad/rollout/rollout_controller.h
@@ -157,6 +157,9 @@
   // Returns the number of attempts that the candidate may get until the
   // deadline, from the attempts so far and the expected rate.
   double ExposureLimit(TimePoint now) const;
+  // Returns whether an owner that took over has the counts of all entry hosts.
+  // Hosts that have stopped reporting are left out.
+  bool KnowsAllCounts(const FleetState& fleet, TimePoint now) const;
   bool IsCandidateWorse() const;
   // Returns whether the candidate's targets can take the service's traffic.
   bool HasCandidateCapacity(const FleetState& fleet) const;
@@ -167,7 +170,7 @@
   // Returns the earliest start of the full phase.
   TimePoint FullPhaseStart() const;
   bool CanEnterFullPhase(const FleetState& fleet, TimePoint now) const;
-  void UpdateCanaryShare(TimePoint now);
+  void UpdateCanaryShare(const FleetState& fleet, TimePoint now);
   void TickCanary(const FleetState& fleet, TimePoint now);
   void TickFull(const FleetState& fleet, TimePoint now);
   void TickDraining(const FleetState& fleet, TimePoint now);
--- a/knapweedroad/rollout/rollout_controller_exposure.cc
+++ b/knapweedroad/rollout/rollout_controller_exposure.cc
@@ -77,8 +77,9 @@
           : this->recent_rate * (1 - kRateWeight) + measured_rate * kRateWeight;
   // The mean is the better estimate when recent counts are low, and the recent
   // rate when the rate is rising. Assumes the higher one.
-  const double mean_rate = static_cast<double>(this->totals.sent) /
-                           std::max(1e-3, Seconds(now - this->started_at));
+  const double mean_rate =
+      static_cast<double>(this->totals.sent) /
+      std::max(1e-3, Seconds(now - this->options.ordered_at));
   this->expected_rate = std::max(mean_rate, this->recent_rate);
   this->sent_at_measurement = this->totals.sent;
   this->rate_measured_at = now;
@@ -126,10 +127,12 @@
   const double exposed = static_cast<double>(this->totals.to_candidate) +
                          UpperCountBound(this->expected_rate *
                                          (remaining_s + kRetryExposureSeconds));
-  return has_answers && exposed <= this->ExposureLimit(now);
+  return has_answers && this->KnowsAllCounts(fleet, now) &&
+         exposed <= this->ExposureLimit(now);
 }
 
-void RolloutController::UpdateCanaryShare(TimePoint now) {
+void RolloutController::UpdateCanaryShare(const FleetState& fleet,
+                                          TimePoint now) {
   const double exposed = static_cast<double>(this->totals.to_candidate);
   const double remaining_s = Seconds(this->options.deadline - now);
   // The limit if no further request arrived, so that the bound holds at any
@@ -159,7 +162,8 @@
     // Past the deadline the candidate still needs requests, to resolve what has
     // delayed the decision.
     share = this->options.exposure.share;
-  } else if (exposed >= exposure_limit_now) {
+  } else if (exposed >= exposure_limit_now ||
+             !this->KnowsAllCounts(fleet, now)) {
     share = 0;
   }
   const double current_share =
--- a/knapweedroad/rollout/rollout_controller_test.cc
+++ b/knapweedroad/rollout/rollout_controller_test.cc
@@ -110,6 +110,29 @@
   }
 }
 
+// Guards against an owner that takes over and takes the attempts since the
+// order for those of its first moment: it expects far too many requests, and a
+// good version is late.
+Test(rollout_controller, a_good_version_completes_in_time_with_a_new_owner) {
+  constexpr uint64_t kOwnerSeeds = 20;
+  constexpr int kMaxLate = 4;
+  int late = 0;
+  for (uint64_t seed = 1; seed <= kOwnerSeeds; ++seed) {
+    const RolloutSimulationResult result =
+        RunRolloutSimulation({.hosts = 3,
+                              .rate = 10,
+                              .duration = seconds(8),
+                              .candidate_warm_after = seconds(1),
+                              .owner_replaced_after = seconds(5),
+                              .seed = seed});
+    cr_expect(result.state == RolloutState::kCompleted, "seed %lu %s", seed,
+              result.cause.c_str());
+    late += result.ended_after > seconds(8) ? 1 : 0;
+    ExpectWithinBounds(result, 10, seed);
+  }
+  cr_expect(late <= kMaxLate, "%d", late);
+}
+
 // Guards against requests to the stable version after completion, and against a
 // rollout that waits for unreachable hosts: these must not delay it, but all
 // other hosts must have confirmed.
--- a/knapweedroad/rollout/rollout_simulation.cc
+++ b/knapweedroad/rollout/rollout_simulation.cc
@@ -67,12 +67,7 @@
                .candidate = kCandidate,
                .duration_ms = options.duration / milliseconds(1),
                .owner = kOwner},
-        controller({.record = this->record,
-                    .ordered_at = kOrderedAt,
-                    .deadline = kOrderedAt + options.duration,
-                    .exposure = kExposureBound,
-                    .comparison = options.comparison},
-                   kOrderedAt) {}
+        controller(this->MakeController()) {}
 
   RolloutSimulationResult Run();
 
@@ -115,6 +110,14 @@
     return this->now >= kOrderedAt + this->options.duration;
   }
 
+  RolloutController MakeController() const {
+    return RolloutController({.record = this->record,
+                              .ordered_at = kOrderedAt,
+                              .deadline = kOrderedAt + this->options.duration,
+                              .exposure = kExposureBound,
+                              .comparison = this->options.comparison},
+                             this->now);
+  }
   void StartRequest();
   void Send(Host& host, bool is_short_route, bool is_retry);
   Attempt MakeAttempt(bool is_candidate, bool is_short_route);
@@ -130,13 +133,13 @@
 
   RolloutSimulationOptions options;
   std::mt19937_64 random;
+  TimePoint now = kOrderedAt;
   RolloutRecord record;
   RolloutController controller;
   std::vector<Host> hosts;
   std::vector<HostId> host_ids;
   std::priority_queue<Event> events;
   uint64_t sequence = 0;
-  TimePoint now = kOrderedAt;
   // Arrival times within the rate window, by target of the candidate.
   std::vector<std::deque<TimePoint>> candidate_arrivals;
   bool is_agreed = false;
@@ -358,6 +361,13 @@
   }
   this->ScheduleAt(kOrderedAt, [this] { this->StartRequest(); });
   this->ScheduleAt(kOrderedAt + milliseconds(50), [this] { this->Tick(); });
+  if (this->options.owner_replaced_after > Duration::zero()) {
+    this->ScheduleAt(kOrderedAt + this->options.owner_replaced_after, [this] {
+      if (!this->is_agreeing) {
+        this->controller = this->MakeController();
+      }
+    });
+  }
   const TimePoint end_at =
       kOrderedAt + this->options.duration + kTimeAfterDeadline;
   while (!this->events.empty() && this->events.top().at < end_at) {
--- a/knapweedroad/rollout/rollout_simulation.h
+++ b/knapweedroad/rollout/rollout_simulation.h
@@ -61,6 +61,9 @@
   Duration candidate_warm_after = std::chrono::seconds(3);
   CandidateFault fault;
   TargetFault target_fault;
+  // When, from the order on, another owner takes over that knows only what
+  // hosts then report. Zero: never.
+  Duration owner_replaced_after{};
   // The share of reports that are lost.
   double lost_report_share = 0;
   // The number of entry hosts that stop reporting, but not sending requests,
