Hosts that see few scatters have coordinators of each zone gather for them

What callers saw on 986 entry hosts that each see one scatter in 17 s: half of all answers late (deskpeek 27 of 353 in its 50 ms), three of four requests to targets on a new connection, 66 to 78 hedges for 90 parts.

Cause: a host's next scatter comes after its connections have closed, and on 0.12 of a core it takes longer to open 90 of them than answers may take; without measured latencies it then hedged nearly all parts, on further new connections.

Change: a host that sees fewer scatters in 10 s than it would keep connections a shard has the shards gathered in slices of at most 16 by coordinators of the targets' zone, chosen by rendezvous hashing, which keep connections open ahead of requests. A coordinator replies when answers usually are there; what is missing then is hedged through another one. Small zones have no coordinators; busy hosts send by themselves as before.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -195,6 +195,7 @@
   }
   this->balancer.SetEntryHosts(std::move(hosts), now);
   this->relays.SetHosts(records);
+  this->parts.coordinators.SetHosts(records);
 }
 
 void EntryHost::State::PutInForce(
@@ -265,6 +266,7 @@
     this->balancer.EjectUnresponsive(now);
     this->prober->Probe(now);
   }
+  this->warmer.Tick(now);
   if (++this->ticks % kSweepTicks == 0) {
     this->callers->Sweep(now);
     this->gather_relay.Sweep(now);
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -12,6 +12,7 @@
 
 #include "knapweedroad/edge/caller_message.h"
 #include "knapweedroad/edge/caller_server.h"
+#include "knapweedroad/edge/connection_warmer.h"
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/entry_host.h"
 #include "knapweedroad/edge/entry_metrics.h"
@@ -96,6 +97,7 @@
   RequestAdmission admission;
   WeightedRoundRobin rotation;
   EntryParts parts;
+  ConnectionWarmer warmer;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<PeerServer> peers;
   std::unique_ptr<HttpServer> ready_server;
--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -117,7 +117,9 @@
             .relays = this->relays,
             .gather_links = this->gather_links,
             .detector = this->detector,
-            .loss_sharing = this->loss_sharing},
+            .loss_sharing = this->loss_sharing,
+            .self = this->options.settings.name},
+      warmer({.parts = this->parts, .zone = this->options.settings.zone}),
       routing({.read = this->options.read_routing,
                .is_served =
                    [this](const ServiceId& service) {
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -15,6 +15,8 @@
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/rollout/answer_sampler.h"
 #include "knapweedroad/routing/answer_lead_time.h"
+#include "knapweedroad/routing/coordinator_choice.h"
+#include "knapweedroad/routing/recent_requests.h"
 #include "knapweedroad/routing/retry_budget.h"
 #include "knapweedroad/routing/shard_shedding.h"
 
@@ -52,6 +54,10 @@
   GatherLinks& gather_links;
   QueryOfDeathDetector& detector;
   LossSharing& loss_sharing;
+  // This host's name.
+  HostId self;
+  CoordinatorChoice coordinators{{.self = self}};
+  RecentRequests recent_scatters;
   AnswerLeadTime lead{{}};
   // Those of requests that run, or have just ended.
   std::unordered_set<RequestAttempts*> running_attempts;
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -36,6 +36,9 @@
 
 // How much longer a gathered part takes on its way.
 constexpr Duration kGatherSlack = milliseconds(4);
+// Part of the latency target by which a coordinator's reply may be late before
+// its attempts are hedged: they are not one by one slower than others.
+constexpr int kCoordinatorSlackPart = 4;
 
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
  public:
@@ -58,7 +61,8 @@
   void Do(RunStep step);
   void Send(const AttemptStart& start);
   void SendGroup(const GatherGroup& group, bool is_first);
-  void OnGathered(RequestAttempts::Gathered gathered);
+  void OnGathered(RequestAttempts::Gathered gathered, bool is_first_reply);
+  void HedgeRunning(std::span<const uint32_t> running, TimePoint now);
   void OnReply(uint32_t attempt, TargetReply reply);
   void Conclude(uint32_t attempt, AttemptOutcome outcome, TargetReply reply);
   void Arm(TimePoint at);
@@ -127,13 +131,15 @@
   this->gather_slack =
       std::max(Duration::zero(), this->reply_within - options.hedge_delay) +
       kGatherSlack;
-  this->gathers.emplace(
-      RequestGathersOptions{.parts = this->parts,
-                            .route = *this->route,
-                            .memory = *this->memory,
-                            .request = *this->request,
-                            .shards = options.services.size()},
-      now);
+  this->gathers.emplace(RequestGathersOptions{.parts = this->parts,
+                                              .route = *this->route,
+                                              .memory = *this->memory,
+                                              .request = *this->request,
+                                              .services = this->services},
+                        now);
+  if (this->gathers->uses_coordinators()) {
+    this->gather_slack += this->route->latency_target / kCoordinatorSlackPart;
+  }
   for (const ServiceId& service : options.services) {
     this->parts.BudgetOf(service).OnRequest(now);
   }
@@ -175,13 +181,16 @@
   this->attempts->SendThrough(
       group.relay, group.starts,
       is_first ? this->reply_within : this->deadline - Runtime::Now(),
-      [self = this->shared_from_this()](RequestAttempts::Gathered gathered) {
-        self->OnGathered(std::move(gathered));
+      [self = this->shared_from_this(),
+       is_first_reply = true](RequestAttempts::Gathered gathered) mutable {
+        self->OnGathered(std::move(gathered),
+                         std::exchange(is_first_reply, false));
       });
   this->parts.metrics.CountGather(group.starts.size());
 }
 
-void EntryRequest::OnGathered(RequestAttempts::Gathered gathered) {
+void EntryRequest::OnGathered(RequestAttempts::Gathered gathered,
+                              bool is_first_reply) {
   const TimePoint now = Runtime::Now();
   std::vector<MergedAnswer> merged;
   std::vector<RequestAttempts::Gathered::Part> others;
@@ -206,6 +215,9 @@
   for (auto& part : others) {
     this->Conclude(part.attempt, part.outcome, std::move(part.reply));
   }
+  if (is_first_reply && this->gathers->uses_coordinators() && !this->is_over) {
+    this->HedgeRunning(gathered.running, now);
+  }
   for (const uint32_t attempt : gathered.lost) {
     this->attempts->TakeLost(attempt, now);
     this->Do(
@@ -223,6 +235,19 @@
   }
 }
 
+// A coordinator replies when the answers usually are there, so those that are
+// not there yet are late.
+void EntryRequest::HedgeRunning(std::span<const uint32_t> running,
+                                TimePoint now) {
+  if (running.empty()) {
+    return;
+  }
+  for (const uint32_t attempt : running) {
+    this->run->ExpediteHedge(attempt, now);
+  }
+  this->Do(this->run->OnWake(now));
+}
+
 void EntryRequest::Do(RunStep step) {
   const bool is_first = std::exchange(this->is_starting, false);
   for (const GatherGroup& group : this->gathers->Split(
--- a/knapweedroad/edge/gather_links.h
+++ b/knapweedroad/edge/gather_links.h
@@ -1,8 +1,8 @@
-// Has other entry hosts gather parts.
+// Calls other entry hosts that gather parts, see GatherRelay.
 //
 //   GatherLinks links(runtime, relays);
 //   auto gather = links.Start({.relay = record, .call = call, ...});
-//   gather->End(grace);   // nobody waits for the rest any more
+//   gather->End(grace);  // the remaining parts are not needed
 
 #ifndef KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
 #define KNAPWEEDROAD_EDGE_GATHER_LINKS_H_
@@ -34,12 +34,12 @@
   TimePoint deadline;
   // Called with each reply, from another turn of the loop.
   std::function<void(GatherReply reply)> on_reply;
-  // Called once instead of any further reply: none will come. Without
-  // `may_have_run` nothing was sent to any target.
+  // Called once, instead of any further reply, if the call has failed. If
+  // `may_have_run` is false, no target was sent anything.
   std::function<void(bool may_have_run)> on_lost;
 };
 
-// Records that a host which gathered has held back.
+// Records that a gathering host has left out of its reply.
 struct HeldRecords {
   EntryHostRecord relay;
   uint64_t token = 0;
@@ -51,21 +51,21 @@
 class GatherExchange {
  public:
   virtual ~GatherExchange() = default;
-  // No callback is called from now on; attempts that run are cut within
+  // Calls no callback from now on. Attempts in flight are cancelled after
   // `grace`.
   virtual void End(Duration grace) = 0;
 };
 
 class GatherLinks {
  public:
-  // `relays` outlives all exchanges and hears how its hosts do.
+  // `relays` must outlive all exchanges. Each call is recorded there.
   GatherLinks(Runtime& runtime, RelayChoice& relays);
   ~GatherLinks();
 
   std::shared_ptr<GatherExchange> Start(GatherOrder order);
 
-  // Asks for records that were held back from a reply. `on_records` is called
-  // once, from another turn of the loop; with nothing where they can't be had.
+  // Fetches records that were left out of a reply. Calls `on_records` once, in
+  // a later turn of the event loop, with nothing if they can't be fetched.
   void FetchHeld(
       const HeldRecords& held,
       std::function<void(std::optional<std::string> records)> on_records);
--- a/knapweedroad/edge/gather_messages.h
+++ b/knapweedroad/edge/gather_messages.h
@@ -1,6 +1,6 @@
-// How an entry host has another one, nearer to the targets, gather parts for
-// it: one call in place of one exchange a target, and the parts' records
-// merged.
+// The messages between an entry host and one that gathers parts for it: one
+// call replaces an exchange with each target, and the reply has the merged
+// records of the parts.
 
 #ifndef KNAPWEEDROAD_EDGE_GATHER_MESSAGES_H_
 #define KNAPWEEDROAD_EDGE_GATHER_MESSAGES_H_
@@ -22,8 +22,8 @@
   std::string id;
   std::string header;
   std::string body;
-  // Of the caller's answer, and how many parts that has in all: by these some
-  // records are held back.
+  // The number of records of the caller's answer, and the number of its parts.
+  // They determine how many records may be left out of a reply.
   uint32_t top_records = 0;
   uint32_t shards = 0;
 
@@ -35,18 +35,20 @@
   }
 };
 
-// One attempt on each of the targets, and nothing beyond that: whoever gathers
-// for another sends no hedge and no retry.
+// Asks for one attempt on each of the targets. The gathering host sends no
+// hedges and no retries.
 struct GatherCall {
-  // Names the call for GatherMoreCall and GatherEndCall.
+  // Identifies the call in GatherMoreCall and GatherEndCall.
   uint64_t token = 0;
-  // Names the request, which is told with the first of its calls only.
+  // Identifies the request, which only the first of its calls to a host
+  // contains.
   uint64_t request_token = 0;
   std::optional<GatheredRequest> request;
   int64_t time_left_us = 0;
-  // What has come by then is told, the rest with GatherMoreCall.
+  // The time until the reply, which has the parts that have ended by then. The
+  // rest is returned by GatherMoreCall.
   int64_t reply_within_us = 0;
-  // On the number of records that are enough by chance, in percent.
+  // A factor on the number of records that are likely to suffice, in percent.
   uint32_t record_percent = 100;
   std::vector<TargetId> targets;
 
@@ -77,12 +79,12 @@
   bool says_not_run = false;
   std::string seal;
   uint32_t latency_us = 0;
-  // The load that the target told; no slots: it told none.
+  // The load that the target reported; `slots` is zero if it reported none.
   uint16_t running = 0;
   uint16_t waiting = 0;
   uint16_t slots = 0;
-  // Zero if the target didn't tell. Not among the serialized fields, as hosts
-  // that don't know it couldn't read the reply.
+  // Zero if the target didn't report it. Not among the serialized fields, as
+  // hosts that don't know it couldn't read the reply.
   uint32_t service_time_percent = 0;
 
   // For cereal.
@@ -105,7 +107,8 @@
   std::vector<GatheredPart> parts;
   // The greatest records of the successes among them, see MergeRecords().
   std::string records;
-  // How many more of them are held back, under this number, for a moment.
+  // The number of records that were left out, which can be fetched for a short
+  // time under the number `batch`.
   uint16_t held = 0;
   uint16_t batch = 0;
 
@@ -117,7 +120,7 @@
   }
 };
 
-// Asks for the records that were held back.
+// Asks for the records that were left out of a reply.
 struct GatherHeldCall {
   uint64_t token = 0;
   uint16_t batch = 0;
@@ -130,7 +133,7 @@
 };
 
 struct GatherHeldReply {
-  // False: they are not held any more.
+  // False if the records have been dropped.
   bool is_found = false;
   std::string records;
 
@@ -141,7 +144,7 @@
   }
 };
 
-// Asks for those that end from now on; answered when one has.
+// Asks for the remaining parts. The reply comes when one of them has ended.
 struct GatherMoreCall {
   uint64_t token = 0;
 
@@ -152,7 +155,8 @@
   }
 };
 
-// Nobody waits for the rest: its attempts are cut within the grace.
+// Says that the remaining parts are not needed. Their attempts are cancelled
+// after the grace.
 struct GatherEndCall {
   uint64_t token = 0;
   int64_t grace_us = 0;
--- a/knapweedroad/edge/gather_relay.h
+++ b/knapweedroad/edge/gather_relay.h
@@ -1,13 +1,15 @@
-// Gathers parts for entry hosts of other zones.
+// Sends attempts to targets for other entry hosts, and returns the merged
+// records of their answers.
 //
 //   GatherRelay relay({.runtime = runtime, .links = links, ...});
 //   GatherReply reply = relay.Gather(call);   // blocks the fiber
 //   GatherReply rest = relay.More(token);     // blocks the fiber
 //   relay.End(token, grace);
 //
-// Answers the pattern of many parts from another zone: their heads and records
-// cross between zones once for each part, and most of the records are not among
-// the answer's greatest.
+// Answers two loads: scatters over targets of another zone, whose answers would
+// cross between zones one by one although most of their records are dropped,
+// and many entry hosts with few requests each, which share the connections of
+// few coordinators.
 
 #ifndef KNAPWEEDROAD_EDGE_GATHER_RELAY_H_
 #define KNAPWEEDROAD_EDGE_GATHER_RELAY_H_
@@ -40,9 +42,10 @@
   Runtime& runtime;
   const HeaderNames& header_names;
   TargetLinks& links;
-  // Hears of each attempt, and bounds those on a target.
+  // Records the outcome of each attempt, and limits the attempts in flight to a
+  // target.
   LoadBalancer& balancer;
-  // Calls that run at the same time; more are refused.
+  // The most calls that run at the same time; further ones are refused.
   size_t most_running = 64;
 };
 
@@ -51,18 +54,25 @@
   explicit GatherRelay(GatherRelayOptions options);
   ~GatherRelay();
 
+  // Starts the attempts of the call. Returns when all have ended, when one has
+  // failed, or after GatherCall::reply_within_us, with the parts that have
+  // ended by then.
   GatherReply Gather(const GatherCall& call);
-  // Empty where the token isn't known, or all has been told.
+  // Waits for further parts of a call, for a quarter of a second at most.
+  // Returns an empty reply if the token is unknown or all parts were returned.
   GatherReply More(uint64_t token);
+  // Cancels the attempts of a call that are still in flight after `grace`.
   void End(uint64_t token, Duration grace);
-  // The records that were held back from that reply; nothing: they are gone.
+  // Returns the records that were left out of a reply; nothing if they have
+  // been dropped.
   std::optional<std::string> Held(uint64_t token, uint16_t batch) const;
 
-  // Forgets records that are held, requests past their deadline, and runs that
-  // nobody has asked for since theirs. Called every few hundred milliseconds.
+  // Drops withheld records and requests whose time has passed, and runs that
+  // have outlived their deadline. Must be called every few hundred
+  // milliseconds.
   void Sweep(TimePoint now);
 
-  // From now on calls are refused; those that run go on.
+  // Refuses further calls. Those that run continue.
   void StartDraining() { this->is_draining = true; }
   size_t running() const { return this->runs.size(); }
 
@@ -71,7 +81,8 @@
   struct KnownRequest;
   struct Run;
 
-  // The request that the call names; null: it isn't known.
+  // Returns the request that the call carries or refers to; null if it is
+  // unknown.
   std::shared_ptr<const KnownRequest> FindRequest(const GatherCall& call);
 
   void Send(const std::shared_ptr<Run>& run,
@@ -87,7 +98,7 @@
   // By GatherCall::request_token, until their callers are gone.
   std::unordered_map<uint64_t, std::shared_ptr<const KnownRequest>> requests;
   std::unordered_map<uint64_t, std::shared_ptr<Run>> runs;
-  // Records that were held back, by token and batch.
+  // Records that were left out of replies, by token and batch.
   struct HeldBatch {
     TimePoint until;
     std::string records;
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -226,6 +226,11 @@
     gathered.parts.push_back(
         {.attempt = start.attempt, .reply = ReplyOf(std::move(part))});
   }
+  for (const AttemptStart& start : made) {
+    if (this->attempts[start.attempt].is_gathered) {
+      gathered.running.push_back(start.attempt);
+    }
+  }
   return gathered;
 }
 
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -75,6 +75,8 @@
     // Merged of the successes among them, and what was held back.
     std::string records;
     HeldRecords held;
+    // The other host made them, and they have not ended.
+    std::vector<uint32_t> running;
     // None was sent: to be sent by this host itself.
     std::vector<AttemptStart> not_tried;
     // Nothing is known of these: they may have run.
--- a/knapweedroad/edge/run_hooks.cc
+++ b/knapweedroad/edge/run_hooks.cc
@@ -19,7 +19,9 @@
   hooks.pick_target = [parts, gathers](const ServiceId& service,
                                        std::span<const TargetId> tried) {
     return parts->balancer.Pick(service, tried, Runtime::Now(),
-                                {.zones = gathers->near_zones()});
+                                {.zones = gathers->near_zones(),
+                                 .is_sent_by_other_host =
+                                     gathers->uses_coordinators()});
   };
   hooks.has_untried_target = [parts](const ServiceId& service,
                                      std::span<const TargetId> tried) {
--- a/knapweedroad/routing/relay_choice.cc
+++ b/knapweedroad/routing/relay_choice.cc
@@ -27,35 +27,46 @@
                                   &record);
     }
   }
-  std::map<HostId, Relay> next;
+  this->relays.clear();
   for (const auto& [zone, by_rank] : ranked) {
     size_t taken = 0;
     for (const auto& [rank, record] : by_rank) {
       if (taken++ == this->options.hosts_per_zone) {
         break;
       }
-      Relay& relay = next[record->host];
-      const auto previous = this->relays.find(record->host);
-      if (previous != this->relays.end()) {
-        relay = std::move(previous->second);
-      }
-      relay.record = *record;
+      this->relays.emplace(record->host, *record);
     }
   }
-  this->relays = std::move(next);
+  std::set<HostId> listed;
+  for (const EntryHostRecord& record : hosts) {
+    listed.insert(record.host);
+  }
+  std::erase_if(this->calls, [&](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
+}
+
+bool RelayChoice::IsAvailable(const HostId& host, TimePoint now) const {
+  const auto found = this->calls.find(host);
+  if (found == this->calls.end()) {
+    return true;
+  }
+  const CallState& state = found->second;
+  return now >= state.avoid_until &&
+         (state.deadlines.empty() || now <= *state.deadlines.begin());
 }
 
-bool RelayChoice::IsAvailable(const Relay& relay, TimePoint now) {
-  return now >= relay.avoid_until &&
-         (relay.deadlines.empty() || now <= *relay.deadlines.begin());
+size_t RelayChoice::CallsInFlight(const HostId& host) const {
+  const auto found = this->calls.find(host);
+  return found == this->calls.end() ? 0 : found->second.deadlines.size();
 }
 
 std::vector<ZoneId> RelayChoice::AvailableZones(TimePoint now) {
   std::vector<ZoneId> zones;
-  for (const auto& [host, relay] : this->relays) {
-    if (IsAvailable(relay, now) &&
-        std::ranges::find(zones, relay.record.zone) == zones.end()) {
-      zones.push_back(relay.record.zone);
+  for (const auto& [host, record] : this->relays) {
+    if (this->IsAvailable(host, now) &&
+        std::ranges::find(zones, record.zone) == zones.end()) {
+      zones.push_back(record.zone);
     }
   }
   std::ranges::shuffle(zones, this->random);
@@ -66,37 +77,38 @@
     const ZoneId& zone,
     std::span<const HostId> preferred,
     TimePoint now) {
-  const Relay* best = nullptr;
-  for (const auto& [host, relay] : this->relays) {
-    if (relay.record.zone != zone || !IsAvailable(relay, now)) {
+  const EntryHostRecord* best = nullptr;
+  for (const auto& [host, record] : this->relays) {
+    if (record.zone != zone || !this->IsAvailable(host, now)) {
       continue;
     }
     if (std::ranges::find(preferred, host) != preferred.end()) {
-      return relay.record;
+      return record;
     }
-    if (best == nullptr || relay.deadlines.size() < best->deadlines.size()) {
-      best = &relay;
+    if (best == nullptr ||
+        this->CallsInFlight(host) < this->CallsInFlight(best->host)) {
+      best = &record;
     }
   }
-  return best == nullptr ? std::nullopt : std::optional(best->record);
+  return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
 void RelayChoice::OnCalled(const HostId& host, TimePoint deadline) {
-  const auto found = this->relays.find(host);
-  if (found != this->relays.end()) {
-    found->second.deadlines.insert(deadline);
-  }
+  this->calls[host].deadlines.insert(deadline);
 }
 
-void RelayChoice::EndCall(const HostId& host, TimePoint deadline) {
-  const auto found = this->relays.find(host);
-  if (found == this->relays.end()) {
-    return;
+RelayChoice::CallState* RelayChoice::EndCall(const HostId& host,
+                                             TimePoint deadline) {
+  const auto found = this->calls.find(host);
+  if (found == this->calls.end()) {
+    return nullptr;
   }
-  const auto call = found->second.deadlines.find(deadline);
-  if (call != found->second.deadlines.end()) {
-    found->second.deadlines.erase(call);
+  CallState& state = found->second;
+  const auto call = state.deadlines.find(deadline);
+  if (call != state.deadlines.end()) {
+    state.deadlines.erase(call);
   }
+  return &state;
 }
 
 void RelayChoice::OnReplied(const HostId& host, TimePoint deadline) {
@@ -106,10 +118,8 @@
 void RelayChoice::OnFailed(const HostId& host,
                            TimePoint deadline,
                            TimePoint now) {
-  this->EndCall(host, deadline);
-  const auto found = this->relays.find(host);
-  if (found != this->relays.end()) {
-    found->second.avoid_until = now + this->options.avoid_after_failure;
+  if (CallState* const state = this->EndCall(host, deadline)) {
+    state->avoid_until = now + this->options.avoid_after_failure;
   }
 }
 
--- a/knapweedroad/routing/relay_choice.h
+++ b/knapweedroad/routing/relay_choice.h
@@ -61,26 +61,31 @@
                                         std::span<const HostId> preferred,
                                         TimePoint now);
 
+  // Returns whether the host has neither failed recently nor a reply overdue.
+  // Also answers for hosts that are not relays of this host.
+  bool IsAvailable(const HostId& host, TimePoint now) const;
+  // Returns the number of calls to the host without a reply.
+  size_t CallsInFlight(const HostId& host) const;
+
   // Record a call and its end. For each call, OnCalled() is called once, and
   // then either OnReplied() or OnFailed() with the same deadline. A host isn't
-  // chosen while one of its calls is past its deadline. Hosts that are not on
-  // the list are ignored.
+  // available while one of its calls is past its deadline.
   void OnCalled(const HostId& host, TimePoint deadline);
   void OnReplied(const HostId& host, TimePoint deadline);
   void OnFailed(const HostId& host, TimePoint deadline, TimePoint now);
 
  private:
-  struct Relay {
-    EntryHostRecord record;
+  struct CallState {
     std::multiset<TimePoint> deadlines;
     TimePoint avoid_until;
   };
 
-  void EndCall(const HostId& host, TimePoint deadline);
-  static bool IsAvailable(const Relay& relay, TimePoint now);
+  CallState* EndCall(const HostId& host, TimePoint deadline);
 
   RelayChoiceOptions options;
-  std::map<HostId, Relay> relays;
+  std::map<HostId, EntryHostRecord> relays;
+  // Without the hosts that were not called since the list changed.
+  std::map<HostId, CallState> calls;
   std::minstd_rand random;
 };
 
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -211,6 +211,16 @@
   }
 }
 
+void RequestRun::ExpediteHedge(uint32_t attempt, TimePoint now) {
+  const uint32_t shard_index = this->attempt_shards[attempt];
+  if (shard_index == kEndedAttempt) {
+    return;
+  }
+  Shard& shard = this->shards[shard_index];
+  shard.hedge_at = std::min(shard.hedge_at, now);
+  this->cached_wake_at.reset();
+}
+
 RunStep RequestRun::OnErrorAnswer(uint32_t attempt,
                                   TargetAnswer answer,
                                   TimePoint now) {
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -212,6 +212,9 @@
   // Postpones the hedge of an attempt whose answer takes `delay` longer than
   // others to arrive. Called before the next step.
   void DelayHedge(uint32_t attempt, Duration delay);
+  // Makes the hedge of an attempt due now, because its answer is known to be
+  // late. It is sent by the next call of OnWake().
+  void ExpediteHedge(uint32_t attempt, TimePoint now);
 
   bool has_ended() const { return this->ended; }
   // The number of attempts so far, and of those among them that
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -526,6 +526,23 @@
   cr_expect(run.OnWake(kStart + milliseconds(31)).starts.size() == 1);
 }
 
+// Guards against a late part whose hedge waits although the host that gathers
+// it has said that it is late.
+Test(request_run, a_part_known_to_be_late_is_hedged_at_once) {
+  Fixture fixture(3);
+  RequestRun run = fixture.MakeRun();
+  run.Start(kStart);
+  for (const uint32_t attempt : {0, 1, 2}) {
+    run.DelayHedge(attempt, milliseconds(30));
+  }
+  run.OnAnswer(0, OkAnswer("1"), kStart + milliseconds(5));
+  run.ExpediteHedge(0, kStart + milliseconds(6));
+  run.ExpediteHedge(2, kStart + milliseconds(6));
+  const RunStep step = run.OnWake(kStart + milliseconds(6));
+  cr_assert(step.starts.size() == 1);
+  cr_expect(step.starts.front().service_index == 2);
+}
+
 // Guards against the parts of one scatter that are each sent to a second target
 // although all first ones have ended under it.
 Test(request_run, parts_of_a_suspect_are_tried_one_by_one) {
