At a start of a large fleet hosts log few lines about single targets

Cause: lines were bounded for each reply of a control host; at a start there is a reply every 10 ms, on each host, about each target.

Change: 16 targets a second get a line of their own, the rest one line with their number.

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -171,7 +171,7 @@
   } else {
     this->balancer.reachability().OnControlReport(reply.is_cut_off, now);
   }
-  LearnTargets(this->balancer, from, reply, now);
+  LearnTargets(this->balancer, from, reply, this->target_lines, now);
   if (this->entry_hosts.Update(from,
                                reply.has_hosts
                                    ? std::optional(reply.entry_hosts.upserted)
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -26,6 +26,7 @@
 #include "knapweedroad/edge/rollout_reporter.h"
 #include "knapweedroad/edge/routing_in_force.h"
 #include "knapweedroad/edge/target_links.h"
+#include "knapweedroad/edge/target_news.h"
 #include "knapweedroad/edge/target_prober.h"
 #include "knapweedroad/freshness/configuration_freshness.h"
 #include "knapweedroad/net/http_server.h"
@@ -110,6 +111,7 @@
   std::shared_ptr<FreshnessClient> freshness_client;
   std::shared_ptr<TargetProber> prober;
   std::shared_ptr<RolloutReporter> rollouts;
+  TargetLineCount target_lines;
   TimePoint last_tick;
   int ticks = 0;
   bool is_leaving = false;
--- a/knapweedroad/edge/target_news.cc
+++ b/knapweedroad/edge/target_news.cc
@@ -1,5 +1,6 @@
 #include "knapweedroad/edge/target_news.h"
 
+#include <chrono>
 #include <cstddef>
 
 #include "knapweedroad/base/log_line.h"
@@ -9,7 +10,9 @@
 namespace knapweedroad {
 namespace {
 
-constexpr size_t kMostTargetLines = 16;
+// Targets that get a line of their own within a second.
+constexpr size_t kMaxTargetLines = 16;
+constexpr Duration kLinePeriod = std::chrono::seconds(1);
 
 bool IsChange(const TargetRecord* known, const TargetRecord& told) {
   return known == nullptr || known->phase != told.phase ||
@@ -31,25 +34,38 @@
       .Info();
 }
 
+void LogSummary(const HostId& from, const WatchReply& reply, size_t count) {
+  LogLine("targets_told")
+      .Add("count", count)
+      .Add("revision", reply.revision)
+      .Add("from", from)
+      .Info();
+}
+
 }  // namespace
 
 void LearnTargets(LoadBalancer& balancer,
                   const HostId& from,
                   const WatchReply& reply,
+                  TargetLineCount& lines,
                   TimePoint now) {
-  const bool is_bulk = reply.targets.size() > kMostTargetLines;
-  if (is_bulk) {
-    LogLine("targets_told")
-        .Add("count", reply.targets.size())
-        .Add("revision", reply.revision)
-        .Add("from", from)
-        .Info();
+  if (now - lines.second_began >= kLinePeriod) {
+    if (lines.summarized > 0) {
+      LogSummary(from, reply, lines.summarized);
+    }
+    lines = {.second_began = now};
   }
   for (const TargetRecord& record : reply.targets) {
     const bool is_change = IsChange(balancer.Find(record.id), record);
     balancer.UpdateTarget(record, now);
-    if (is_change && !is_bulk) {
+    if (!is_change) {
+      continue;
+    }
+    if (lines.targets < kMaxTargetLines) {
+      ++lines.targets;
       LogTarget(from, record);
+    } else {
+      ++lines.summarized;
     }
   }
 }
