Urgent requests and accounts with few places go first when a host's targets are full

What callers saw: a priority was read and used by no decision; whoever tried first got a target's next place, an account that sends more took more.

Change: one waiting line for each service of a host, in virtual time: the more urgent request first, then the account with the fewest places, one place in eight for the priority that has got the fewest; a request that can't get a place before its deadline fails at once; no hedges while one waits that is as urgent. Switched on by client accounts or several priorities. What hosts know together isn't built (docs/design/waiting-order.md).

--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -130,6 +130,12 @@
   if (this->quota != nullptr) {
     this->SetQuotaMetrics();
   }
+  this->metrics.SetGauge(
+      "waiting_attempts",
+      static_cast<double>(this->parts.waiting.waiting_count()));
+  this->metrics.SetGauge(
+      "hopeless_attempts",
+      static_cast<double>(this->parts.waiting.refused_count()));
   this->metrics.SetGauge("suspect_requests",
                          static_cast<double>(this->detector.suspect_count()));
   this->metrics.SetGauge("condemned_requests",
@@ -202,6 +208,8 @@
     const std::shared_ptr<const RouteTable>& table) {
   this->parts.table = table;
   this->balancer.SetRouting(table);
+  this->parts.waiting.SetEnabled(table->accounts() != nullptr ||
+                                 table->has_several_priorities());
   std::set<std::string> names;
   for (const RouteConfig& route : table->config().routes) {
     names.insert(route.name);
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -13,6 +13,7 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/edge/run_plan.h"
+#include "knapweedroad/overload/waiting_lines.h"
 #include "knapweedroad/rollout/answer_sampler.h"
 #include "knapweedroad/routing/answer_lead_time.h"
 #include "knapweedroad/routing/coordinator_choice.h"
@@ -58,6 +59,7 @@
   HostId self;
   CoordinatorChoice coordinators{{.self = self}};
   RecentRequests recent_scatters;
+  WaitingLines waiting;
   AnswerLeadTime lead{{}};
   // Those of requests that run, or have just ended.
   std::unordered_set<RequestAttempts*> running_attempts;
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -50,7 +50,8 @@
         exchange(std::move(admitted.exchange)),
         timer(parts.runtime.io()),
         route(admitted.route),
-        memory(&parts.routes[this->route->name]) {}
+        memory(&parts.routes[this->route->name]),
+        waiter_id(parts.NextToken()) {}
 
   void Start();
 
@@ -84,6 +85,8 @@
   boost::asio::steady_timer timer;
   const RouteConfig* route;
   RouteMemory* memory;
+  // WaitingRequest::id.
+  uint64_t waiter_id = 0;
   TimePoint deadline;
   TimePoint target_at;
   RunHooks hooks;
@@ -146,6 +149,10 @@
   this->hooks = MakeRunHooks({.parts = this->parts,
                               .gathers = *this->gathers,
                               .services = this->services,
+                              .waiter = {.id = this->waiter_id,
+                                         .priority = this->request->priority,
+                                         .account = this->request->account,
+                                         .deadline = this->deadline},
                               .is_fresh = this->IsFresh()});
   this->attempts = std::make_shared<RequestAttempts>(
       RequestAttemptsOptions{.parts = this->parts,
@@ -349,6 +356,7 @@
 // The caller's answer goes first: all else costs time that the caller waits.
 void EntryRequest::End(RunEnd end) {
   this->is_over = true;
+  this->parts.waiting.Leave(this->waiter_id);
   this->pending_end = std::make_shared<RunEnd>(std::move(end));
   const bool waits =
       this->pending_end->kind == RunEndKind::kParts &&
@@ -421,6 +429,7 @@
     return;
   }
   this->timer.cancel();
+  this->parts.waiting.Leave(this->waiter_id);
   const Duration took = Runtime::Now() - this->request->received;
   this->attempts->ReleaseAfterCallerLeft();
   this->parts.metrics.CountRequest(this->route->name, "caller_left", took);
--- a/knapweedroad/edge/request_gathers_test.cc
+++ b/knapweedroad/edge/request_gathers_test.cc
@@ -14,6 +14,7 @@
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/loss_sharing.h"
 #include "knapweedroad/edge/request_admission.h"
+#include "knapweedroad/edge/run_hooks.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
@@ -180,5 +181,36 @@
   cr_expect(starts.size() == kShards);
 }
 
+// Load pattern: two classes at one target with a single place. Guards against a
+// place that goes to whoever tries first.
+Test(run_hooks, a_free_place_goes_to_the_most_urgent_request) {
+  Host host(4);
+  host.parts.waiting.SetEnabled(true);
+  const RequestGathers gathers = host.MakeGathers(Runtime::Now());
+  const auto hooks_of = [&](uint64_t id, uint32_t priority) {
+    return MakeRunHooks({.parts = host.parts,
+                         .gathers = gathers,
+                         .services = host.services,
+                         .waiter = {.id = id,
+                                    .priority = priority,
+                                    .deadline = Runtime::Now() + seconds(9)}});
+  };
+  const RunHooks urgent = hooks_of(1, 0);
+  const RunHooks other = hooks_of(2, 1);
+  const ServiceId& service = host.services.front();
+  // All places of the service are taken.
+  std::vector<TargetId> taken;
+  while (const auto target = other.pick_target(service, {})) {
+    taken.push_back(*target);
+    host.balancer.OnSent(*target, Runtime::Now());
+  }
+  cr_expect(!urgent.pick_target(service, {}));
+  cr_expect(!other.spend_extra_attempt(service, /*is_hedge=*/true));
+  host.balancer.OnAnswered(taken.front(), milliseconds(5), std::nullopt,
+                           Runtime::Now());
+  cr_expect(!other.pick_target(service, {}));
+  cr_expect(urgent.pick_target(service, {}).has_value());
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/edge/run_hooks.h
+++ b/knapweedroad/edge/run_hooks.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/overload/waiting_request.h"
 #include "knapweedroad/routing/request_run.h"
 
 namespace knapweedroad {
@@ -21,6 +22,8 @@
   // These must outlive the hooks.
   const RequestGathers& gathers;
   const std::vector<ServiceId>& services;
+  // The request as it competes with others for targets.
+  WaitingRequest waiter;
   // Whether the caller has most of the latency target left. Parts that are late
   // for a caller who comes back say nothing of their shards.
   bool is_fresh = true;
--- a/knapweedroad/routing/route_table.cc
+++ b/knapweedroad/routing/route_table.cc
@@ -49,6 +49,13 @@
   return nullptr;
 }
 
+bool RouteTable::has_several_priorities() const {
+  const std::vector<RouteConfig>& routes = this->routing.routes;
+  return std::ranges::any_of(routes, [&](const RouteConfig& route) {
+    return route.priority != routes.front().priority;
+  });
+}
+
 const RoutedService* RouteTable::FindService(const ServiceId& service) const {
   const auto found = this->by_service.find(service);
   return found == this->by_service.end() ? nullptr : found->second;
--- a/knapweedroad/routing/route_table.h
+++ b/knapweedroad/routing/route_table.h
@@ -42,6 +42,9 @@
     return this->account_table ? &*this->account_table : nullptr;
   }
 
+  // Whether some routes are more urgent than others.
+  bool has_several_priorities() const;
+
   const RoutingConfig& config() const { return this->routing; }
   uint64_t version() const { return this->routing.version; }
 
