Answers of hosts that see few requests leave in time for callers that had to connect

Cause: how long callers wait at first is learned for each host from the longest wait seen. A host that sees one request in 14 s, each on a new connection, never sees a whole one, and takes the time to connect for none.

Change: until then the route's timeout counts as the wait, if it is longer by 15 ms at most.

Evidence: the test fails without the change by the 7 ms.

--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -24,14 +24,22 @@
 constexpr Duration kRetryWhenDown = milliseconds(400);
 // Until then a condemned request is remembered, and refused again.
 constexpr Duration kRetryWhenCondemned = QueryOfDeathOptions().memory;
+// Callers open a connection within this time: two ways to a host in reach.
+constexpr Duration kMaxConnectTime = milliseconds(15);
 // Kept of the longest wait by each request: callers that wait less take over.
 constexpr double kWaitMemory = 0.999;
 
-// How long ago the caller first asked, by what it has left.
-Duration SinceFirstAsked(Duration told, RouteMemory& memory) {
+// Returns how long ago the caller first asked, by what it has left. Until a
+// caller has asked that had all of its time left, callers are assumed to wait
+// for the route's timeout, if that lacks no more than the set-up of a
+// connection.
+Duration SinceFirstAsked(Duration told, Duration timeout, RouteMemory& memory) {
   memory.longest_wait = std::max(told, std::chrono::duration_cast<Duration>(
                                            memory.longest_wait * kWaitMemory));
-  return memory.longest_wait - told;
+  const bool is_timeout_likely =
+      timeout > memory.longest_wait &&
+      timeout - memory.longest_wait <= kMaxConnectTime;
+  return (is_timeout_likely ? timeout : memory.longest_wait) - told;
 }
 
 // An attempt that takes longer than most of the earlier ones.
@@ -52,7 +60,7 @@
                           RouteMemory& memory,
                           Duration lead) {
   const Duration told = request.time_left.value_or(route.timeout);
-  const Duration elapsed = SinceFirstAsked(told, memory);
+  const Duration elapsed = SinceFirstAsked(told, route.timeout, memory);
   return {.is_scatter = route.is_scatter,
           .idempotent = route.idempotent || route.is_scatter,
           .max_attempts = route.max_attempts,
--- a/knapweedroad/edge/run_plan_test.cc
+++ b/knapweedroad/edge/run_plan_test.cc
@@ -43,6 +43,22 @@
   cr_expect(left <= kAim - milliseconds(60) - kLead + kWait / 1000);
 }
 
+// Guards against an answer that is late by the time in which the caller opened
+// its connection, on a host that sees few requests and hasn't learned how long
+// callers wait.
+Test(run_plan, the_time_to_connect_counts_on_a_host_with_few_requests) {
+  RouteMemory memory;
+  const RequestRunOptions first = PlanRun(
+      ScatterRoute(), {.time_left = kWait - milliseconds(7), .received = kNow},
+      memory, kLead);
+  cr_expect(first.latency_target_at == kNow + kAim - milliseconds(7) - kLead);
+  // Callers that wait much less than the route allows don't seem to come back.
+  RouteMemory other;
+  const RequestRunOptions shorter = PlanRun(
+      ScatterRoute(), {.time_left = kWait / 2, .received = kNow}, other, kLead);
+  cr_expect(shorter.latency_target_at == kNow + kAim - kLead);
+}
+
 // Guards against a run that goes on after its caller has stopped waiting.
 Test(run_plan, ends_with_the_shorter_of_both_waits) {
   RouteMemory memory;
