Coordinators keep connections to targets in use only, and reply when most parts are there

Cause: connections were kept open for the slices of all routes of the configuration, also of those that nobody asks, and opened anew each time the targets closed them. A host without measured latencies had coordinators reply after a quarter of the latency target, when a slice is about to be whole; each missing part was then hedged by a call of its own, and the hedges slowed both hosts down.

--- a/knapweedroad/edge/entry_host_wiring.cc
+++ b/knapweedroad/edge/entry_host_wiring.cc
@@ -72,7 +72,11 @@
       gather_relay({.runtime = runtime,
                     .header_names = this->options.header_names,
                     .links = this->links,
-                    .balancer = this->balancer}),
+                    .balancer = this->balancer,
+                    .on_attempt =
+                        [this](const ServiceId& service) {
+                          this->warmer.OnGathered(service, Runtime::Now());
+                        }}),
       detector({}),
       loss_sharing(
           runtime,
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -39,6 +39,8 @@
 // Part of the latency target by which a coordinator's reply may be late before
 // its attempts are hedged: they are not one by one slower than others.
 constexpr int kCoordinatorSlackPart = 4;
+// At most one in this many parts of a coordinator's reply counts as late.
+constexpr size_t kMinPartsPerLate = 3;
 
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
  public:
@@ -63,7 +65,9 @@
   void Send(const AttemptStart& start);
   void SendGroup(const GatherGroup& group, bool is_first);
   void OnGathered(RequestAttempts::Gathered gathered, bool is_first_reply);
-  void HedgeRunning(std::span<const uint32_t> running, TimePoint now);
+  void HedgeRunning(std::span<const uint32_t> running,
+                    size_t group_size,
+                    TimePoint now);
   void OnReply(uint32_t attempt, TargetReply reply);
   void Conclude(uint32_t attempt, AttemptOutcome outcome, TargetReply reply);
   void Arm(TimePoint at);
@@ -131,9 +135,6 @@
   RequestRunOptions options = this->RunOptions(*this->route);
   this->services = options.services;
   this->reply_within = GatherWithin(*this->route, *this->memory);
-  this->gather_slack =
-      std::max(Duration::zero(), this->reply_within - options.hedge_delay) +
-      kGatherSlack;
   this->gathers.emplace(RequestGathersOptions{.parts = this->parts,
                                               .route = *this->route,
                                               .memory = *this->memory,
@@ -141,8 +142,13 @@
                                               .services = this->services},
                         now);
   if (this->gathers->uses_coordinators()) {
-    this->gather_slack += this->route->latency_target / kCoordinatorSlackPart;
+    this->reply_within =
+        CoordinatorReplyTime(this->reply_within, this->target_at - now);
+    this->gather_slack = this->route->latency_target / kCoordinatorSlackPart;
   }
+  this->gather_slack +=
+      std::max(Duration::zero(), this->reply_within - options.hedge_delay) +
+      kGatherSlack;
   for (const ServiceId& service : options.services) {
     this->parts.BudgetOf(service).OnRequest(now);
   }
@@ -223,7 +229,7 @@
     this->Conclude(part.attempt, part.outcome, std::move(part.reply));
   }
   if (is_first_reply && this->gathers->uses_coordinators() && !this->is_over) {
-    this->HedgeRunning(gathered.running, now);
+    this->HedgeRunning(gathered.running, gathered.attempt_count, now);
   }
   for (const uint32_t attempt : gathered.lost) {
     this->attempts->TakeLost(attempt, now);
@@ -243,10 +249,12 @@
 }
 
 // A coordinator replies when the answers usually are there, so those that are
-// not there yet are late.
+// not there yet are late. If that goes for many of them, the coordinator is
+// slow, and many calls to another one would be slower.
 void EntryRequest::HedgeRunning(std::span<const uint32_t> running,
+                                size_t group_size,
                                 TimePoint now) {
-  if (running.empty()) {
+  if (running.empty() || running.size() * kMinPartsPerLate > group_size) {
     return;
   }
   for (const uint32_t attempt : running) {
--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -106,6 +106,9 @@
   }
   ++run->running;
   balancer.OnSent(target, now);
+  if (this->options.on_attempt) {
+    this->options.on_attempt(record->service);
+  }
   run->attempts[index] = {
       .target = target,
       .sent = now,
--- a/knapweedroad/edge/gather_relay.h
+++ b/knapweedroad/edge/gather_relay.h
@@ -45,6 +45,8 @@
   // Records the outcome of each attempt, and limits the attempts in flight to a
   // target.
   LoadBalancer& balancer;
+  // Called for each attempt that is sent; may be empty.
+  std::function<void(const ServiceId&)> on_attempt;
   // The most calls that run at the same time; further ones are refused.
   size_t most_running = 64;
 };
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -211,7 +211,8 @@
     GatherReply reply) {
   held.batch = reply.batch;
   held.count = reply.held;
-  Gathered gathered{.records = std::move(reply.records),
+  Gathered gathered{.attempt_count = made.size(),
+                    .records = std::move(reply.records),
                     .held = std::move(held)};
   for (GatheredPart& part : reply.parts) {
     if (part.target >= made.size()) {
--- a/knapweedroad/edge/request_attempts.h
+++ b/knapweedroad/edge/request_attempts.h
@@ -72,6 +72,8 @@
       AttemptOutcome outcome = AttemptOutcome::kBroken;
     };
     std::vector<Part> parts;
+    // Of the call, ended or not.
+    size_t attempt_count = 0;
     // Merged of the successes among them, and what was held back.
     std::string records;
     HeldRecords held;
--- a/knapweedroad/edge/request_gathers.cc
+++ b/knapweedroad/edge/request_gathers.cc
@@ -34,10 +34,6 @@
          connections;
 }
 
-size_t FirstShardOf(size_t slice, size_t slices, size_t shards) {
-  return (slice * shards + slices - 1) / slices;
-}
-
 RequestGathers::RequestGathers(const RequestGathersOptions& options,
                                TimePoint now)
     : parts(options.parts),
--- a/knapweedroad/edge/request_gathers.h
+++ b/knapweedroad/edge/request_gathers.h
@@ -52,10 +52,6 @@
                            const ServiceId& service,
                            TimePoint now);
 
-// Returns the index of the first shard of a slice; for `slice` == `slices` the
-// number of shards.
-size_t FirstShardOf(size_t slice, size_t slices, size_t shards);
-
 class RequestGathers {
  public:
   RequestGathers(const RequestGathersOptions& options, TimePoint now);
--- a/knapweedroad/edge/request_gathers_test.cc
+++ b/knapweedroad/edge/request_gathers_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/edge/connection_warmer.h"
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/gather_links.h"
@@ -16,6 +17,7 @@
 #include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/run_hooks.h"
 #include "knapweedroad/edge/target_links.h"
+#include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/query_of_death_detector.h"
@@ -181,6 +183,37 @@
   cr_expect(starts.size() == kShards);
 }
 
+// Guards against a coordinator whose connections are opened by the scatters
+// that need them, and against connections to targets that nobody asks for.
+Test(connection_warmer, connects_to_targets_of_services_in_use, .timeout = 60) {
+  Host host(100);
+  HttpServer server(host.runtime,
+                    {.endpoint = {"127.0.0.1", 0},
+                     .handler = [](const HttpRequest&, HttpExchange&) {
+                       return HttpResponse{};
+                     }});
+  const TargetId target("listening");
+  host.balancer.UpdateTarget({.id = target,
+                              .service = host.services.front(),
+                              .zone = kZone,
+                              .address = {"127.0.0.1", server.Start().value()},
+                              .slots = 2,
+                              .started_ms = 1,
+                              .sequence = 1},
+                             Runtime::Now());
+  ConnectionWarmer warmer({.parts = host.parts, .zone = kZone});
+  warmer.Tick(Runtime::Now());
+  cr_expect(host.links.opened() == 0);
+  warmer.OnGathered(host.services.front(), Runtime::Now());
+  warmer.Tick(Runtime::Now() + seconds(1));
+  cr_expect(host.links.opened() == kTargetsPerShard + 1);
+  while (!host.links.has_idle(target)) {
+    Runtime::SleepFor(milliseconds(1));
+  }
+  warmer.Tick(Runtime::Now() + seconds(30));
+  cr_expect(host.links.opened() == kTargetsPerShard + 1);
+}
+
 // Load pattern: two classes at one target with a single place. Guards against a
 // place that goes to whoever tries first.
 Test(run_hooks, a_free_place_goes_to_the_most_urgent_request) {
--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -55,6 +55,10 @@
   return UsualAtMost(route, memory.gathered_latency);
 }
 
+Duration CoordinatorReplyTime(Duration gather_within, Duration until_due) {
+  return std::max<Duration>(gather_within, until_due / 2);
+}
+
 RequestRunOptions PlanRun(const RouteConfig& route,
                           const CallerRequest& request,
                           RouteMemory& memory,
--- a/knapweedroad/edge/run_plan.h
+++ b/knapweedroad/edge/run_plan.h
@@ -31,9 +31,14 @@
   Duration longest_wait{};
 };
 
-// When a host that gathers parts is to tell what it has.
+// Returns the time after which a host that gathers parts is to reply.
 Duration GatherWithin(const RouteConfig& route, const RouteMemory& memory);
 
+// Returns the same for a coordinator. Parts that are missing then are hedged at
+// once, each by a call of its own, so it replies no earlier than half of the
+// time until the answer is due.
+Duration CoordinatorReplyTime(Duration gather_within, Duration until_due);
+
 // All of the options but the services. `lead`: how long before it is due at the
 // caller the answer has to be decided on. A request that says how long it waits
 // changes `memory`.
--- a/knapweedroad/edge/run_plan_test.cc
+++ b/knapweedroad/edge/run_plan_test.cc
@@ -59,6 +59,17 @@
   cr_expect(shorter.latency_target_at == kNow + kAim - kLead);
 }
 
+// Guards against a coordinator that replies before most of its parts can have
+// answered: each that is missing costs a call.
+Test(run_plan, a_coordinator_waits_for_half_of_the_time_left) {
+  cr_expect(CoordinatorReplyTime(milliseconds(5), milliseconds(28)) ==
+            milliseconds(14));
+  cr_expect(CoordinatorReplyTime(milliseconds(25), milliseconds(28)) ==
+            milliseconds(25));
+  cr_expect(CoordinatorReplyTime(milliseconds(5), -milliseconds(9)) ==
+            milliseconds(5));
+}
+
 // Guards against a run that goes on after its caller has stopped waiting.
 Test(run_plan, ends_with_the_shorter_of_both_waits) {
   RouteMemory memory;
