--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -87,7 +87,8 @@
   TimedEvent changed;
 };
 
-GatherRelay::GatherRelay(GatherRelayOptions options) : options(options) {}
+GatherRelay::GatherRelay(GatherRelayOptions options)
+    : options(std::move(options)) {}
 
 GatherRelay::~GatherRelay() = default;
 
