A request in a line that moves fast isn't taken for hopeless

What callers would see: on a host whose targets free more than 64 places a second, refusals of requests that would have been served. Found by reading.

Cause: the rate of places was the number of those remembered, 64 at most, in a second.

Change: where all that are remembered lie within the second, the time since the earliest of them counts.

Evidence: the test fails without the change (100 waiting, 1,000 places a second, 200 ms left).

--- a/knapweedroad/overload/waiting_line.cc
+++ b/knapweedroad/overload/waiting_line.cc
@@ -123,8 +123,10 @@
       before_of_priority * this->options.places_per_floor;
   const auto places =
       static_cast<int64_t>(std::min(before, places_until_floor));
-  const Duration wait =
-      this->options.rate_window * places / static_cast<int64_t>(rate_count);
+  const Duration window = rate_count < RecentRequests::kMaxCount
+                              ? this->options.rate_window
+                              : Duration(now - this->recent_places.earliest());
+  const Duration wait = window * places / static_cast<int64_t>(rate_count);
   return now + wait >= request.deadline;
 }
 
--- a/knapweedroad/overload/waiting_line_test.cc
+++ b/knapweedroad/overload/waiting_line_test.cc
@@ -166,5 +166,22 @@
   cr_expect(!line.IsHopeless(patient, kStart + milliseconds(10)));
 }
 
+// Guards against a busy host that takes the rate of places for the number of
+// those that it remembers.
+Test(waiting_line, a_line_that_moves_fast_is_not_hopeless) {
+  WaitingLine line({});
+  for (uint64_t id = 1; id <= 300; ++id) {
+    line.OnStarted({.id = id}, kStart + id * milliseconds(1));
+  }
+  const TimePoint now = kStart + milliseconds(300);
+  for (uint64_t id = 400; id < 500; ++id) {
+    line.Wait({.id = id, .deadline = now + seconds(1)}, now);
+  }
+  cr_expect(
+      !line.IsHopeless({.id = 600, .deadline = now + milliseconds(200)}, now));
+  cr_expect(
+      line.IsHopeless({.id = 600, .deadline = now + milliseconds(50)}, now));
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/routing/recent_requests.h
+++ b/knapweedroad/routing/recent_requests.h
@@ -33,6 +33,10 @@
                                std::ranges::lower_bound(this->times, since));
   }
 
+  // Returns when the earliest of the requests came that CountSince() can count.
+  // There must have been a request.
+  TimePoint earliest() const { return this->times.front(); }
+
  private:
   // In order of time.
   std::deque<TimePoint> times;
