Review: a lost configuration is case 1; the forgotten sign-off isn't handed in

Case 1, new: a control host loses its disk again while it joins; the next lost disk, 10 s later, takes the acknowledged configuration with it.

The cut requests are case 2 now, the order of before case 3.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d) || exit 2
-target/review/forgotten_sign_off "$folder" review/3/record.txt
+target/review/stale_order "$folder" review/3/record.txt
 result=$?
 rm -rf "$folder"
 [ "$result" -le 2 ] || result=2
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,6 +9,6 @@
     -o "target/review/$1.new"
   mv "target/review/$1.new" "target/review/$1"
 }
-build late_request review/1
-build stale_order review/2
-build forgotten_sign_off review/3
+build lost_configuration review/1
+build late_request review/2
+build stale_order review/3
--- a/review/stand_ins/configuration.cc
+++ b/review/stand_ins/configuration.cc
@@ -2,14 +2,16 @@
 
 namespace review {
 
-HttpMessage PutConfiguration(const std::string& route_type, int timeout_ms) {
+HttpMessage PutConfiguration(const std::string& route_type,
+                             int timeout_ms,
+                             uint64_t version) {
   HttpMessage order{.method = "PUT", .path = "/v1/configuration"};
   order.headers["content-type"] = "application/json";
   order.body =
-      R"({"Version":1,"Routes":[{"Name":"lookup","Hostname":")" +
-      std::string(kCallerHost) + R"(","PathPrefix":")" + kPathPrefix +
-      R"(","RouteType":")" + route_type + R"(","TimeoutMs":)" +
-      std::to_string(timeout_ms) +
+      R"({"Version":)" + std::to_string(version) +
+      R"(,"Routes":[{"Name":"lookup","Hostname":")" + std::string(kCallerHost) +
+      R"(","PathPrefix":")" + kPathPrefix + R"(","RouteType":")" + route_type +
+      R"(","TimeoutMs":)" + std::to_string(timeout_ms) +
       R"(,"TargetLatencyMs":500,"Priority":2,"Service":")" + kService +
       R"(","MaxAttempts":2}],"Services":[{"Name":")" + kService +
       R"(","HealthCheckPath":"/health","MaxConnections":110,"Protocol":"h1",)"
--- a/review/stand_ins/configuration.h
+++ b/review/stand_ins/configuration.h
@@ -3,6 +3,7 @@
 #ifndef REVIEW_STAND_INS_CONFIGURATION_H_
 #define REVIEW_STAND_INS_CONFIGURATION_H_
 
+#include <cstdint>
 #include <string>
 
 #include "review/stand_ins/http_message.h"
@@ -14,7 +15,9 @@
 inline constexpr const char* kService = "register";
 
 // The operator's order that puts it in force. `route_type` is safe or unsafe.
-HttpMessage PutConfiguration(const std::string& route_type, int timeout_ms);
+HttpMessage PutConfiguration(const std::string& route_type,
+                             int timeout_ms,
+                             uint64_t version = 1);
 
 }  // namespace review
 
