--- a/review/2/late_request.cc
+++ b/review/2/late_request.cc
@@ -40,12 +40,12 @@
 constexpr Milliseconds kSettle(5000);
 constexpr Milliseconds kRun(14'000);
 constexpr Milliseconds kPoll(10);
-constexpr int kDeadlineMs = 6000;
+constexpr int kDeadlineMs = 2500;
 constexpr Milliseconds kConnectTimeout(1000);
-constexpr Milliseconds kBetweenRequests(25);
-// The work of a request of the small deployments takes 720 ms at most.
-constexpr int kLeastWorkMs = 200;
-constexpr int kMostWorkMs = 700;
+constexpr Milliseconds kBetweenRequests(15);
+// The work of a lookup of the small deployment takes 360 ms at most.
+constexpr int kLeastWorkMs = 100;
+constexpr int kMostWorkMs = 360;
 constexpr size_t kSearchers = 8;
 constexpr int kSlots = 6;
 constexpr int kRestartDelayMs = 500;
