Review: the protocol's words of the stand-ins stand in a text file

The stand-ins now read all of them from review/stand_ins/wire.txt, the names of headers too, which the check hadn't seen as they are in lower case. The check is as it was. The texts were moved as they stood, so that the stand-ins send the same bytes as before.

--- a/review/1/lost_configuration.cc
+++ b/review/1/lost_configuration.cc
@@ -17,6 +17,7 @@
 #include "review/stand_ins/deployment.h"
 #include "review/stand_ins/operator.h"
 #include "review/stand_ins/record.h"
+#include "review/stand_ins/wire.h"
 
 namespace review {
 namespace {
@@ -111,12 +112,13 @@
   // Reads the configuration at each host in turn, for `time` at most. Whether
   // it came.
   bool ReadBack(uint64_t version, Milliseconds time) {
-    const std::string wanted = "{\"Version\":" + std::to_string(version) + ",";
+    const std::string wanted =
+        WireText("configuration_begin", {{"version", std::to_string(version)}});
     const TimePoint give_up = Clock::now() + time;
     bool is_read = false;
     for (size_t i = 0; !is_read && Clock::now() < give_up; ++i) {
       const Endpoint host = this->deployment.ControlEndpoints()[i % 3];
-      HttpMessage call{.method = "GET", .path = "/v1/configuration"};
+      HttpMessage call{.method = "GET", .path = WireText("configuration_path")};
       call.headers["host"] = host.ToString();
       call.headers["connection"] = "close";
       const auto answer = Call(host, call, kReadTimeout);
--- a/review/2/late_request.cc
+++ b/review/2/late_request.cc
@@ -21,6 +21,7 @@
 #include "review/stand_ins/platform.h"
 #include "review/stand_ins/record.h"
 #include "review/stand_ins/searcher.h"
+#include "review/stand_ins/wire.h"
 
 namespace review {
 namespace {
@@ -103,8 +104,8 @@
          Record& record) {
   HttpMessage request{.method = "POST", .path = kPathPrefix + id};
   request.headers["host"] = kCallerHost;
-  request.headers["x-request-id"] = id;
-  request.headers["x-request-deadline"] = std::to_string(kDeadlineMs);
+  request.headers[WireText("request_id_header")] = id;
+  request.headers[WireText("deadline_header")] = std::to_string(kDeadlineMs);
   request.body = "correction";
   const auto connection =
       Connection::Open(host.served, Clock::now() + kConnectTimeout);
--- a/review/3/stale_order.cc
+++ b/review/3/stale_order.cc
@@ -17,6 +17,7 @@
 #include "review/stand_ins/operator.h"
 #include "review/stand_ins/record.h"
 #include "review/stand_ins/searcher.h"
+#include "review/stand_ins/wire.h"
 
 namespace review {
 namespace {
@@ -93,8 +94,9 @@
       const std::string id = "request-" + std::to_string(i);
       HttpMessage request{.method = "GET", .path = kPathPrefix + id};
       request.headers["host"] = kCallerHost;
-      request.headers["x-request-id"] = id;
-      request.headers["x-request-deadline"] = std::to_string(kDeadlineMs);
+      request.headers[WireText("request_id_header")] = id;
+      request.headers[WireText("deadline_header")] =
+          std::to_string(kDeadlineMs);
       request.headers["connection"] = "close";
       const auto answer =
           Call(entry.served, request, Milliseconds(kDeadlineMs));
@@ -114,7 +116,8 @@
 };
 
 HttpMessage EvacuationOrder(const std::string& method) {
-  return {.method = method, .path = std::string("/v1/evacuation/") + kZone};
+  return {.method = method,
+          .path = WireText("evacuation_path", {{"zone", kZone}})};
 }
 
 int Run(const std::string& folder, const std::string& record_path) {
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -60,6 +60,7 @@
   DeploymentOptions options;
   Record& record;
   std::string network;
+  std::string readiness_path;
   std::vector<Host> control_hosts;
   std::vector<Host> entry_hosts;
 };
