Control hosts bear one more loss within the catch-up time of a replaced one

Cause: the successor was added beside the lost member, as it hadn't missed it for 3 s itself, and the lost member left after 15 s. Four members with one gone need all three others; one more loss leaves two of four, which can't even remove a member.

Why the fix works: a newcomer is added only to members that all answer, and else takes the place of a silent one, so that no quorum ever depends on a member that may be gone. Requests name the epoch that they were decided on; a member that is stopped leaves where three others are left.

The same cause elsewhere: a change whose joining host lost its disk again never ended, as the host answered by name; a step accepted by too few replicas hid the members until the next change. Both end by themselves now.

--- a/knapweedroad/config/parse_role_settings.cc
+++ b/knapweedroad/config/parse_role_settings.cc
@@ -73,6 +73,7 @@
   };
   duration("heartbeat_interval", settings.heartbeat_interval);
   duration("stop_grace", settings.stop_grace);
+  duration("catch_up", settings.catch_up);
   duration("retry_window", settings.retry_window);
   amount("retry_ratio", settings.retry_ratio);
   amount("retry_slack", settings.retry_slack);
--- a/knapweedroad/config/parse_role_settings_test.cc
+++ b/knapweedroad/config/parse_role_settings_test.cc
@@ -11,7 +11,7 @@
   "caller_address": "10.1.0.39:8226", "ready_address": "10.1.0.39:8227",
   "peer_address": "10.1.0.39:7740",
   "control_seeds": ["10.1.0.42:8224", "10.2.0.35:8224"],
-  "first_start": true, "stop_grace": "6s",
+  "first_start": true, "stop_grace": "6s", "catch_up": "5s",
   "retry_ratio": "0.2", "retry_slack": "58"
 })";
 
@@ -23,6 +23,7 @@
   cr_expect(settings->control_seeds.size() == 2);
   cr_expect(settings->first_start);
   cr_expect(settings->stop_grace == std::chrono::seconds(6));
+  cr_expect(settings->catch_up == std::chrono::seconds(5));
   cr_expect(settings->retry_slack == 58);
   cr_expect(!settings->data_folder);
 }
--- a/knapweedroad/config/role_settings.h
+++ b/knapweedroad/config/role_settings.h
@@ -38,6 +38,9 @@
   Duration heartbeat_interval = std::chrono::milliseconds(1200);
   // From a termination signal to the kill that follows it.
   Duration stop_grace = std::chrono::seconds(6);
+  // How long after a replacement of a control host has started, or a control
+  // host is back, the control hosts bear the loss of one more.
+  Duration catch_up = std::chrono::seconds(4);
   // Extra attempts over requests to a service in a window, of all hosts.
   double retry_ratio = 0.2;
   double retry_slack = 50;
--- a/knapweedroad/control/fake_cluster.cc
+++ b/knapweedroad/control/fake_cluster.cc
@@ -4,10 +4,16 @@
 #include <utility>
 
 namespace knapweedroad {
+namespace {
+
+constexpr Duration kThawPoll = std::chrono::milliseconds(5);
+
+}  // namespace
 
 struct FakeCluster::Host {
   std::string name;
   bool up = false;
+  bool is_frozen = false;
   // Counts restarts: what was scheduled for an earlier life is void.
   int life = 0;
   std::vector<AcceptorRecord> disk;
@@ -21,6 +27,8 @@
   std::string host;
   int life = 0;
   std::optional<ChangeRun> run;
+  // A change of members, and its request: none where it only carries on.
+  bool is_move = false;
   std::optional<MembershipRequest> membership;
   TimePoint start;
   TimePoint end;
@@ -47,6 +55,7 @@
 
 void FakeCluster::Boot(Host& host) {
   host.up = true;
+  host.is_frozen = false;
   ++host.life;
   if (host.disk.empty()) {
     const MemberId self{HostId(host.name), this->random() + 1};
@@ -101,11 +110,22 @@
 
 FakeCluster::TaskId FakeCluster::ChangeMembers(const std::string& host,
                                                MembershipRequest request) {
+  return this->StartMove(host, std::move(request));
+}
+
+FakeCluster::TaskId FakeCluster::CarryOn(const std::string& host) {
+  return this->StartMove(host, std::nullopt);
+}
+
+FakeCluster::TaskId FakeCluster::StartMove(
+    const std::string& host,
+    std::optional<MembershipRequest> request) {
   Proposer& proposer = *this->hosts.at(host)->proposer;
   const TimePoint deadline = this->time + this->options.deadline;
   Task& task =
       this->StartTask(host, proposer.MakeMembershipStep(request, deadline));
   task.membership = std::move(request);
+  task.is_move = true;
   const TaskId id = this->tasks.size() - 1;
   this->Take(id, task.run->Start(this->time));
   return id;
@@ -127,7 +147,7 @@
     this->hosts.at(task->host)->proposer->Learn(*task->run);
     const RunResult result = *task->run->result();
     const bool go_on =
-        task->membership.has_value() && result.chosen.has_value() &&
+        task->is_move && result.chosen.has_value() &&
         result.outcome.result == ChangeResult::kAccepted &&
         result.chosen->value.members.phase != MembershipPhase::kStable &&
         this->time < task->deadline;
@@ -145,10 +165,12 @@
   }
   if (actions.wake_at.has_value()) {
     this->At(*actions.wake_at, [this, id, task] {
-      if (task->run.has_value() &&
-          this->hosts.at(task->host)->life == task->life) {
-        this->Take(id, task->run->OnWake(this->time));
-      }
+      this->WhenThawed(task->host, [this, id, task] {
+        if (task->run.has_value() &&
+            this->hosts.at(task->host)->life == task->life) {
+          this->Take(id, task->run->OnWake(this->time));
+        }
+      });
     });
   }
 }
@@ -164,14 +186,34 @@
   }
 }
 
+bool FakeCluster::IsConnected(const std::string& from,
+                              const std::string& to) const {
+  return this->cut_off.contains(from) == this->cut_off.contains(to);
+}
+
+void FakeCluster::WhenThawed(const std::string& name,
+                             std::function<void()> action) {
+  if (!this->hosts.at(name)->is_frozen) {
+    action();
+    return;
+  }
+  this->At(this->time + kThawPoll, [this, name, action = std::move(action)] {
+    this->WhenThawed(name, action);
+  });
+}
+
 void FakeCluster::Deliver(const Delivery& delivery) {
   const auto entry = this->hosts.find(delivery.to);
   if (entry == this->hosts.end() || !entry->second->up ||
-      this->cut_off.contains(delivery.from) !=
-          this->cut_off.contains(delivery.to)) {
+      !this->IsConnected(delivery.from, delivery.to)) {
     return;
   }
   Host& host = *entry->second;
+  if (host.is_frozen) {
+    this->WhenThawed(delivery.to,
+                     [this, delivery] { this->Deliver(delivery); });
+    return;
+  }
   const auto* prepare_reply = std::get_if<PrepareReply>(&delivery.message);
   const auto* accept_reply = std::get_if<AcceptReply>(&delivery.message);
   if (prepare_reply == nullptr && accept_reply == nullptr) {
@@ -228,14 +270,16 @@
   host.syncing = std::move(record);
   this->At(this->time + this->Delay(this->options.sync_time),
            [this, &host, life = host.life, answer] {
-             if (host.life != life || !host.up) {
-               return;
-             }
-             host.disk.push_back(*std::exchange(host.syncing, std::nullopt));
-             if (!this->options.answer_before_sync) {
-               this->Send(answer);
-             }
-             this->ServeNext(host);
+             this->WhenThawed(host.name, [this, &host, life, answer] {
+               if (host.life != life || !host.up) {
+                 return;
+               }
+               host.disk.push_back(*std::exchange(host.syncing, std::nullopt));
+               if (!this->options.answer_before_sync) {
+                 this->Send(answer);
+               }
+               this->ServeNext(host);
+             });
            });
 }
 
@@ -277,6 +321,36 @@
   this->hosts.at(name)->disk.clear();
 }
 
+void FakeCluster::Freeze(const std::string& name) {
+  this->hosts.at(name)->is_frozen = true;
+}
+
+void FakeCluster::Thaw(const std::string& name) {
+  this->hosts.at(name)->is_frozen = false;
+}
+
+bool FakeCluster::is_running(const std::string& name) const {
+  const Host& host = *this->hosts.at(name);
+  return host.up && !host.is_frozen;
+}
+
+ReplicaSurvey FakeCluster::Survey(const std::string& name) {
+  Proposer& proposer = *this->hosts.at(name)->proposer;
+  ReplicaSurvey survey(proposer.known());
+  const Ballot held = proposer.known() ? proposer.known()->ballot : Ballot();
+  for (const auto& [other, host] : this->hosts) {
+    if (this->is_running(other) && this->IsConnected(name, other) &&
+        !host->syncing.has_value()) {
+      survey.OnReply(
+          host->acceptor->OnQuery({.to = {HostId(other)}, .held = held}));
+    }
+  }
+  if (survey.IsChosen()) {
+    proposer.Learn(*survey.newest());
+  }
+  return survey;
+}
+
 void FakeCluster::CutOff(std::set<std::string> hosts) {
   this->cut_off = std::move(hosts);
 }
--- a/knapweedroad/control/fake_cluster.h
+++ b/knapweedroad/control/fake_cluster.h
@@ -25,6 +25,7 @@
 #include "knapweedroad/control/acceptor.h"
 #include "knapweedroad/control/change_run.h"
 #include "knapweedroad/control/proposer.h"
+#include "knapweedroad/control/replica_survey.h"
 
 namespace knapweedroad {
 
@@ -53,6 +54,8 @@
   TaskId Read(const std::string& host);
   // Step after step until the members are stable again.
   TaskId ChangeMembers(const std::string& host, MembershipRequest request);
+  // The same with a change that another host has begun.
+  TaskId CarryOn(const std::string& host);
 
   // Absent while it runs and if its host crashed.
   const std::optional<RunResult>& result(TaskId task) const;
@@ -71,10 +74,19 @@
   void Restart(const std::string& host);
   // Only while crashed.
   void LoseDisk(const std::string& host);
+  // Stands still: what reaches it and what it waits for is handled after
+  // Thaw().
+  void Freeze(const std::string& host);
+  void Thaw(const std::string& host);
   // These hosts hear only each other until Heal().
   void CutOff(std::set<std::string> hosts);
   void Heal();
 
+  bool is_running(const std::string& host) const;
+  // What the replicas tell a host that asks all of them now. It learns a chosen
+  // value from that.
+  ReplicaSurvey Survey(const std::string& host);
+
   // Adds a host with a blank disk, if need be, and returns its identity.
   MemberId AddHost(const std::string& host);
   const Acceptor* acceptor(const std::string& host) const;
@@ -90,6 +102,8 @@
     ControlMessage message;
   };
 
+  TaskId StartMove(const std::string& host,
+                   std::optional<MembershipRequest> request);
   Task& StartTask(const std::string& host, ChangeRun run);
   void At(TimePoint when, std::function<void()> action);
   void Take(TaskId id, RunActions actions);
@@ -101,6 +115,9 @@
                        ControlMessage reply,
                        std::optional<AcceptorRecord> record);
   void ServeNext(Host& host);
+  bool IsConnected(const std::string& from, const std::string& to) const;
+  // Runs the action once the host isn't frozen.
+  void WhenThawed(const std::string& host, std::function<void()> action);
   void Boot(Host& host);
   bool Chance(double probability);
   Duration Delay(Duration longest);
--- a/knapweedroad/control/membership_change.cc
+++ b/knapweedroad/control/membership_change.cc
@@ -18,6 +18,9 @@
   content << "members leaving=" << request.leaving.value_or(HostId())
           << " joining=" << request.joining.value_or(MemberId())
           << " give_up=" << request.give_up;
+  if (request.epoch.has_value()) {
+    content << " epoch=" << *request.epoch;
+  }
   const std::string text = content.str();
   return XXH64(text.data(), text.size(), 0);
 }
@@ -31,6 +34,9 @@
 // Why the request can't begin; empty if it can.
 std::string_view WhyRefused(const Membership& members,
                             const MembershipRequest& request) {
+  if (request.epoch.value_or(members.epoch) != members.epoch) {
+    return "the members have changed since this was decided";
+  }
   if (request.give_up) {
     return members.phase == MembershipPhase::kJoining
                ? ""
--- a/knapweedroad/control/membership_change.h
+++ b/knapweedroad/control/membership_change.h
@@ -30,6 +30,10 @@
   std::optional<HostId> leaving;
   std::optional<MemberId> joining;
   bool give_up = false;
+  // The epoch of the members that the request was decided on. It is refused
+  // once they have changed: the sets and the members' health that it was
+  // judged by are out of date. Absent: it may begin at any epoch.
+  std::optional<uint64_t> epoch;
 };
 
 struct MembershipStep {
--- a/knapweedroad/control/membership_change_test.cc
+++ b/knapweedroad/control/membership_change_test.cc
@@ -67,6 +67,23 @@
   cr_assert(ApplyMembershipStep(value, {.request = &second}) == refused);
 }
 
+// A host decides on a change, stands still, and carries it out after others
+// have changed the members: two hosts drop one each from four, and two are
+// left.
+Test(MembershipChange, ARequestDecidedOnEarlierMembersIsRefused) {
+  ControlValue value = Stable();
+  MembershipRequest request = ReplaceAByD();
+  request.epoch = value.members.epoch - 1;
+  const auto refused = ApplyMembershipStep(value, {.request = &request});
+  cr_assert(refused.reason == ChangeReason::kRefused);
+  cr_assert(value.members == Stable().members);
+  request.author.request_id = RequestId("m-2");
+  request.epoch = value.members.epoch;
+  const auto accepted = ApplyMembershipStep(value, {.request = &request});
+  cr_assert(accepted.result == ChangeResult::kAccepted);
+  cr_assert(value.members.phase == MembershipPhase::kJoining);
+}
+
 Test(MembershipChange, RefusesWhatMakesNoSense) {
   const ChangeAuthor author{OperatorId("anna"), RequestId("m-1")};
   const HostId unknown("x");
--- a/knapweedroad/control/membership_controller.cc
+++ b/knapweedroad/control/membership_controller.cc
@@ -9,57 +9,73 @@
 namespace knapweedroad {
 namespace {
 
-using std::chrono::seconds;
-
-// A newcomer replaces a member that has been away for this long: longer than
-// a restart or a lost packet, shorter than a machine's replacement takes.
-constexpr Duration kReplaceAfter = seconds(3);
-// A member away for this long leaves without a successor: most outages are
-// over by then, and one that comes back later joins again by itself.
-constexpr Duration kDropAfter = seconds(15);
 // Fewer than three can't bear the loss of one.
 constexpr size_t kLeastMembers = 3;
-// A change of members takes a few round trips; one that has hung for this long
-// lost the host that was making it, and for twice as long its joining member.
-constexpr Duration kCarryOnAfter = seconds(1);
-constexpr Duration kGiveUpAfter = seconds(3);
+// A newcomer replaces a member that has been away for this share of the
+// catch-up time, and a change that has hung for as long is ended by others.
+constexpr int kReplaceShare = 4;
+// A member leaves without a successor after this share: a newcomer goes first.
+constexpr double kDropShare = 0.375;
+
+bool RunsAnotherReplica(const std::set<MemberId>& answering,
+                        const MemberId& member) {
+  return std::ranges::any_of(answering, [&](const MemberId& other) {
+    return other.host == member.host && other != member;
+  });
+}
 
 }  // namespace
 
 MembershipController::MembershipController(MembershipControllerOptions options)
     : options(std::move(options)) {}
 
-Duration MembershipController::AwayFor(const HostId& host,
+Duration MembershipController::AwayFor(const MemberId& member,
                                        TimePoint now) const {
-  const auto found = this->away_since.find(host);
+  const auto found = this->away_since.find(member);
   return found == this->away_since.end() ? Duration::zero()
                                          : now - found->second;
 }
 
+void MembershipController::Observe(const Membership& members,
+                                   const MemberView& view,
+                                   TimePoint now) {
+  const std::vector<MemberId> everyone = members.Everyone();
+  std::erase_if(this->away_since, [&](const auto& entry) {
+    return view.answering.contains(entry.first) ||
+           std::ranges::find(everyone, entry.first) == everyone.end();
+  });
+  for (const MemberId& member : everyone) {
+    if (!view.answering.contains(member)) {
+      this->away_since.try_emplace(member, now);
+    }
+  }
+}
+
 // A host without a vote asks for one, in the place of its own former life or of
 // a lost member: after a lost disk or a replaced host the next loss would leave
-// too few replicas to decide.
+// too few replicas to decide. It isn't added beside a member that doesn't
+// answer: each lost member that stays raises the number of votes that the
+// others need, and after one more loss they couldn't even remove it.
 MemberAction MembershipController::Join(const Membership& members,
                                         TimePoint now) const {
   MemberAction action{.step = MemberStep::kMove,
-                      .joining = this->options.self.host};
+                      .joining = this->options.self.host,
+                      .epoch = members.epoch};
   if (members.FindCurrent(this->options.self.host)) {
     action.leaving = this->options.self.host;
     return action;
   }
-  Duration longest = kReplaceAfter;
+  Duration longest = this->options.catch_up / kReplaceShare;
   for (const MemberId& member : members.current) {
-    const Duration away = this->AwayFor(member.host, now);
+    const Duration away = this->AwayFor(member, now);
     if (away >= longest) {
       longest = away;
       action.leaving = member.host;
     }
   }
-  const bool is_full = members.current.size() >= kMaxMembers;
-  if (!action.leaving && is_full) {
-    return {};
-  }
-  return action;
+  const bool has_room =
+      this->away_since.empty() && members.current.size() < kMaxMembers;
+  return action.leaving || has_room ? action : MemberAction{};
 }
 
 // A member that is gone for good still counts for majorities. One member, the
@@ -70,14 +86,16 @@
   if (members.current.size() <= kLeastMembers) {
     return {};
   }
+  const auto drop_after =
+      std::chrono::duration_cast<Duration>(this->options.catch_up * kDropShare);
   std::optional<HostId> first;
   std::optional<HostId> lost;
   size_t present = 0;
   for (const MemberId& member : members.current) {
-    if (view.reachable.contains(member.host)) {
+    if (view.answering.contains(member)) {
       ++present;
       first = first ? std::min(*first, member.host) : member.host;
-    } else if (this->AwayFor(member.host, now) >= kDropAfter) {
+    } else if (this->AwayFor(member, now) >= drop_after) {
       lost = member.host;
     }
   }
@@ -86,43 +104,92 @@
   if (!lost || !is_safe || first != this->options.self.host) {
     return {};
   }
-  return {.step = MemberStep::kMove, .leaving = lost};
+  return {.step = MemberStep::kMove, .leaving = lost, .epoch = members.epoch};
+}
+
+MemberAction MembershipController::EndChange(const Membership& members,
+                                             const MemberView& view,
+                                             TimePoint now) {
+  const Duration patience = this->options.catch_up / kReplaceShare;
+  const TimePoint since = this->unstable_since.value_or(now);
+  this->unstable_since = since;
+  // A host that runs another replica by now has lost the joining one for good.
+  const bool has_lost_joiner =
+      std::ranges::any_of(members.Joining(), [&](const MemberId& member) {
+        return this->AwayFor(member, now) >= patience ||
+               RunsAnotherReplica(view.answering, member);
+      });
+  if (members.phase == MembershipPhase::kJoining && has_lost_joiner) {
+    return {.step = MemberStep::kGiveUp, .epoch = members.epoch};
+  }
+  return {.step = now - since >= patience ? MemberStep::kCarryOn
+                                          : MemberStep::kNone};
+}
+
+MemberAction MembershipController::SettleOrForm(const MemberView& view,
+                                                TimePoint now) {
+  if (!view.has_quorum) {
+    this->unchosen_since.reset();
+    const bool forms = this->options.may_form && !view.is_formed;
+    return {.step = forms ? MemberStep::kForm : MemberStep::kNone};
+  }
+  const TimePoint since = this->unchosen_since.value_or(now);
+  this->unchosen_since = since;
+  const bool has_hung = now - since >= this->options.catch_up / kReplaceShare;
+  return {.step = has_hung ? MemberStep::kSettle : MemberStep::kNone};
 }
 
 MemberAction MembershipController::Decide(const MemberView& view,
                                           TimePoint now) {
   if (!view.members) {
-    const bool forms = this->options.may_form && !view.is_formed;
-    return {.step = forms ? MemberStep::kForm : MemberStep::kNone};
+    return this->SettleOrForm(view, now);
   }
+  this->unchosen_since.reset();
   const Membership& members = *view.members;
-  const std::vector<MemberId> everyone = members.Everyone();
-  for (const MemberId& member : everyone) {
-    if (view.reachable.contains(member.host)) {
-      this->away_since.erase(member.host);
-    } else {
-      this->away_since.try_emplace(member.host, now);
-    }
-  }
+  this->Observe(members, view, now);
+  this->is_joining = std::ranges::find(members.current, this->options.self) ==
+                     members.current.end();
   if (members.phase != MembershipPhase::kStable) {
-    const TimePoint since = this->unstable_since.value_or(now);
-    this->unstable_since = since;
-    const bool joining_away =
-        std::ranges::any_of(members.Joining(), [&](const MemberId& member) {
-          return this->AwayFor(member.host, now) >= kGiveUpAfter;
-        });
-    if (members.phase == MembershipPhase::kJoining && joining_away) {
-      return {.step = MemberStep::kGiveUp};
-    }
-    return {.step = now - since >= kCarryOnAfter ? MemberStep::kCarryOn
-                                                 : MemberStep::kNone};
+    return this->EndChange(members, view, now);
   }
   this->unstable_since.reset();
-  if (std::ranges::find(members.current, this->options.self) ==
-      members.current.end()) {
-    return this->Join(members, now);
+  if (!this->is_joining) {
+    return this->DropLost(members, view, now);
   }
-  return this->DropLost(members, view, now);
+  const MemberAction action = this->Join(members, now);
+  this->is_joining = action.step != MemberStep::kNone;
+  return action;
+}
+
+MemberAction MembershipController::Leave(const MemberView& view) const {
+  if (!view.members || view.members->phase != MembershipPhase::kStable ||
+      view.members->current.size() <= kLeastMembers) {
+    return {};
+  }
+  const std::vector<MemberId>& current = view.members->current;
+  const bool is_member =
+      std::ranges::find(current, this->options.self) != current.end();
+  const auto others =
+      std::ranges::count_if(current, [&](const MemberId& member) {
+        return member != this->options.self && view.answering.contains(member);
+      });
+  const bool is_safe = static_cast<size_t>(others) > (current.size() - 1) / 2;
+  if (!is_member || !is_safe) {
+    return {};
+  }
+  return {.step = MemberStep::kMove,
+          .leaving = this->options.self.host,
+          .epoch = view.members->epoch};
+}
+
+bool MembershipController::IsSettled(TimePoint now) const {
+  const auto drop_after =
+      std::chrono::duration_cast<Duration>(this->options.catch_up * kDropShare);
+  const bool is_judging = std::ranges::any_of(
+      this->away_since,
+      [&](const auto& entry) { return now - entry.second <= drop_after; });
+  return !is_judging && !this->is_joining && !this->unstable_since &&
+         !this->unchosen_since;
 }
 
 }  // namespace knapweedroad
--- /dev/null
+++ b/knapweedroad/control/membership_world.h
@@ -0,0 +1,71 @@
+// Control hosts in virtual time that keep their members in order as
+// ReplicaMembership does: for tests of what a change of members has to bear.
+//
+//   MembershipWorld world({.seed = 1, .hosts = {"a", "b", "c"}});
+//   world.cluster().Crash("a");
+//   world.AddHost("d");
+//   world.RunFor(seconds(4));
+
+#ifndef KNAPWEEDROAD_CONTROL_MEMBERSHIP_WORLD_H_
+#define KNAPWEEDROAD_CONTROL_MEMBERSHIP_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "knapweedroad/base/time.h"
+#include "knapweedroad/control/fake_cluster.h"
+#include "knapweedroad/control/membership_controller.h"
+
+namespace knapweedroad {
+
+class MembershipWorld {
+ public:
+  explicit MembershipWorld(FakeClusterOptions options);
+
+  // An empty machine at another address.
+  void AddHost(const std::string& host);
+  void Restart(const std::string& host);
+  // Leaves the members as at a termination signal, and ends for good.
+  void Stop(const std::string& host);
+
+  void RunFor(Duration span);
+
+  // Whether the change is acknowledged within the time, through any host that
+  // runs; the same again is sent to the next one after a second.
+  bool Change(uint64_t number, Duration within);
+  // The newest acknowledged number; nothing if no host can tell in time.
+  std::optional<uint64_t> Read(Duration within);
+
+  FakeCluster& cluster() { return this->replicas; }
+  // Hosts that run, whether or not they are members.
+  std::vector<std::string> Running() const;
+
+ private:
+  struct Watcher {
+    std::unique_ptr<MembershipController> controller;
+    std::optional<FakeCluster::TaskId> task;
+    TimePoint task_end;
+    TimePoint next_look;
+  };
+
+  void Boot(const std::string& host);
+  void Look(const std::string& host, Watcher& watcher);
+  MemberView View(const std::string& host);
+  void Act(const std::string& host,
+           Watcher& watcher,
+           const MemberAction& action);
+  MembershipRequest Resolve(const MemberAction& action);
+
+  FakeCluster replicas;
+  std::mt19937 random;
+  std::map<std::string, Watcher> watchers;
+  uint64_t requests = 0;
+};
+
+}  // namespace knapweedroad
+
+#endif  // KNAPWEEDROAD_CONTROL_MEMBERSHIP_WORLD_H_
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -26,8 +26,12 @@
 constexpr int kOutlierTicks = 3;
 // Announcements missed before a target counts as silent.
 constexpr int kMissedHeartbeats = 3;
-// Calls that are running at a stop get this long.
-constexpr Duration kStopWait = milliseconds(300);
+// At a stop, how long leaving the members may take, and how long calls that are
+// running may: no call waits longer for a quorum.
+constexpr Duration kLeaveTimeout = milliseconds(1000);
+constexpr Duration kStopWait = milliseconds(3000);
+// Kept of the grace at a stop for ending in order.
+constexpr Duration kStopMargin = milliseconds(500);
 
 // The time since the newest confirmation began, or -1 if there was none.
 int64_t ConfirmationAgeMs(const QuorumConfirmer& confirmer) {
@@ -227,8 +231,13 @@
 }
 
 void ControlHost::Shutdown() {
-  LogLine("leaving").Add("host", this->state->options.settings.name).Info();
-  this->state->server->Stop(Runtime::Now() + kStopWait);
+  State& self = *this->state;
+  const TimePoint started = Runtime::Now();
+  const TimePoint give_up =
+      started + self.options.settings.stop_grace - kStopMargin;
+  LogLine("leaving").Add("host", self.options.settings.name).Info();
+  self.membership->Leave(std::min(started + kLeaveTimeout, give_up));
+  self.server->Stop(std::min(Runtime::Now() + kStopWait, give_up));
 }
 
 AnnounceResult ControlHost::Announce(TargetRecord record) {
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -194,6 +194,7 @@
       std::make_unique<ReplicaMembership>(ReplicaMembershipOptions{
           .self = this->replica->id(),
           .first_start = this->options.settings.first_start,
+          .catch_up = this->options.settings.catch_up,
           .service = *this->service,
           .hosts =
               [this] {
--- a/knapweedroad/edge/replica_membership.h
+++ b/knapweedroad/edge/replica_membership.h
@@ -14,17 +14,19 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/control/member_id.h"
+#include "knapweedroad/control/membership_controller.h"
 
 namespace knapweedroad {
 
 class ControlService;
-struct MemberAction;
 
 struct ReplicaMembershipOptions {
   // This host's replica.
   MemberId self;
   // The whole system starts for the first time: a membership may be formed.
   bool first_start = false;
+  // See MembershipControllerOptions.
+  Duration catch_up = std::chrono::seconds(4);
   // Outlives Run().
   ControlService& service;
   // All control hosts known, this one among them.
@@ -44,12 +46,19 @@
   void Run();
   void Stop() { this->is_stopped = true; }
 
+  // Stops, and has this host's replica leave the members where enough others
+  // are left. Blocks the calling fiber until that is done or the deadline.
+  void Leave(TimePoint deadline);
+
  private:
+  // Asks all replicas, and takes over what is chosen.
+  MemberView Look(TimePoint deadline);
   // There is a version, but this host hasn't learned any since its start.
   bool LooksForFirstVersion() const;
-  void Act(const MemberAction& action);
+  void Act(const MemberAction& action, TimePoint deadline);
 
   ReplicaMembershipOptions options;
+  MembershipController controller;
   bool is_stopped = false;
 };
 
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -1,7 +1,6 @@
 #include "knapweedroad/host/control_service.h"
 
 #include <algorithm>
-#include <map>
 #include <mutex>
 #include <random>
 #include <set>
@@ -11,6 +10,7 @@
 #include <boost/fiber/timed_mutex.hpp>
 
 #include "knapweedroad/control/proposer.h"
+#include "knapweedroad/control/replica_survey.h"
 #include "knapweedroad/host/control_replica.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/net/timed_event.h"
@@ -105,64 +105,20 @@
 
 // One round of questions, shared by the fibers that wait for its replies.
 struct PeekState {
-  explicit PeekState(Runtime& runtime) : changed(runtime) {}
+  PeekState(Runtime& runtime, const std::optional<BallotedValue>& known)
+      : changed(runtime), survey(known) {}
 
   TimedEvent changed;
-  std::map<MemberId, Ballot> held;
-  std::optional<BallotedValue> newest;
-  ControlPeek result;
+  ReplicaSurvey survey;
   size_t out = 0;
 };
 
-void TakePeekReply(PeekState& peek, const PrepareReply& reply) {
-  peek.held[reply.from] = reply.accepted;
-  peek.result.reachable.insert(reply.from.host);
-  peek.result.is_formed = peek.result.is_formed || reply.accepted != Ballot() ||
-                          !reply.known_members.empty();
-  const bool is_newer =
-      !peek.newest.has_value() || peek.newest->ballot < reply.accepted;
-  if (reply.value.has_value() && is_newer) {
-    peek.newest = BallotedValue{reply.accepted, *reply.value};
-  }
-}
-
-// Where a quorum of the newest value's members has accepted it, no newer one
-// had been chosen when they were asked: its quorum would share a member with
-// this one.
-bool IsChosen(const PeekState& peek) {
-  if (!peek.newest.has_value()) {
-    return false;
-  }
-  std::set<MemberId> holders;
-  for (const auto& [member, ballot] : peek.held) {
-    if (peek.newest->ballot < ballot) {
-      return false;
-    }
-    if (ballot == peek.newest->ballot) {
-      holders.insert(member);
-    }
-  }
-  return peek.newest->value.members.IsQuorum(holders);
-}
-
-bool HasQuorum(const PeekState& peek) {
-  if (!peek.newest.has_value()) {
-    return false;
-  }
-  std::set<MemberId> answered;
-  for (const auto& [member, ballot] : peek.held) {
-    answered.insert(member);
-  }
-  return peek.newest->value.members.IsQuorum(answered);
-}
-
 ControlPeek PeekRound(const std::shared_ptr<Wiring>& wiring,
                       const std::set<HostId>& hosts,
                       const std::optional<BallotedValue>& known,
                       TimePoint deadline,
                       bool soon) {
-  const auto peek = std::make_shared<PeekState>(wiring->runtime);
-  peek->newest = known;
+  const auto peek = std::make_shared<PeekState>(wiring->runtime, known);
   const Ballot held = known.has_value() ? known->ballot : Ballot();
   for (const HostId& host : hosts) {
     ++wiring->running;
@@ -177,7 +133,7 @@
                                      tl::unexpected(std::string("no reply")));
       if (message.has_value()) {
         if (const auto* reply = std::get_if<PrepareReply>(&*message)) {
-          TakePeekReply(*peek, *reply);
+          peek->survey.OnReply(*reply);
         }
       }
       --peek->out;
@@ -186,14 +142,16 @@
     });
   }
   while (peek->out > 0 && Runtime::Now() < deadline &&
-         !(soon && IsChosen(*peek))) {
+         !(soon && peek->survey.IsChosen())) {
     peek->changed.WaitUntil(deadline);
   }
-  if (IsChosen(*peek)) {
-    peek->result.chosen = peek->newest;
+  ControlPeek result{.has_quorum = peek->survey.HasQuorum(),
+                     .answering = peek->survey.Answering(),
+                     .is_formed = peek->survey.is_formed()};
+  if (peek->survey.IsChosen()) {
+    result.chosen = peek->survey.newest();
   }
-  peek->result.has_quorum = HasQuorum(*peek);
-  return peek->result;
+  return result;
 }
 
 }  // namespace
@@ -362,7 +320,8 @@
   }
   MembershipRequest resolved{.author = request.author,
                              .leaving = request.leaving,
-                             .give_up = request.give_up};
+                             .give_up = request.give_up,
+                             .epoch = request.epoch};
   if (request.joining.has_value()) {
     resolved.joining = this->state->Identify(*request.joining, deadline);
     if (!resolved.joining.has_value()) {
--- a/knapweedroad/host/control_service.h
+++ b/knapweedroad/host/control_service.h
@@ -9,6 +9,7 @@
 #ifndef KNAPWEEDROAD_HOST_CONTROL_SERVICE_H_
 #define KNAPWEEDROAD_HOST_CONTROL_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -56,8 +57,8 @@
   // A quorum of the members of the newest value that was seen answered, whether
   // or not they had accepted that value.
   bool has_quorum = false;
-  // Hosts whose replica answered.
-  std::set<HostId> reachable;
+  // Replicas that answered.
+  std::set<MemberId> answering;
   // Some replica that answered holds a value or knows of members.
   bool is_formed = false;
 };
@@ -69,6 +70,8 @@
   // Whatever replica that host runs now.
   std::optional<HostId> joining;
   bool give_up = false;
+  // See MembershipRequest.
+  std::optional<uint64_t> epoch;
 };
 
 class ControlService {
--- a/spec/agreement.pml
+++ b/spec/agreement.pml
@@ -12,6 +12,9 @@
  * on one chain, and a decision or a read has in its past every value that was
  * decided before it started.
  *
+ * With LOST, a is gone for good before the change, as a replaced machine: once
+ * the new set decides, one more loss must leave a quorum.
+ *
  * Broken variants, each of which must be caught:
  *   NO_SYNC        an acceptor answers before its record is on the disk
  *   BLANK_COUNTED  a replica that lost its disk answers as the old member
@@ -19,6 +22,7 @@
  *   OLD_ALONE      during the change the old set decides alone
  *   UNCHOSEN_STEP  the joint sets are left on a step that isn't chosen yet
  *   LOOSE_READ     a read takes the newest value of any quorum for chosen
+ *   ADD_BESIDE     d joins beside the lost member instead of in its place
  */
 
 #ifndef ATTEMPTS
@@ -31,7 +35,11 @@
 
 /* Sets of members are bits. */
 #define OLD_SET 7  /* a b c */
+#ifdef ADD_BESIDE
+#define NEW_SET 15 /* a b c d */
+#else
 #define NEW_SET 14 /* b c d */
+#endif
 #define ALL 15
 #define JOINER 3   /* d */
 
@@ -44,7 +52,7 @@
 #define Bit(i) (1 << (i))
 #define Has(set, i) (((set) >> (i)) & 1)
 #define Size(set) (Has(set, 0) + Has(set, 1) + Has(set, 2) + Has(set, 3))
-#define Majority(of, set) (Size((of) & (set)) >= 2)
+#define Majority(of, set) (2 * Size((of) & (set)) > Size(of))
 
 #if defined(NO_JOINT)
 #define JointQuorum(set) Majority(NEW_SET, set)
@@ -59,7 +67,8 @@
    ((p) == STABLE_NEW && Majority(NEW_SET, set)) ||                       \
    ((p) != STABLE_OLD && (p) != STABLE_NEW && JointQuorum(set)))
 #define IsMember(p, i)                                                    \
-  (((p) != STABLE_OLD || (i) != JOINER) && ((p) != STABLE_NEW || (i) != 0))
+  (((p) != STABLE_OLD || (i) != JOINER) &&                                \
+   ((p) != STABLE_NEW || Has(NEW_SET, i)))
 
 #ifdef UNCHOSEN_STEP
 #define MayLeave(p) true
@@ -75,9 +84,20 @@
 byte phase[VALUES];
 byte past[VALUES]; /* the set of ballots that made it, step by step */
 
+#ifdef LOST
+#define LOST_SET 1 /* a */
+#else
+#define LOST_SET 0
+#endif
+#define Answers(i) (!Has(LOST_SET, i))
+
 byte decided;       /* the ballots that made the decided chain */
 byte chosen_phases; /* phases known to be chosen */
 
+/* Whether the new set decides without its lost members and without i. */
+#define BearsLossOf(i) \
+  Majority(NEW_SET, ALL & ~LOST_SET & ~Bit(i))
+
 inline CheckSeen(value, before) {
   assert((decided & past[value]) == decided ||
          (decided & past[value]) == past[value]);
@@ -117,7 +137,7 @@
        !IsQuorum(phase[best], joined) ||
        (phase[best] == JOINING && !Has(joined, JOINER)) ->
        if
-       :: !Has(joined, 0) && IsMember(phase[best], 0) -> i = 0
+       :: !Has(joined, 0) && IsMember(phase[best], 0) && Answers(0) -> i = 0
        :: !Has(joined, 1) -> i = 1
        :: !Has(joined, 2) -> i = 2
        :: !Has(joined, 3) && IsMember(phase[best], 3) -> i = 3
@@ -164,7 +184,7 @@
   do
   :: atomic {
        if
-       :: !Has(joined, 0) && IsMember(phase[ballot], 0) -> i = 0
+       :: !Has(joined, 0) && IsMember(phase[ballot], 0) && Answers(0) -> i = 0
        :: !Has(joined, 1) -> i = 1
        :: !Has(joined, 2) -> i = 2
        :: !Has(joined, 3) && IsMember(phase[ballot], 3) -> i = 3
@@ -176,6 +196,10 @@
        if
        :: IsQuorum(phase[ballot], joined) ->
           CheckSeen(ballot, before);
+#ifdef LOST
+          assert(phase[ballot] != STABLE_NEW ||
+                 (BearsLossOf(1) && BearsLossOf(2) && BearsLossOf(3)));
+#endif
           chosen_phases = chosen_phases | Bit(phase[ballot])
        :: else -> skip
        fi;
