Entry hosts that leave answer all that they take

Cause: a leaving host took every request until its end, as if none came once the balancer had noticed, and the end of the process answered nothing.

Why the fix works: after half of the grace a request is taken only if its deadline ends before the host's last answers; others are refused at once, as not run. Runs begun meanwhile end by then, and what still runs is answered 0.5 s before the grace is over (504; 503 where nothing was sent, also to requests that wait for a permit). So no connection with a request on it is closed without an answer, for any grace above a second.

The same elsewhere: records that other hosts may still fetch keep a gathering host from ending.

--- a/knapweedroad/edge/admit_request.cc
+++ b/knapweedroad/edge/admit_request.cc
@@ -12,8 +12,10 @@
 #include "knapweedroad/edge/entry_metrics.h"
 #include "knapweedroad/edge/entry_parts.h"
 #include "knapweedroad/edge/entry_request.h"
+#include "knapweedroad/edge/leaving_schedule.h"
 #include "knapweedroad/edge/request_admission.h"
 #include "knapweedroad/edge/request_log.h"
+#include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/route_table.h"
 
@@ -21,6 +23,8 @@
 namespace {
 
 constexpr Duration kRetryWithoutConfiguration = std::chrono::milliseconds(500);
+// Other hosts take the request now.
+constexpr Duration kRetryElsewhere = Duration::zero();
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -38,6 +42,9 @@
   void Start();
 
  private:
+  // Whether the host is about to end, and might before the request does.
+  bool ComesTooLate() const;
+  void RefuseAtStop();
   void OnAdmission(const AdmissionResult& result);
   void Refuse(int status,
               std::string_view cause,
@@ -52,7 +59,8 @@
   std::shared_ptr<CallerExchange> exchange;
   // Null until it was found.
   const RouteConfig* route = nullptr;
-  bool has_left = false;
+  // The caller has left, or was answered.
+  bool has_ended = false;
 };
 
 void PendingRequest::Start() {
@@ -66,18 +74,41 @@
     this->Refuse(kNotFound, "no_route", std::nullopt, nullptr);
     return;
   }
+  if (this->ComesTooLate()) {
+    this->RefuseAtStop();
+    return;
+  }
   const auto self = this->shared_from_this();
   this->exchange->on_abandoned = [self] { self->OnCallerLeft(); };
+  this->exchange->on_stopped = [self] {
+    self->has_ended = true;
+    self->RefuseAtStop();
+  };
   this->parts.admission.Admit(
       *this->table, *this->route, this->request,
       [self](const AdmissionResult& result) { self->OnAdmission(result); });
 }
 
+bool PendingRequest::ComesTooLate() const {
+  const TimePoint now = Runtime::Now();
+  const TimePoint deadline = RunDeadline(*this->route, this->request);
+  return this->parts.leaving &&
+         !this->parts.leaving->MayTake(now, deadline - now);
+}
+
+void PendingRequest::RefuseAtStop() {
+  this->Refuse(kUnavailable, "leaving", kRetryElsewhere, nullptr);
+}
+
 void PendingRequest::OnAdmission(const AdmissionResult& result) {
-  if (this->has_left) {
+  if (this->has_ended) {
     return;
   }
   this->parts.metrics.CountAdmission(result);
+  if (this->ComesTooLate()) {
+    this->RefuseAtStop();
+    return;
+  }
   if (result.outcome != AdmissionOutcome::kAdmitted) {
     const bool may_come_back =
         result.outcome != AdmissionOutcome::kUnauthorized;
@@ -118,7 +149,7 @@
 
 // The result of the admission is awaited, and changes nothing.
 void PendingRequest::OnCallerLeft() {
-  this->has_left = true;
+  this->has_ended = true;
   const Duration took = Runtime::Now() - this->request.received;
   this->parts.metrics.CountRequest(this->route->name, "caller_left", took);
   LogCallerLeftUnadmitted(this->request, this->route->name, took);
--- a/knapweedroad/edge/admit_request_test.cc
+++ b/knapweedroad/edge/admit_request_test.cc
@@ -132,6 +132,44 @@
   cr_expect(!host.has_run());
 }
 
+// A leaving host sends a request to a target that it will cut at its end.
+Test(admit_request,
+     a_request_that_may_outlive_the_host_is_refused,
+     .timeout = 60) {
+  Host host;
+  const TimePoint now = Runtime::Now();
+  host.parts.leaving.emplace(
+      LeavingScheduleOptions{.told_at = now - seconds(4), .grace = seconds(5)});
+  const auto late = host.Ask("/a/", {"Bearer k"});
+  cr_assert(late->answer.has_value());
+  cr_expect(late->answer->status == 503);
+  cr_expect(late->answer->header == "Retry-After: 0.000\r\n");
+  host.parts.leaving.emplace(
+      LeavingScheduleOptions{.told_at = now, .grace = seconds(5)});
+  const auto early = host.Ask("/a/", {"Bearer k"});
+  cr_expect(!early->answer.has_value());
+  host.parts.leaving.emplace(
+      LeavingScheduleOptions{.told_at = now - seconds(4), .grace = seconds(5)});
+  host.decide({.outcome = QuotaOutcome::kGranted});
+  cr_assert(early->answer.has_value());
+  cr_expect(early->answer->status == 503);
+  cr_expect(!host.has_run());
+}
+
+// A request that waits for a permit is cut when the host ends.
+Test(admit_request,
+     a_request_that_waits_at_the_end_is_answered,
+     .timeout = 60) {
+  Host host;
+  const auto exchange = host.Ask("/a/", {"Bearer k"});
+  cr_assert(exchange->on_stopped != nullptr);
+  exchange->on_stopped();
+  cr_assert(exchange->answer.has_value());
+  cr_expect(exchange->answer->status == 503);
+  host.decide({.outcome = QuotaOutcome::kGranted});
+  cr_expect(!host.has_run());
+}
+
 // Guards against retry budgets that grow by requests that wait for a permit.
 Test(admit_request, a_request_runs_once_its_permit_is_granted, .timeout = 60) {
   Host host;
--- a/knapweedroad/edge/caller_server.cc
+++ b/knapweedroad/edge/caller_server.cc
@@ -78,6 +78,7 @@
   void Answer(CallerAnswer answer) override;
   void Sweep(TimePoint now);
   void CloseIfIdle();
+  void StopRequest();
   void Close();
 
  private:
@@ -266,6 +267,7 @@
     return;
   }
   this->on_abandoned = nullptr;
+  this->on_stopped = nullptr;
   this->closes =
       this->wants_close || answer.closes || this->server->is_draining;
   std::string bytes;
@@ -371,6 +373,15 @@
   }
 }
 
+void CallerServer::State::Connection::StopRequest() {
+  if (this->phase != Phase::kRunning) {
+    return;
+  }
+  if (const auto stopped = std::exchange(this->on_stopped, nullptr)) {
+    stopped();
+  }
+}
+
 void CallerServer::State::Connection::Close() {
   if (!this->socket.is_open()) {
     return;
@@ -378,6 +389,7 @@
   error_code ignored;
   this->socket.close(ignored);
   const auto abandoned = std::exchange(this->on_abandoned, nullptr);
+  this->on_stopped = nullptr;
   this->Enter(Phase::kIdle);
   const auto self = this->shared_from_this();
   this->server->open.erase(self);
@@ -423,6 +435,13 @@
   }
 }
 
+void CallerServer::StopRunning() {
+  const auto open = this->state->open;
+  for (const auto& connection : open) {
+    connection->StopRequest();
+  }
+}
+
 void CallerServer::Sweep(TimePoint now) {
   const auto open = this->state->open;
   for (const auto& connection : open) {
--- a/knapweedroad/edge/caller_server.h
+++ b/knapweedroad/edge/caller_server.h
@@ -36,6 +36,9 @@
   virtual void Answer(CallerAnswer answer) = 0;
   // Called at most once, when the caller closes before its answer.
   std::function<void()> on_abandoned;
+  // Called at most once, when the host is about to end: the request is to be
+  // answered now.
+  std::function<void()> on_stopped;
 };
 
 using CallerHandler =
@@ -61,6 +64,8 @@
   void StartDraining();
   // Closes connections on which no request is running or coming in.
   void CloseIdle();
+  // Has all requests answered that still run.
+  void StopRunning();
   // Closes what has been idle, or has sent half a request, for too long.
   // Called from time to time.
   void Sweep(TimePoint now);
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -26,8 +26,6 @@
 // From "not ready" until the platform sends no new connections: two of its
 // questions, a second apart, and some slack.
 constexpr Duration kBalancerNotice = milliseconds(2600);
-// Kept of the grace at a stop for leaving in order.
-constexpr Duration kStopMargin = milliseconds(500);
 
 }  // namespace
 
@@ -341,12 +339,30 @@
   LogReload(settings);
 }
 
+bool EntryHost::State::HasWork() const {
+  return this->callers->connections() > 0 || this->gather_relay.running() > 0 ||
+         this->gather_relay.holds_records();
+}
+
+void EntryHost::State::AwaitNoWork(TimePoint until, bool closes_idle) {
+  while (Runtime::Now() < until) {
+    if (closes_idle) {
+      this->callers->CloseIdle();
+    }
+    if (!this->HasWork()) {
+      return;
+    }
+    Runtime::SleepFor(std::min<Duration>(kTick, until - Runtime::Now()));
+  }
+}
+
 void EntryHost::Shutdown() {
   State& self = *this->state;
-  const TimePoint started = Runtime::Now();
-  const TimePoint give_up =
-      started + self.options.settings.stop_grace - kStopMargin;
+  const TimePoint now = Runtime::Now();
+  const LeavingSchedule schedule(
+      {.told_at = now, .grace = self.options.settings.stop_grace});
   self.is_leaving = true;
+  self.parts.leaving = schedule;
   self.callers->StartDraining();
   self.gather_relay.StartDraining();
   LogLine("leaving")
@@ -354,20 +370,17 @@
       .Add("running", self.callers->running())
       .Add("connections", self.callers->connections())
       .Info();
-  while (Runtime::Now() < give_up) {
-    if (Runtime::Now() - started > kBalancerNotice) {
-      self.callers->CloseIdle();
-      if (self.callers->connections() == 0 &&
-          self.gather_relay.running() == 0) {
-        break;
-      }
-    }
-    Runtime::SleepFor(kTick);
-  }
+  const TimePoint noticed_by =
+      std::min(now + kBalancerNotice, schedule.answer_by());
+  Runtime::SleepFor(noticed_by - now);
+  self.AwaitNoWork(schedule.answer_by(), /*closes_idle=*/true);
   LogLine("left")
       .Add("host", self.options.settings.name)
       .Add("running", self.callers->running())
       .Info();
+  self.callers->StopRunning();
+  // Callers close first: a close would reset answers that are on their way.
+  self.AwaitNoWork(schedule.end_by(), /*closes_idle=*/false);
 }
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/entry_host_state.h
+++ b/knapweedroad/edge/entry_host_state.h
@@ -71,6 +71,10 @@
   void SetQuotaMetrics();
   CallerLimits Limits() const;
 
+  // Whether callers or other hosts still wait for something of this host.
+  bool HasWork() const;
+  void AwaitNoWork(TimePoint until, bool closes_idle);
+
   // Parts of the start; the first error ends it.
   tl::expected<void, std::string> ServeCallers();
   tl::expected<void, std::string> ServeReadiness();
--- a/knapweedroad/edge/entry_parts.h
+++ b/knapweedroad/edge/entry_parts.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/edge/leaving_schedule.h"
 #include "knapweedroad/edge/run_plan.h"
 #include "knapweedroad/overload/waiting_lines.h"
 #include "knapweedroad/rollout/answer_sampler.h"
@@ -67,6 +69,8 @@
   std::unordered_map<std::string, RouteMemory> routes;
   // Null until the first configuration has come.
   std::shared_ptr<const RouteTable> table;
+  // Set once the host was told to stop.
+  std::optional<LeavingSchedule> leaving;
 
   uint64_t last_token = 0;
 
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -81,6 +81,8 @@
   RequestLogContext LogContext() const;
   void Log(const RunEnd& end, int status);
   void Abandon();
+  // Answers now: the process is about to end.
+  void Stop();
 
   EntryParts& parts;
   std::shared_ptr<const RouteTable> table;
@@ -120,6 +122,10 @@
   } else {
     options.services.push_back(this->parts.rotation.Next(to));
   }
+  if (this->parts.leaving) {
+    options.deadline =
+        std::min(options.deadline, this->parts.leaving->answer_by());
+  }
   this->target_at = options.latency_target_at;
   this->deadline = options.deadline;
   return options;
@@ -175,6 +181,9 @@
   this->exchange->on_abandoned = [self = this->shared_from_this()] {
     self->Abandon();
   };
+  this->exchange->on_stopped = [self = this->shared_from_this()] {
+    self->Stop();
+  };
   this->Do(this->run->Start(now));
 }
 
@@ -444,6 +453,14 @@
   LogCallerLeft(this->LogContext(), took);
 }
 
+void EntryRequest::Stop() {
+  if (this->is_over) {
+    this->OnCompleted(/*is_whole=*/false);
+  } else {
+    this->Do(this->run->OnStop(Runtime::Now()));
+  }
+}
+
 }  // namespace
 
 void StartEntryRequest(EntryParts& parts, AdmittedRequest admitted) {
--- a/knapweedroad/edge/gather_relay.h
+++ b/knapweedroad/edge/gather_relay.h
@@ -77,6 +77,8 @@
   // Refuses further calls. Those that run continue.
   void StartDraining() { this->is_draining = true; }
   size_t running() const { return this->runs.size(); }
+  // Whether records of answered calls may still be asked for.
+  bool holds_records() const { return !this->held.empty(); }
 
  private:
   struct Attempt;
--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -59,6 +59,11 @@
   return std::max<Duration>(gather_within, until_due / 2);
 }
 
+TimePoint RunDeadline(const RouteConfig& route, const CallerRequest& request) {
+  return request.received +
+         std::min(request.time_left.value_or(route.timeout), route.timeout);
+}
+
 RequestRunOptions PlanRun(const RouteConfig& route,
                           const CallerRequest& request,
                           RouteMemory& memory,
@@ -71,7 +76,7 @@
           .min_share = route.is_scatter ? route.min_share : 1,
           .latency_target_at =
               request.received + route.latency_target - elapsed - lead,
-          .deadline = request.received + std::min(told, route.timeout),
+          .deadline = RunDeadline(route, request),
           .hedge_delay = UsualAtMost(route, memory.latency),
           .busy_retry_after = route.latency_target / kBusyRetryPart,
           .no_target_retry_after = kRetryWhenDown,
--- a/knapweedroad/edge/run_plan.h
+++ b/knapweedroad/edge/run_plan.h
@@ -39,6 +39,9 @@
 // time until the answer is due.
 Duration CoordinatorReplyTime(Duration gather_within, Duration until_due);
 
+// When a request ends in any case.
+TimePoint RunDeadline(const RouteConfig& route, const CallerRequest& request);
+
 // All of the options but the services. `lead`: how long before it is due at the
 // caller the answer has to be decided on. A request that says how long it waits
 // changes `memory`.
--- a/knapweedroad/routing/request_run.cc
+++ b/knapweedroad/routing/request_run.cc
@@ -278,4 +278,10 @@
   return this->FinishStep(std::move(step), now);
 }
 
+RunStep RequestRun::OnStop(TimePoint now) {
+  this->options.deadline = std::min(this->options.deadline, now);
+  this->is_stopped = true;
+  return this->OnWake(now);
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/routing/request_run.h
+++ b/knapweedroad/routing/request_run.h
@@ -208,6 +208,8 @@
   // Sends hedges and other attempts that are due, and ends the run at its
   // deadline. May be called early.
   RunStep OnWake(TimePoint now);
+  // Ends the run now, as at its deadline: the process is about to end.
+  RunStep OnStop(TimePoint now);
 
   // Postpones the hedge of an attempt whose answer takes `delay` longer than
   // others to arrive. Called before the next step.
@@ -342,6 +344,7 @@
   size_t may_have_run_count = 0;
   // Whether an attempt was held back since StartHeldAttempts().
   bool has_held_attempts = false;
+  bool is_stopped = false;
   bool ended = false;
 };
 
--- a/knapweedroad/routing/request_run_end.cc
+++ b/knapweedroad/routing/request_run_end.cc
@@ -87,7 +87,8 @@
     return;
   }
   if (now >= this->options.deadline) {
-    this->End(step, {.kind = RunEndKind::kExpired, .cause = "deadline"});
+    this->End(step, {.kind = RunEndKind::kExpired,
+                     .cause = this->is_stopped ? "leaving" : "deadline"});
     return;
   }
   this->End(step, {.kind = RunEndKind::kFailed, .cause = "attempts_failed"});
--- a/knapweedroad/routing/request_run_test.cc
+++ b/knapweedroad/routing/request_run_test.cc
@@ -241,6 +241,19 @@
   cr_assert(end.end && end.end->kind == RunEndKind::kExpired);
 }
 
+// The process ends under a request that a target runs: its caller gets nothing,
+// or the promise that it hasn't run.
+Test(request_run, a_stopped_run_ends_at_once_and_says_what_is_known) {
+  Fixture fixture(1);
+  RequestRun run = fixture.MakeRun();
+  run.Start(kStart);
+  const RunStep step = run.OnStop(kStart + milliseconds(10));
+  cr_assert(step.end && step.starts.empty());
+  cr_expect(step.end->kind == RunEndKind::kExpired);
+  cr_expect(step.end->cause == "leaving");
+  cr_expect(!run.OnStop(kStart + milliseconds(11)).end);
+}
+
 // Guards against failures that multiply the attempts.
 Test(request_run, without_budget_no_extra_attempt_is_sent) {
   Fixture fixture(3);
