Control hosts don't carry out late copies of orders

What callers saw: an order to take an evacuation back went to a frozen control host, was sent again to another one, and the zone was evacuated again, both acknowledged.

Cause: an order to evacuate or to roll out has no version, and each copy that was read was taken for new, whatever was agreed meanwhile.

Why the fix works: OrderGuard carries an order out only on the version that a quorum told after the order came, while its caller's connection is open, and not within a second after a standstill.

The same elsewhere: roll-out orders pass the guard too.

--- a/knapweedroad/edge/agreed_editor.cc
+++ b/knapweedroad/edge/agreed_editor.cc
@@ -23,11 +23,13 @@
 AgreedEditor::AgreedEditor(AgreedEditorOptions options)
     : options(std::move(options)) {}
 
-bool AgreedEditor::Edit(const std::string& name,
-                        std::function<void(AgreedState&)> edit,
-                        TimePoint deadline) {
+ChangeOutcome AgreedEditor::Apply(const std::string& name,
+                                  std::function<void(AgreedState&)> edit,
+                                  std::optional<uint64_t> base,
+                                  TimePoint deadline) {
   const ChangeOutcome outcome = this->options.service.Change(
       {.author = {this->options.author, RandomRequestId()},
+       .base_version = base,
        .edit = [edit = std::move(edit)](std::string_view held)
            -> tl::expected<std::string, std::string> {
          auto state = DecodeAgreedState(held);
@@ -46,9 +48,32 @@
       .Add("change", name)
       .Add("accepted", is_accepted)
       .Add("version", outcome.version)
+      .Add("reason", static_cast<int>(outcome.reason))
       .Add("detail", outcome.detail)
       .Info();
-  return is_accepted;
+  return outcome;
+}
+
+bool AgreedEditor::Edit(const std::string& name,
+                        std::function<void(AgreedState&)> edit,
+                        TimePoint deadline) {
+  return this->Apply(name, std::move(edit), std::nullopt, deadline).result ==
+         ChangeResult::kAccepted;
+}
+
+OrderResult AgreedEditor::Order(const std::string& name,
+                                std::function<void(AgreedState&)> edit,
+                                uint64_t base,
+                                TimePoint deadline) {
+  const ChangeOutcome outcome =
+      this->Apply(name, std::move(edit), base, deadline);
+  if (outcome.result == ChangeResult::kAccepted) {
+    return OrderResult::kDone;
+  }
+  const bool is_changed = outcome.result == ChangeResult::kRejected &&
+                          (outcome.reason == ChangeReason::kBaseVersion ||
+                           outcome.reason == ChangeReason::kFutureBase);
+  return is_changed ? OrderResult::kChanged : OrderResult::kUnknown;
 }
 
 bool AgreedEditor::PutRouting(uint64_t number,
@@ -62,15 +87,27 @@
       deadline);
 }
 
-bool AgreedEditor::SetZoneOut(const ZoneId& zone,
-                              bool is_out,
-                              TimePoint deadline) {
-  return this->Edit(
+OrderResult AgreedEditor::SetZoneOut(const ZoneId& zone,
+                                     bool is_out,
+                                     uint64_t base,
+                                     TimePoint deadline) {
+  return this->Order(
       "zone " + zone.str() + (is_out ? " out" : " in"),
       [zone, is_out](AgreedState& state) {
         knapweedroad::SetZoneOut(state, zone, is_out);
       },
-      deadline);
+      base, deadline);
+}
+
+OrderResult AgreedEditor::OrderRollouts(
+    const std::string& name,
+    std::function<void(std::vector<RolloutRecord>& rollouts)> edit,
+    uint64_t base,
+    TimePoint deadline) {
+  return this->Order(
+      name,
+      [edit = std::move(edit)](AgreedState& state) { edit(state.rollouts); },
+      base, deadline);
 }
 
 bool AgreedEditor::EditRollouts(
@@ -96,21 +133,28 @@
       deadline);
 }
 
-std::optional<AgreedState> AgreedEditor::Read(TimePoint deadline) {
+std::optional<ControlValue> AgreedEditor::ReadValue(TimePoint deadline) {
   const ControlPeek peek = this->options.service.Peek(
       std::min(deadline, Runtime::Now() + kPeekTimeout), /*soon=*/true);
-  std::string text;
-  if (peek.chosen) {
-    text = peek.chosen->value.configuration;
-    this->options.on_chosen(peek.chosen->value.version, text);
-  } else {
-    const auto value = this->options.service.Read(deadline);
-    if (!value) {
-      return std::nullopt;
-    }
-    text = value->configuration;
+  if (!peek.chosen) {
+    return this->options.service.Read(deadline);
+  }
+  this->options.on_chosen(peek.chosen->value.version,
+                          peek.chosen->value.configuration);
+  return peek.chosen->value;
+}
+
+std::optional<uint64_t> AgreedEditor::ReadVersion(TimePoint deadline) {
+  const auto value = this->ReadValue(deadline);
+  return value ? std::optional(value->version) : std::nullopt;
+}
+
+std::optional<AgreedState> AgreedEditor::Read(TimePoint deadline) {
+  const auto value = this->ReadValue(deadline);
+  if (!value) {
+    return std::nullopt;
   }
-  auto state = DecodeAgreedState(text);
+  auto state = DecodeAgreedState(value->configuration);
   if (!state) {
     LogLine("agreed_state_unreadable").Add("detail", state.error()).Error();
     return std::nullopt;
--- a/knapweedroad/edge/agreed_editor.h
+++ b/knapweedroad/edge/agreed_editor.h
@@ -15,6 +15,8 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/control/change_request.h"
+#include "knapweedroad/control/control_value.h"
+#include "knapweedroad/edge/order_guard.h"
 #include "knapweedroad/registry/agreed_state.h"
 
 namespace knapweedroad {
@@ -39,8 +41,19 @@
   // not known, the same again settles it.
   bool PutRouting(uint64_t number, std::string text, TimePoint deadline);
 
-  // Takes a zone out or back in; as PutRouting().
-  bool SetZoneOut(const ZoneId& zone, bool is_out, TimePoint deadline);
+  // Takes a zone out or back in, if `base` is still the agreed version.
+  OrderResult SetZoneOut(const ZoneId& zone,
+                         bool is_out,
+                         uint64_t base,
+                         TimePoint deadline);
+
+  // Changes the agreed roll-outs, if `base` is still the agreed version. `edit`
+  // may run several times.
+  OrderResult OrderRollouts(
+      const std::string& name,
+      std::function<void(std::vector<RolloutRecord>& rollouts)> edit,
+      uint64_t base,
+      TimePoint deadline);
 
   // Changes the agreed roll-outs; as PutRouting(). `edit` may run several
   // times.
@@ -58,14 +71,27 @@
   // The newest state there is; nothing where that can't be known now.
   std::optional<AgreedState> Read(TimePoint deadline);
 
+  // The version of the newest state; as Read().
+  std::optional<uint64_t> ReadVersion(TimePoint deadline);
+
   // Changes that a quorum holds, and those of which that isn't known.
   uint64_t accepted() const { return this->changes_accepted; }
   uint64_t unknown() const { return this->changes_unknown; }
 
  private:
+  // Without a base the edit follows whatever is agreed.
+  ChangeOutcome Apply(const std::string& name,
+                      std::function<void(AgreedState&)> edit,
+                      std::optional<uint64_t> base,
+                      TimePoint deadline);
+  OrderResult Order(const std::string& name,
+                    std::function<void(AgreedState&)> edit,
+                    uint64_t base,
+                    TimePoint deadline);
   bool Edit(const std::string& name,
             std::function<void(AgreedState&)> edit,
             TimePoint deadline);
+  std::optional<ControlValue> ReadValue(TimePoint deadline);
 
   AgreedEditorOptions options;
   uint64_t changes_accepted = 0;
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -7,6 +7,7 @@
 
 #include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/call_origin.h"
 #include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/role_parts.h"
@@ -132,6 +133,7 @@
 
 void ControlHost::State::Tick() {
   const TimePoint now = Runtime::Now();
+  this->standstill.OnTick(BootClock::now());
   const std::vector<ControlHostRecord> live = this->ControlHosts();
   const uint64_t before = this->registry.revision();
   this->registry.Sweep(
@@ -293,16 +295,37 @@
   return this->state->editor->PutRouting(number, std::move(text), deadline);
 }
 
-bool ControlHost::SetZoneOut(const ZoneId& zone,
-                             bool is_out,
-                             TimePoint deadline) {
-  return this->state->editor->SetZoneOut(zone, is_out, deadline);
+OrderResult ControlHost::State::RunOrder(const std::string& name,
+                                         const CallOrigin& origin,
+                                         const OrderGuard::Change& change) {
+  const OrderResult result = this->orders->Run(origin, change);
+  if (result != OrderResult::kDone) {
+    LogLine("order_not_done")
+        .Add("order", name)
+        .Add("result", ToString(result))
+        .Add("age_ms", (BootClock::now() - origin.received) / milliseconds(1))
+        .Info();
+  }
+  return result;
 }
 
-bool ControlHost::OrderRollout(const ServiceId& service,
-                               const VersionId& version,
-                               Duration duration,
-                               TimePoint deadline) {
+OrderResult ControlHost::SetZoneOut(const ZoneId& zone,
+                                    bool is_out,
+                                    const CallOrigin& origin,
+                                    TimePoint deadline) {
+  State& self = *this->state;
+  return self.RunOrder("zone " + zone.str() + (is_out ? " out" : " in"), origin,
+                       [&](uint64_t base) {
+                         return self.editor->SetZoneOut(zone, is_out, base,
+                                                        deadline);
+                       });
+}
+
+OrderResult ControlHost::OrderRollout(const ServiceId& service,
+                                      const VersionId& version,
+                                      Duration duration,
+                                      const CallOrigin& origin,
+                                      TimePoint deadline) {
   State& self = *this->state;
   const RolloutRequest request{
       .service = service,
@@ -318,12 +341,16 @@
       .Add("stable", request.serving_version)
       .Add("duration_ms", duration / milliseconds(1))
       .Info();
-  return self.editor->EditRollouts(
-      "roll-out of " + service.str() + " to " + version.str(),
-      [request](std::vector<RolloutRecord>& rollouts) {
-        ApplyOrder(rollouts, request);
-      },
-      deadline);
+  const std::string name =
+      "roll-out of " + service.str() + " to " + version.str();
+  return self.RunOrder(name, origin, [&](uint64_t base) {
+    return self.editor->OrderRollouts(
+        name,
+        [request](std::vector<RolloutRecord>& rollouts) {
+          ApplyOrder(rollouts, request);
+        },
+        base, deadline);
+  });
 }
 
 bool ControlHost::HasTargets(const ServiceId& service) const {
--- a/knapweedroad/edge/control_host.h
+++ b/knapweedroad/edge/control_host.h
@@ -21,6 +21,7 @@
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/config/role_settings.h"
+#include "knapweedroad/edge/order_guard.h"
 #include "knapweedroad/edge/routing_reader.h"
 #include "knapweedroad/net/http_message.h"
 #include "knapweedroad/registry/agreed_state.h"
@@ -29,12 +30,15 @@
 namespace knapweedroad {
 
 class Runtime;
+struct CallOrigin;
 
 struct ControlHostOptions {
   RoleSettings settings;
   // Answers what operators and targets ask over HTTP; runs in a fiber of its
   // own and may block it.
-  std::function<HttpResponse(const HttpRequest& request)> on_request;
+  std::function<HttpResponse(const HttpRequest& request,
+                             const CallOrigin& origin)>
+      on_request;
   // Reads the accounts' limits out of the agreed configuration. Unset: no
   // account has a limit.
   RoutingReader read_routing;
@@ -67,15 +71,20 @@
   // not known, the same again settles it. Blocks the calling fiber.
   bool PutRouting(uint64_t number, std::string text, TimePoint deadline);
 
-  // Takes a zone out or back in; as PutRouting().
-  bool SetZoneOut(const ZoneId& zone, bool is_out, TimePoint deadline);
+  // Takes a zone out or back in, unless the order may be a late copy. Blocks
+  // the calling fiber.
+  OrderResult SetZoneOut(const ZoneId& zone,
+                         bool is_out,
+                         const CallOrigin& origin,
+                         TimePoint deadline);
 
   // Orders that the service's requests be moved to targets of that version
-  // within the duration, if those do as well; as PutRouting().
-  bool OrderRollout(const ServiceId& service,
-                    const VersionId& version,
-                    Duration duration,
-                    TimePoint deadline);
+  // within the duration, if those do as well; as SetZoneOut().
+  OrderResult OrderRollout(const ServiceId& service,
+                           const VersionId& version,
+                           Duration duration,
+                           const CallOrigin& origin,
+                           TimePoint deadline);
 
   // Whether any target of the service is known.
   bool HasTargets(const ServiceId& service) const;
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -10,12 +10,14 @@
 
 #include <tl/expected.hpp>
 
+#include "knapweedroad/base/standstill_detector.h"
 #include "knapweedroad/edge/agreed_editor.h"
 #include "knapweedroad/edge/agreed_value.h"
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/control_host.h"
 #include "knapweedroad/edge/control_links.h"
 #include "knapweedroad/edge/directory_cache.h"
+#include "knapweedroad/edge/order_guard.h"
 #include "knapweedroad/edge/quorum_confirmer.h"
 #include "knapweedroad/edge/quota_service.h"
 #include "knapweedroad/edge/replica_membership.h"
@@ -39,9 +41,14 @@
   void Tick();
   // Takes outcomes that didn't wait for a watch call.
   void TakeUrgent(const OutcomeReport& report);
+  // Carries an order out unless it may be a late copy; logs if it isn't done.
+  OrderResult RunOrder(const std::string& name,
+                       const CallOrigin& origin,
+                       const OrderGuard::Change& change);
   // Makes the list of outliers anew.
   void JudgeTargets();
   std::string PrintMetrics() const;
+  HttpResponse AnswerCall(const HttpRequest& request, HttpExchange& exchange);
 
   // Parts, in the order in which each needs those before it; the first error
   // ends the start.
@@ -72,6 +79,8 @@
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
+  StandstillDetector standstill;
+  std::unique_ptr<OrderGuard> orders;
   std::unique_ptr<ReplicaMembership> membership;
   std::unique_ptr<QuorumConfirmer> confirmer;
   std::unique_ptr<WatchHub> hub;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -3,7 +3,9 @@
 #include <utility>
 #include <vector>
 
+#include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/call_origin.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/peer_calls.h"
 #include "knapweedroad/edge/quota_calls.h"
@@ -123,6 +125,15 @@
       .on_chosen = [this](uint64_t version, const std::string& text) {
         this->TakeAgreed(version, text);
       }});
+  this->orders = std::make_unique<OrderGuard>(OrderGuardOptions{
+      .read_version =
+          [this](BootTime deadline) {
+            return this->editor->ReadVersion(Runtime::Now() +
+                                             (deadline - BootClock::now()));
+          },
+      .now = BootClock::now,
+      .wait = [](Duration span) { Runtime::SleepFor(span); },
+      .standstill = this->standstill});
 }
 
 std::shared_ptr<RolloutOwner> ControlHost::State::MakeRolloutOwner() {
@@ -229,6 +240,16 @@
           }});
 }
 
+HttpResponse ControlHost::State::AnswerCall(const HttpRequest& request,
+                                            HttpExchange& exchange) {
+  const auto is_abandoned = std::make_shared<bool>(false);
+  exchange.on_abandoned = [is_abandoned] { *is_abandoned = true; };
+  const Duration age = Runtime::Now() - exchange.received;
+  return this->options.on_request(
+      request, {.received = BootClock::now() - age,
+                .is_abandoned = [is_abandoned] { return *is_abandoned; }});
+}
+
 tl::expected<void, std::string> ControlHost::State::Serve() {
   this->peers = std::make_unique<PeerServer>(
       this->runtime,
@@ -252,12 +273,13 @@
   }
   this->server = std::make_unique<HttpServer>(
       this->runtime,
-      HttpServerOptions{.endpoint = *this->options.settings.control_address,
-                        .handler =
-                            [this](const HttpRequest& request, HttpExchange&) {
-                              return this->options.on_request(request);
-                            },
-                        .max_body_bytes = kMaxBodyBytes});
+      HttpServerOptions{
+          .endpoint = *this->options.settings.control_address,
+          .handler =
+              [this](const HttpRequest& request, HttpExchange& exchange) {
+                return this->AnswerCall(request, exchange);
+              },
+          .max_body_bytes = kMaxBodyBytes});
   if (const auto port = this->server->Start(); !port) {
     return tl::unexpected(port.error().detail);
   }
--- a/knapweedroad/edge/strict_revocation_test.cc
+++ b/knapweedroad/edge/strict_revocation_test.cc
@@ -50,7 +50,7 @@
                            .first_start = true,
                            .data_folder = data_folder,
                            .strict_revocation = true},
-              .on_request = [](const HttpRequest&) {
+              .on_request = [](const HttpRequest&, const CallOrigin&) {
                 return HttpResponse();
               }}));
       cr_assert(this->control.back()->Start().has_value());
