Answers and requests without end are cut before they fill the memory

What callers would see: an entry host that reads an endless line of a chunk, or endless lines after the chunks, keeps all of it until the request's deadline, and is killed for its memory; forty endless bodies at once do the same. A caller of control can end a control host so.

Cause: the parser limits headers and bodies only, and each answer had a limit by itself. Unfinished lines have the header's limit now, an exchange ends after 16 messages that aren't its answer, and all unfinished answers share a budget of 32 MB, of which small ones are always read. HttpServer and HttpClient limit what waits to be parsed.

--- a/knapweedroad/edge/message_reader.h
+++ b/knapweedroad/edge/message_reader.h
@@ -37,7 +37,8 @@
   using View = boost::beast::string_view;
 
  public:
-  MessageReader(size_t max_header_bytes, size_t max_body_bytes) {
+  MessageReader(size_t max_header_bytes, size_t max_body_bytes)
+      : most_unfinished(max_header_bytes) {
     this->header_limit(static_cast<uint32_t>(max_header_bytes));
     this->body_limit(max_body_bytes);
     this->eager(true);
@@ -56,6 +57,7 @@
         return used;
       }
       this->unfinished.assign(bytes.substr(used));
+      this->LimitUnfinished(error);
       return bytes.size();
     }
     this->unfinished.append(bytes);
@@ -66,9 +68,15 @@
       return bytes.size() - std::min(left, bytes.size());
     }
     this->unfinished.erase(0, used);
+    this->LimitUnfinished(error);
     return bytes.size();
   }
 
+  // Bytes that the message takes in memory.
+  size_t held_bytes() const {
+    return this->unfinished.size() + this->text.size() + this->body.size();
+  }
+
   size_t lines() const { return this->header_lines.size(); }
   std::string_view name(size_t line) const {
     const HeaderLine& of = this->header_lines[line];
@@ -129,6 +137,14 @@
   }
   void on_finish_impl(Error&) override {}
 
+  // The parser limits the header, but neither a chunk's line nor the lines
+  // after the last chunk.
+  void LimitUnfinished(Error& error) {
+    if (this->unfinished.size() > this->most_unfinished) {
+      error = boost::beast::http::error::header_limit;
+    }
+  }
+
   // How many of the bytes the parser is done with.
   size_t Parse(std::string_view bytes, Error& error) {
     size_t used = 0;
@@ -148,8 +164,9 @@
     return used;
   }
 
-  // The beginning of a line whose end has not come yet.
+  // The beginning of a line whose end has not come yet, and its longest.
   std::string unfinished;
+  size_t most_unfinished = 0;
   std::string text;
   std::vector<HeaderLine> header_lines;
 };
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "knapweedroad/edge/answer_budget.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/message_reader.h"
@@ -22,6 +23,8 @@
 
 constexpr size_t kMaxHeaderBytes = 32 << 10;
 constexpr size_t kMaxAnswerBytes = 8 << 20;
+// Interim answers, and answers to other requests, before the right one.
+constexpr int kMostSkipped = 16;
 
 }  // namespace
 
@@ -43,17 +46,24 @@
 
 TargetConnection::TargetConnection(asio::io_context& io,
                                    const HeaderNames& header_names,
+                                   AnswerBudget& budget,
                                    std::span<char> scratch)
-    : socket(io), header_names(header_names), scratch(scratch) {}
+    : socket(io),
+      header_names(header_names),
+      scratch(scratch),
+      budget(budget) {}
 
-TargetConnection::~TargetConnection() = default;
+TargetConnection::~TargetConnection() {
+  this->DropReader();
+}
 
 std::shared_ptr<TargetConnection> TargetConnection::Make(
     asio::io_context& io,
     const HeaderNames& header_names,
+    AnswerBudget& budget,
     std::span<char> scratch) {
   return std::shared_ptr<TargetConnection>(
-      new TargetConnection(io, header_names, scratch));
+      new TargetConnection(io, header_names, budget, scratch));
 }
 
 void TargetConnection::Connect(const Endpoint& endpoint,
@@ -86,7 +96,25 @@
       });
 }
 
+void TargetConnection::DropReader() {
+  this->budget.Release(std::exchange(this->held_bytes, 0));
+  this->reader.reset();
+}
+
+bool TargetConnection::CountHeldBytes() {
+  const size_t held = this->reader->held_bytes();
+  this->budget.Grow(held);
+  this->budget.Release(std::exchange(this->held_bytes, held));
+  return this->budget.MayHold(held);
+}
+
+bool TargetConnection::Skip() {
+  this->NewReader();
+  return ++this->skipped <= kMostSkipped;
+}
+
 void TargetConnection::NewReader() {
+  this->DropReader();
   this->reader = std::make_unique<Reader>(kMaxHeaderBytes, kMaxAnswerBytes);
 }
 
@@ -98,6 +126,7 @@
   this->is_written = false;
   this->is_reusable = false;
   this->skipped_left_over = false;
+  this->skipped = 0;
   this->sent = Runtime::Now();
   this->NewReader();
   this->Write();
@@ -183,7 +212,7 @@
     error_code error;
     const size_t used = this->reader->Put(bytes, error);
     bytes.remove_prefix(used);
-    if (error) {
+    if (error || !this->CountHeldBytes()) {
       this->Break(ReplyKind::kBroken);
       return;
     }
@@ -191,13 +220,13 @@
       break;
     }
     constexpr int kFirstFinalStatus = 200;
-    if (this->reader->status < kFirstFinalStatus) {
-      this->NewReader();
-      continue;
-    }
-    if (this->IsLeftOver()) {
-      this->skipped_left_over = true;
-      this->NewReader();
+    const bool is_interim = this->reader->status < kFirstFinalStatus;
+    if (is_interim || this->IsLeftOver()) {
+      this->skipped_left_over = this->skipped_left_over || !is_interim;
+      if (!this->Skip()) {
+        this->Break(ReplyKind::kBroken);
+        return;
+      }
       continue;
     }
     this->Finish(/*has_extra_bytes=*/!bytes.empty());
@@ -280,7 +309,7 @@
   TargetReply reply = this->Convert();
   this->is_reusable = !has_extra_bytes && this->is_written &&
                       this->reader->keep_alive() && !this->skipped_left_over;
-  this->reader.reset();
+  this->DropReader();
   this->is_busy = false;
   this->last_used = Runtime::Now();
   if (!this->is_reusable) {
@@ -317,7 +346,7 @@
   this->is_busy = false;
   this->on_done = nullptr;
   this->on_idle_closed = nullptr;
-  this->reader.reset();
+  this->DropReader();
   error_code ignored;
   this->socket.close(ignored);
 }
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -28,6 +28,7 @@
 class MessageReader;
 }  // namespace internal
 
+class AnswerBudget;
 struct HeaderNames;
 enum class ReplyKind : uint8_t;
 struct TargetReply;
@@ -51,10 +52,11 @@
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
-  // `scratch` is a read buffer that all connections of a thread share; it and
-  // `header_names` outlive the connection.
+  // `scratch` is a read buffer that all connections of a thread share; it,
+  // `budget` and `header_names` outlive the connection.
   static std::shared_ptr<TargetConnection> Make(boost::asio::io_context& io,
                                                 const HeaderNames& header_names,
+                                                AnswerBudget& budget,
                                                 std::span<char> scratch);
   ~TargetConnection();
 
@@ -62,7 +64,8 @@
   void Connect(const Endpoint& endpoint, std::function<void(ConnectEnd)> done);
 
   // Sends the request and reads its answer. An answer that names another
-  // request's id is left over from an earlier exchange and is skipped.
+  // request's id is left over from an earlier exchange and is skipped. The
+  // connection is closed once there are too many of these, or too many bytes.
   void Exchange(TargetQuestion question, ReplyHandler done);
 
   // Between exchanges: calls `closed` when the target closes, or sends bytes
@@ -89,6 +92,7 @@
 
   TargetConnection(boost::asio::io_context& io,
                    const HeaderNames& header_names,
+                   AnswerBudget& budget,
                    std::span<char> scratch);
   void Write();
   void AwaitBytes();
@@ -106,11 +110,21 @@
   // The header lines to pass on.
   std::string PassedOn() const;
   void NewReader();
+  // Skips the message just read; false: there were too many.
+  bool Skip();
+  // Tells the budget of the bytes held; false: the answer can't be read on.
+  bool CountHeldBytes();
+  void DropReader();
 
   boost::asio::ip::tcp::socket socket;
   const HeaderNames& header_names;
   std::span<char> scratch;
+  AnswerBudget& budget;
   std::unique_ptr<Reader> reader;
+  // As the budget knows it.
+  size_t held_bytes = 0;
+  // Messages skipped in this exchange.
+  int skipped = 0;
   TargetQuestion question;
   bool is_written = false;
   bool is_waiting = false;
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/edge/answer_budget.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_connection.h"
 #include "knapweedroad/edge/target_reply.h"
@@ -20,6 +21,8 @@
 namespace {
 
 // Fits the largest usual answer; larger ones take more reads.
+// Of unfinished answers of all targets: an eighth of a host's memory.
+constexpr size_t kMostUnfinishedBytes = 32 << 20;
 constexpr size_t kReadBytes = 32 << 10;
 // A target that is up answers a connection's first packet within a few
 // milliseconds; this is soon enough to try another within the latency target.
@@ -50,6 +53,7 @@
   Runtime& runtime;
   TargetLinksOptions options;
   std::array<char, kReadBytes> scratch;
+  AnswerBudget budget{kMostUnfinishedBytes};
   std::unordered_map<TargetId, std::vector<Connection>> idle;
   // Kept since the last sweep, and perhaps in use again.
   std::vector<std::pair<TargetId, std::weak_ptr<TargetConnection>>> kept;
@@ -82,9 +86,9 @@
     ++this->links->opened;
     this->connect_by = Runtime::Now() + kConnectTimeout;
     this->is_connecting = true;
-    this->connection = TargetConnection::Make(this->links->runtime.io(),
-                                              this->links->options.header_names,
-                                              this->links->scratch);
+    this->connection = TargetConnection::Make(
+        this->links->runtime.io(), this->links->options.header_names,
+        this->links->budget, this->links->scratch);
     this->connection->Connect(
         this->send.address, [self = this->shared_from_this()](ConnectEnd end) {
           self->is_connecting = false;
--- a/knapweedroad/net/http_client.cc
+++ b/knapweedroad/net/http_client.cc
@@ -24,11 +24,16 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// The parser limits the header, but neither a chunk's line nor the lines after
+// the last chunk: what it hasn't taken yet waits here. Bodies don't.
+constexpr size_t kMostUnparsedBytes = 64 << 10;
+
 NetErrorKind KindOf(const error_code& error) {
   if (error == beast::error::timeout) {
     return NetErrorKind::kTimeout;
   }
-  if (error == http::error::body_limit || error == http::error::header_limit) {
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     return NetErrorKind::kTooLarge;
   }
   if (error == http::error::end_of_stream ||
@@ -79,7 +84,7 @@
   struct Connection {
     explicit Connection(asio::io_context& io) : stream(io) {}
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMostUnparsedBytes};
     bool has_served = false;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
--- a/knapweedroad/net/http_server.cc
+++ b/knapweedroad/net/http_server.cc
@@ -23,6 +23,9 @@
 
 // A request's first bytes are read into a buffer of this size.
 constexpr size_t kFirstReadBytes = 8 << 10;
+// The parser limits the header, but neither a chunk's line nor the lines after
+// the last chunk: what it hasn't taken yet waits here. Bodies don't.
+constexpr size_t kMostUnparsedBytes = 64 << 10;
 // How long writing an answer may take before the reader is given up on.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
@@ -42,7 +45,8 @@
   if (error == http::error::body_limit) {
     return ProblemFor(413, "the body is over its size limit");
   }
-  if (error == http::error::header_limit) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     return ProblemFor(431, "the header is over its size limit");
   }
   if (error == beast::error::timeout) {
@@ -75,7 +79,7 @@
   struct Connection {
     explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMostUnparsedBytes};
     bool busy = false;
   };
 
--- a/knapweedroad/net/http_test.cc
+++ b/knapweedroad/net/http_test.cc
@@ -1,5 +1,12 @@
 #include <criterion/criterion.h>
 
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include "knapweedroad/net/http_client.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
@@ -8,6 +15,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
 
 // Far past anything a test waits for; a test that hangs runs into ctest's own
 // limit instead.
@@ -177,6 +185,78 @@
   cr_assert(abandoned);
 }
 
+// Sends `begin`, and then one piece again and again until the peer closes.
+struct EndlessSender {
+  EndlessSender(tcp::socket connection, const std::string& begin)
+      : socket(std::move(connection)), next(begin) {}
+
+  void Send() {
+    boost::asio::async_write(
+        this->socket, boost::asio::buffer(this->next),
+        [this](const boost::system::error_code& error, size_t count) {
+          this->sent += count;
+          this->is_cut = static_cast<bool>(error);
+          if (!this->is_cut) {
+            this->next.assign(kPieceBytes, 'b');
+            this->Send();
+          }
+        });
+  }
+
+  static constexpr size_t kPieceBytes = 16 << 10;
+  tcp::socket socket;
+  std::string next;
+  size_t sent = 0;
+  bool is_cut = false;
+};
+
+// What sockets hold, and slack.
+constexpr size_t kMostSent = 16 << 20;
+
+// The line of a chunk never ends, and is kept in memory until the deadline.
+Test(Http, ARequestWithoutEndIsCut, .timeout = 60) {
+  Runtime runtime;
+  HttpServerOptions options = Echo();
+  options.read_timeout = 50s;
+  HttpServer server(runtime, options);
+  const uint16_t port = server.Start().value();
+  tcp::socket socket(runtime.io());
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  EndlessSender sender(std::move(socket),
+                       "POST / HTTP/1.1\r\nHost: a\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n10;a=");
+  sender.Send();
+  while (!sender.is_cut) {
+    Runtime::SleepFor(1ms);
+  }
+  cr_expect(sender.sent < kMostSent, "%zu", sender.sent);
+}
+
+Test(Http, AnAnswerWithoutEndIsCut, .timeout = 60) {
+  Runtime runtime;
+  tcp::acceptor acceptor(
+      runtime.io(),
+      tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  std::optional<EndlessSender> sender;
+  acceptor.async_accept(
+      [&](const boost::system::error_code&, tcp::socket accepted) {
+        sender.emplace(std::move(accepted),
+                       "HTTP/1.1 200 OK\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n10;a=");
+        sender->Send();
+      });
+  HttpClient client(runtime,
+                    {.endpoint = {.ip = "127.0.0.1",
+                                  .port = acceptor.local_endpoint().port()}});
+  const auto response = client.Send({.path = "/"}, Runtime::Now() + 50s);
+  cr_assert(!response);
+  cr_expect(response.error().kind == NetErrorKind::kTooLarge);
+  while (!sender->is_cut) {
+    Runtime::SleepFor(1ms);
+  }
+  cr_expect(sender->sent < kMostSent, "%zu", sender->sent);
+}
+
 // A shutdown cuts a request off: the process ends while a handler still runs.
 Test(Http, StopWaitsForTheRunningRequest) {
   Runtime runtime;
