--- a/knapweedroad/control/membership_controller.cc
+++ b/knapweedroad/control/membership_controller.cc
@@ -156,7 +156,7 @@
   if (!this->is_joining) {
     return this->DropLost(members, view, now);
   }
-  const MemberAction action = this->Join(members, now);
+  MemberAction action = this->Join(members, now);
   this->is_joining = action.step != MemberStep::kNone;
   return action;
 }
--- a/knapweedroad/control/membership_world.cc
+++ b/knapweedroad/control/membership_world.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-MembershipWorld::MembershipWorld(FakeClusterOptions options)
+MembershipWorld::MembershipWorld(const FakeClusterOptions& options)
     : replicas(options), random(options.seed) {
   for (const std::string& host : options.hosts) {
     this->Boot(host);
--- a/knapweedroad/control/membership_world.h
+++ b/knapweedroad/control/membership_world.h
@@ -24,7 +24,7 @@
 
 class MembershipWorld {
  public:
-  explicit MembershipWorld(FakeClusterOptions options);
+  explicit MembershipWorld(const FakeClusterOptions& options);
 
   // An empty machine at another address.
   void AddHost(const std::string& host);
--- a/knapweedroad/edge/agreed_editor.cc
+++ b/knapweedroad/edge/agreed_editor.cc
@@ -27,7 +27,7 @@
                                   std::function<void(AgreedState&)> edit,
                                   std::optional<uint64_t> base,
                                   TimePoint deadline) {
-  const ChangeOutcome outcome = this->options.service.Change(
+  ChangeOutcome outcome = this->options.service.Change(
       {.author = {this->options.author, RandomRequestId()},
        .base_version = base,
        .edit = [edit = std::move(edit)](std::string_view held)
