A loss of power between two syncs is taken for damage: a failing test

What callers see: a control host whose machine lost power refuses to start for good ("synced data is damaged"); the next lost disk takes the quorum, and no read of the configuration is answered.

The test leaves of a marker and the record behind it every part that a loss of power may leave, as neither had been synced.

--- a/knapweedroad/storage/record_store_test.cc
+++ b/knapweedroad/storage/record_store_test.cc
@@ -2,8 +2,10 @@
 
 #include <stdlib.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -74,6 +76,16 @@
                                  std::filesystem::file_size(path) - bytes);
   }
 
+  std::string ReadNewestFile() const {
+    std::ostringstream content;
+    content << std::ifstream(this->NewestFile(), std::ios::binary).rdbuf();
+    return std::move(content).str();
+  }
+
+  void WriteNewestFile(const std::string& bytes) const {
+    std::ofstream(this->NewestFile(), std::ios::binary) << bytes;
+  }
+
   std::string folder;
   std::string state;
   bool sync_fails = false;
@@ -129,6 +141,39 @@
   }
 }
 
+// Power is lost after the last sync, a sync marker is missing or torn, and the
+// record behind it is not: the replica would refuse to start for good. The
+// marker and the record had not been synced, so each may be on the disk without
+// the other.
+Test(RecordStore, OpensAfterAPowerLossBetweenTwoSyncs) {
+  TestDataFolder written;
+  written.WriteThreeRecords();
+  const std::string bytes = written.ReadNewestFile();
+  const size_t marker = 3 * kSyncMarkerBytes + 6;
+  const size_t record = marker + kSyncMarkerBytes;
+  const size_t end = record + kSyncMarkerBytes + 5;
+  for (size_t marker_bytes = 0; marker_bytes <= kSyncMarkerBytes;
+       marker_bytes += 8) {
+    for (size_t kept = record; kept <= end; ++kept) {
+      std::string left = bytes.substr(0, kept);
+      std::fill(left.begin() + static_cast<long>(marker + marker_bytes),
+                left.begin() + static_cast<long>(record), '\0');
+      TestDataFolder folder;
+      folder.WriteThreeRecords();
+      folder.WriteNewestFile(left);
+      {
+        auto store = folder.Open();
+        cr_assert(store.has_value(), "%zu of the marker, %zu of the record",
+                  marker_bytes, kept - record);
+        cr_assert(folder.records.size() == (kept == end ? 3 : 2));
+        cr_assert(folder.Append(**store, "four"));
+      }
+      cr_assert(folder.Open().has_value());
+      cr_assert_str_eq(folder.records.back().c_str(), "four");
+    }
+  }
+}
+
 Test(RecordStore, OpenReportsEmptyNewestFileAsCorrupted) {
   TestDataFolder folder;
   folder.WriteThreeRecords();
