Control replicas start after a loss of power between two syncs

The next lost disk took the quorum: no read of the configuration was answered, no change acknowledged.

Cause: the marker of a record is written after its sync, and synced together with the next record. A loss of power may keep the record and lose the marker. The reader took each invalid byte before a valid header for damage. Class: an ordinary loss taken for damage, as the proof of a sync was looked for in what isn't synced itself.

Why the fix works: a record was synced if its own marker or a later record's header is there. A missing marker before a record that nothing proves to be synced is a loss of power; with such a proof the sync covered the marker, and it is damage as before. Records behind the last proof are copied to a new file before they are replayed, so that nothing is appended behind a gap, and nothing counts that only the page cache held after a failed sync. The bytes of an append are as before.

Damage to synced data is refused as before (the tests of it stay).

--- a/knapweedroad/storage/record_format.cc
+++ b/knapweedroad/storage/record_format.cc
@@ -69,18 +69,6 @@
   return header;
 }
 
-bool ContainsHeader(std::string_view bytes) {
-  const std::string magic = EncodeHeader({}).substr(0, sizeof(kMagic));
-  size_t position = bytes.find(magic);
-  while (position != std::string_view::npos) {
-    if (ParseHeader(bytes.substr(position)).has_value()) {
-      return true;
-    }
-    position = bytes.find(magic, position + 1);
-  }
-  return false;
-}
-
 // Returns the header at the start of `bytes` if it has the expected sequence
 // number and its payload is complete and valid.
 std::optional<Header> ParseNext(std::string_view bytes,
@@ -105,6 +93,41 @@
   return header;
 }
 
+// Whether `bytes`, which don't start with a valid record or marker, contain
+// what is written only after the record behind `records` has been synced: its
+// marker, or the header of a later record.
+bool ProvesSyncOfNext(std::string_view bytes,
+                      const std::vector<ParsedRecord>& records) {
+  const uint64_t next = records.empty() ? 0 : records.back().sequence + 1;
+  const std::string magic = EncodeHeader({}).substr(0, sizeof(kMagic));
+  // A file's first record may have any number: its own header proves nothing.
+  size_t position = bytes.find(magic, records.empty() ? 1 : 0);
+  while (position != std::string_view::npos) {
+    const auto header = ParseHeader(bytes.substr(position));
+    if (header.has_value() &&
+        (header->sequence > next ||
+         (header->sequence == next && header->kind == kKindSyncMarker))) {
+      return true;
+    }
+    position = bytes.find(magic, position + 1);
+  }
+  return false;
+}
+
+// Returns the header of the next record if it stands behind the place of the
+// last record's marker and is valid.
+std::optional<Header> ParseBehindMissingMarker(std::string_view bytes,
+                                               const ParsedRecords& parsed) {
+  if (parsed.records.empty() || parsed.ends_with_marker ||
+      bytes.size() <= kRecordHeaderBytes) {
+    return std::nullopt;
+  }
+  const auto header =
+      ParseNext(bytes.substr(kRecordHeaderBytes), parsed.records);
+  return header.has_value() && header->kind == kKindRecord ? header
+                                                           : std::nullopt;
+}
+
 }  // namespace
 
 std::string EncodeRecord(uint64_t sequence, std::string_view payload) {
@@ -123,21 +146,27 @@
 ParsedRecords ParseRecords(std::string_view bytes) {
   ParsedRecords parsed;
   while (parsed.valid_bytes < bytes.size()) {
-    const std::string_view rest = bytes.substr(parsed.valid_bytes);
-    const auto header = ParseNext(rest, parsed.records);
+    std::string_view rest = bytes.substr(parsed.valid_bytes);
+    size_t gap = 0;
+    auto header = ParseNext(rest, parsed.records);
     if (!header.has_value()) {
-      // The search skips the first byte, so that it does not find the header of
-      // the invalid record itself.
-      if (ContainsHeader(rest.substr(1))) {
+      if (ProvesSyncOfNext(rest, parsed.records)) {
         parsed.corruption_offset = parsed.valid_bytes;
+        return parsed;
+      }
+      gap = kRecordHeaderBytes;
+      header = ParseBehindMissingMarker(rest, parsed);
+      if (!header.has_value()) {
+        return parsed;
       }
-      return parsed;
+      rest.remove_prefix(gap);
     }
+    parsed.ends_with_marker = header->kind == kKindSyncMarker;
     if (header->kind == kKindRecord) {
       parsed.records.push_back(
           {header->sequence, rest.substr(kRecordHeaderBytes, header->length)});
     }
-    parsed.valid_bytes += kRecordHeaderBytes + header->length;
+    parsed.valid_bytes += gap + kRecordHeaderBytes + header->length;
   }
   return parsed;
 }
--- a/knapweedroad/storage/record_format.h
+++ b/knapweedroad/storage/record_format.h
@@ -6,9 +6,14 @@
 // A record consists of a header of 40 bytes (magic number, kind, sequence
 // number, payload length, payload hash, header hash; little-endian) and its
 // payload. Once a record has been synced, a sync marker, which is a header
-// without a payload, is written after it. An invalid record that is followed by
-// a valid header had therefore been synced: it is corrupted, not torn by an
-// interrupted write.
+// without a payload, is written after it.
+//
+// The marker of a record and the whole next record are synced together, so a
+// loss of power may leave any part of the two. What proves that a record had
+// been synced is its own marker or the header of a later record: an invalid
+// record before such a proof is corrupted. Without a proof it is a torn write.
+// A missing marker is the mark of a loss of power unless something proves that
+// the next record, and so the marker, had been synced.
 
 #ifndef KNAPWEEDROAD_STORAGE_RECORD_FORMAT_H_
 #define KNAPWEEDROAD_STORAGE_RECORD_FORMAT_H_
@@ -32,10 +37,14 @@
 struct ParsedRecords {
   // The valid records, in order. Their payloads point into the parsed bytes.
   std::vector<ParsedRecord> records;
-  // The length of the valid records and sync markers. Unless
-  // `corruption_offset` is set, any bytes after them are a torn tail: the
-  // remains of a write that was interrupted before the sync.
+  // The length of the valid records and sync markers, including the place of a
+  // missing marker before the last record. Unless `corruption_offset` is set,
+  // any bytes after them are a torn tail: the remains of a write that was
+  // interrupted before the sync.
   size_t valid_bytes = 0;
+  // Whether the bytes end with the marker of the last record: no bytes after
+  // the last sync are missing or torn.
+  bool ends_with_marker = false;
   // The offset in bytes of a corrupted record or marker, if there is one. It
   // had been synced, so the caller must not discard it.
   std::optional<size_t> corruption_offset;
--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -143,24 +143,21 @@
         CorruptionError(path, parsed.corruption_offset.value_or(0)));
   }
   this->counters.torn_bytes_truncated = bytes.size() - parsed.valid_bytes;
-  if (ftruncate(this->file, static_cast<off_t>(parsed.valid_bytes)) != 0) {
-    return tl::unexpected(IoError(path, "ftruncate"));
-  }
-  if (auto synced = this->Sync(this->file, path); !synced.has_value()) {
-    return synced;
-  }
-  if (auto synced = this->SyncFolder(this->options.folder);
-      !synced.has_value()) {
-    return synced;
+  this->next_sequence = parsed.records.back().sequence + 1;
+  this->file_bytes = parsed.valid_bytes;
+  const bool is_synced =
+      parsed.ends_with_marker && parsed.valid_bytes == bytes.size();
+  Outcome durable = is_synced ? this->SyncFileAndFolder(path)
+                              : this->CopyToNewFile(parsed.records);
+  if (!durable.has_value()) {
+    return durable;
   }
   for (const uint64_t number : numbers) {
     if (number != this->file_number) {
       unlink(this->FilePath(number).c_str());
     }
   }
-  this->file_bytes = parsed.valid_bytes;
   this->first_record_bytes = parsed.records.front().payload.size();
-  this->next_sequence = parsed.records.back().sequence + 1;
   this->counters.records_read = parsed.records.size();
   for (const ParsedRecord& record : parsed.records) {
     replay(record.payload);
@@ -207,6 +204,28 @@
 }
 
 RecordStore::Outcome RecordStore::StartFile(std::string_view first_record) {
+  const std::string bytes = EncodeRecord(this->next_sequence, first_record) +
+                            EncodeSyncMarker(this->next_sequence);
+  if (auto replaced = this->ReplaceFile(bytes); !replaced.has_value()) {
+    return replaced;
+  }
+  ++this->next_sequence;
+  this->first_record_bytes = first_record.size();
+  return {};
+}
+
+RecordStore::Outcome RecordStore::CopyToNewFile(
+    const std::vector<ParsedRecord>& records) {
+  std::string bytes;
+  for (const ParsedRecord& record : records) {
+    bytes += EncodeRecord(record.sequence, record.payload);
+    bytes += EncodeSyncMarker(record.sequence);
+  }
+  return this->ReplaceFile(bytes);
+}
+
+// Writes and syncs the bytes as the next file before it removes this one.
+RecordStore::Outcome RecordStore::ReplaceFile(std::string_view bytes) {
   const std::string path = this->FilePath(this->file_number + 1);
   const std::string temporary = path + std::string(kTemporarySuffix);
   const int next = open(temporary.c_str(),
@@ -219,8 +238,6 @@
     close(previous);
   }
   this->file_bytes = 0;
-  const std::string bytes = EncodeRecord(this->next_sequence, first_record) +
-                            EncodeSyncMarker(this->next_sequence);
   if (auto written = this->WriteAll(next, bytes); !written.has_value()) {
     return written;
   }
@@ -236,9 +253,7 @@
   }
   unlink(this->FilePath(this->file_number).c_str());
   ++this->file_number;
-  ++this->next_sequence;
   ++this->counters.files_created;
-  this->first_record_bytes = first_record.size();
   return {};
 }
 
@@ -271,6 +286,13 @@
   return {};
 }
 
+RecordStore::Outcome RecordStore::SyncFileAndFolder(const std::string& path) {
+  if (auto synced = this->Sync(this->file, path); !synced.has_value()) {
+    return synced;
+  }
+  return this->SyncFolder(this->options.folder);
+}
+
 RecordStore::Outcome RecordStore::SyncFolder(const std::string& folder) {
   const int folder_file =
       open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
--- a/knapweedroad/storage/record_store.h
+++ b/knapweedroad/storage/record_store.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -14,6 +15,8 @@
 
 namespace knapweedroad {
 
+struct ParsedRecord;
+
 struct RecordStoreOptions {
   // The data folder; created if it does not exist.
   std::string folder;
@@ -36,7 +39,7 @@
   uint64_t files_created = 0;
   // Records replayed by Open().
   uint64_t records_read = 0;
-  // The length of the torn tail that Open() removed.
+  // The length of the torn tail that Open() left out.
   uint64_t torn_bytes_truncated = 0;
 };
 
@@ -50,12 +53,14 @@
 //   if (result) SendReply();  // The record is on the disk.
 //
 // Handles four failures:
-//  - A crash during a write. Open() truncates the torn tail. It had not been
-//    synced, so no reply depended on it.
+//  - A crash or a loss of power during a write, which may leave any part of
+//    what was written after the last sync. Open() leaves the torn tail out: it
+//    had not been synced, so no reply depended on it.
 //  - Corruption of synced data. Open() fails. A start from an older record
 //    would lose a vote that had been sent.
-//  - A record that a crashed process wrote but did not sync, and that is still
-//    readable. Open() syncs the file before it replays any record.
+//  - A record that a crashed process wrote but may not have synced, and that is
+//    still readable. Open() writes the records to a new file before it replays
+//    any: after a failed sync the kernel may show what the disk does not hold.
 //  - A failed sync. The kernel may drop the unwritten pages, and a second sync
 //    may then report success, so every later Append() fails.
 class RecordStore {
@@ -91,8 +96,11 @@
   Outcome ReplayNewestFile(const std::function<void(std::string_view)>& replay);
   Outcome AppendToFile(std::string_view record);
   Outcome StartFile(std::string_view first_record);
+  Outcome CopyToNewFile(const std::vector<ParsedRecord>& records);
+  Outcome ReplaceFile(std::string_view bytes);
   Outcome WriteAll(int file, std::string_view bytes);
   Outcome Sync(int file, const std::string& path);
+  Outcome SyncFileAndFolder(const std::string& path);
   Outcome SyncFolder(const std::string& folder);
   Outcome Fail(std::string path, std::string_view call);
   std::string FilePath(uint64_t number) const;
--- a/knapweedroad/storage/record_store_test.cc
+++ b/knapweedroad/storage/record_store_test.cc
@@ -153,7 +153,7 @@
   const size_t record = marker + kSyncMarkerBytes;
   const size_t end = record + kSyncMarkerBytes + 5;
   for (size_t marker_bytes = 0; marker_bytes <= kSyncMarkerBytes;
-       marker_bytes += 8) {
+       marker_bytes += kSyncMarkerBytes / 2) {
     for (size_t kept = record; kept <= end; ++kept) {
       std::string left = bytes.substr(0, kept);
       std::fill(left.begin() + static_cast<long>(marker + marker_bytes),
