Control hosts log why a read of the configuration can't be answered, and outliers seldom

agreed_read_failed, at most once a second, names the members of the newest value, those that answer, those that don't and those that hold it, and which of these fails the read. quorum_lost and quorum_found say the same of the regular question to all replicas. A replica that doesn't start logs file, offset and remedy as an error, and one that starts says what its disk held. outliers_changed is written once in 30 s at the most, with the number of changes left out. Metric reads_failed_total.

--- a/knapweedroad/control/replica_survey.cc
+++ b/knapweedroad/control/replica_survey.cc
@@ -24,16 +24,22 @@
   if (!this->newest_seen.has_value()) {
     return false;
   }
-  std::set<MemberId> holders;
   for (const auto& [member, ballot] : this->held) {
     if (this->newest_seen->ballot < ballot) {
       return false;
     }
-    if (ballot == this->newest_seen->ballot) {
-      holders.insert(member);
+  }
+  return this->newest_seen->value.members.IsQuorum(this->Holding());
+}
+
+std::set<MemberId> ReplicaSurvey::Holding() const {
+  std::set<MemberId> holding;
+  for (const auto& [member, ballot] : this->held) {
+    if (this->newest_seen.has_value() && ballot == this->newest_seen->ballot) {
+      holding.insert(member);
     }
   }
-  return this->newest_seen->value.members.IsQuorum(holders);
+  return holding;
 }
 
 bool ReplicaSurvey::HasQuorum() const {
--- a/knapweedroad/control/replica_survey.h
+++ b/knapweedroad/control/replica_survey.h
@@ -43,6 +43,9 @@
   // Whether some replica holds a value or knows of members.
   bool is_formed() const { return this->formed; }
 
+  // The replicas that answered that they have accepted the newest value.
+  std::set<MemberId> Holding() const;
+
   // The replicas that answered.
   std::set<MemberId> Answering() const;
 
--- a/knapweedroad/edge/agreed_editor.cc
+++ b/knapweedroad/edge/agreed_editor.cc
@@ -9,6 +9,7 @@
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/host/control_service.h"
+#include "knapweedroad/host/quorum_report.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -137,13 +138,27 @@
   const ControlPeek peek = this->options.service.Peek(
       std::min(deadline, Runtime::Now() + kPeekTimeout), /*soon=*/true);
   if (!peek.chosen) {
-    return this->options.service.Read(deadline);
+    auto value = this->options.service.Read(deadline);
+    if (!value) {
+      this->ReportFailedRead(peek);
+    }
+    return value;
   }
   this->options.on_chosen(peek.chosen->value.version,
                           peek.chosen->value.configuration);
   return peek.chosen->value;
 }
 
+void AgreedEditor::ReportFailedRead(const ControlPeek& peek) {
+  ++this->reads_failed;
+  if (const auto left_out = this->read_lines.Admit(Runtime::Now())) {
+    LogLine line("agreed_read_failed");
+    line.Add("left_out", *left_out);
+    AddQuorumReport(line, peek);
+    line.Warning();
+  }
+}
+
 std::optional<uint64_t> AgreedEditor::ReadVersion(TimePoint deadline) {
   const auto value = this->ReadValue(deadline);
   return value ? std::optional(value->version) : std::nullopt;
--- a/knapweedroad/edge/agreed_editor.h
+++ b/knapweedroad/edge/agreed_editor.h
@@ -6,6 +6,7 @@
 #ifndef KNAPWEEDROAD_EDGE_AGREED_EDITOR_H_
 #define KNAPWEEDROAD_EDGE_AGREED_EDITOR_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "knapweedroad/base/id.h"
+#include "knapweedroad/base/log_limit.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/control/change_request.h"
 #include "knapweedroad/control/control_value.h"
@@ -22,6 +24,7 @@
 namespace knapweedroad {
 
 class ControlService;
+struct ControlPeek;
 
 struct AgreedEditorOptions {
   OperatorId author;
@@ -77,6 +80,8 @@
   // Changes that a quorum holds, and those of which that isn't known.
   uint64_t accepted() const { return this->changes_accepted; }
   uint64_t unknown() const { return this->changes_unknown; }
+  // Reads that found no quorum in time.
+  uint64_t failed_reads() const { return this->reads_failed; }
 
  private:
   // Without a base the edit follows whatever is agreed.
@@ -92,10 +97,13 @@
             std::function<void(AgreedState&)> edit,
             TimePoint deadline);
   std::optional<ControlValue> ReadValue(TimePoint deadline);
+  void ReportFailedRead(const ControlPeek& peek);
 
   AgreedEditorOptions options;
   uint64_t changes_accepted = 0;
   uint64_t changes_unknown = 0;
+  uint64_t reads_failed = 0;
+  LogLimit read_lines{std::chrono::seconds(1)};
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -122,13 +122,16 @@
   if (!is_changed) {
     return;
   }
-  const OutlierDetector& detector = this->outcomes.detector();
-  LogLine("outliers_changed")
-      .Add("count", detector.outliers().size())
-      .Add("revision", detector.revision())
-      .Add("worst", DescribeOutliers(detector.outliers()))
-      .Info();
   this->hub->Wake();
+  if (const auto left_out = this->outlier_lines.Admit(Runtime::Now())) {
+    const OutlierDetector& detector = this->outcomes.detector();
+    LogLine("outliers_changed")
+        .Add("count", detector.outliers().size())
+        .Add("revision", detector.revision())
+        .Add("left_out", *left_out)
+        .Add("worst", DescribeOutliers(detector.outliers()))
+        .Info();
+  }
 }
 
 void ControlHost::State::Tick() {
@@ -168,6 +171,7 @@
   add("announcements_total", "counter", this->announcements);
   add("changes_accepted_total", "counter", this->editor->accepted());
   add("changes_unknown_total", "counter", this->editor->unknown());
+  add("reads_failed_total", "counter", this->editor->failed_reads());
   add("targets", "gauge", this->registry.size());
   add("entry_hosts", "gauge", this->hub->EntryHosts().size());
   add("agreed_version", "gauge", this->agreed.version());
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -3,6 +3,7 @@
 #ifndef KNAPWEEDROAD_EDGE_CONTROL_HOST_STATE_H_
 #define KNAPWEEDROAD_EDGE_CONTROL_HOST_STATE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -10,7 +11,9 @@
 
 #include <tl/expected.hpp>
 
+#include "knapweedroad/base/log_limit.h"
 #include "knapweedroad/base/standstill_detector.h"
+#include "knapweedroad/base/time.h"
 #include "knapweedroad/edge/agreed_editor.h"
 #include "knapweedroad/edge/agreed_value.h"
 #include "knapweedroad/edge/control_follower.h"
@@ -33,6 +36,9 @@
 
 namespace knapweedroad {
 
+// The list changes with each reply of a target under load.
+inline constexpr Duration kOutlierLineInterval = std::chrono::seconds(30);
+
 struct ControlHost::State : std::enable_shared_from_this<ControlHost::State> {
   State(Runtime& runtime, ControlHostOptions given);
 
@@ -76,6 +82,7 @@
   TargetRegistry registry;
   OutcomeCollector outcomes;
   bool is_judging_soon = false;
+  LogLimit outlier_lines{kOutlierLineInterval};
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -36,6 +36,11 @@
       this->runtime,
       {.host = this->self, .folder = *this->options.settings.data_folder});
   if (!replica) {
+    LogLine("control_replica_refused")
+        .Add("path", replica.error().path)
+        .Add("offset", replica.error().offset)
+        .Add("detail", replica.error().detail)
+        .Error();
     return tl::unexpected(replica.error().path + ": " + replica.error().detail);
   }
   this->replica = std::move(*replica);
--- a/knapweedroad/edge/replica_membership.cc
+++ b/knapweedroad/edge/replica_membership.cc
@@ -8,6 +8,7 @@
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/host/control_service.h"
+#include "knapweedroad/host/quorum_report.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -87,6 +88,7 @@
   MemberView view{.has_quorum = peek.has_quorum,
                   .is_formed = peek.is_formed,
                   .answering = peek.answering};
+  this->ReportQuorum(peek);
   if (peek.chosen) {
     view.members = peek.chosen->value.members;
     this->options.service.Learn(*peek.chosen);
@@ -97,6 +99,15 @@
   return view;
 }
 
+void ReplicaMembership::ReportQuorum(const ControlPeek& peek) {
+  if (std::exchange(this->had_quorum, peek.has_quorum) == peek.has_quorum) {
+    return;
+  }
+  LogLine line(peek.has_quorum ? "quorum_found" : "quorum_lost");
+  AddQuorumReport(line, peek);
+  line.Warning();
+}
+
 void ReplicaMembership::Run() {
   std::mt19937 random(std::random_device{}());
   while (!this->is_stopped) {
--- a/knapweedroad/edge/replica_membership.h
+++ b/knapweedroad/edge/replica_membership.h
@@ -19,6 +19,7 @@
 namespace knapweedroad {
 
 class ControlService;
+struct ControlPeek;
 
 struct ReplicaMembershipOptions {
   // This host's replica.
@@ -55,10 +56,13 @@
   MemberView Look(TimePoint deadline);
   // There is a version, but this host hasn't learned any since its start.
   bool LooksForFirstVersion() const;
+  // Logs when a quorum is found or lost.
+  void ReportQuorum(const ControlPeek& peek);
   void Act(const MemberAction& action, TimePoint deadline);
 
   ReplicaMembershipOptions options;
   MembershipController controller;
+  bool had_quorum = false;
   bool is_stopped = false;
 };
 
--- a/knapweedroad/host/control_replica.cc
+++ b/knapweedroad/host/control_replica.cc
@@ -164,11 +164,17 @@
                   "': give it back, or move it away to start blank"});
   }
   this->self = this->acceptor->id();
-  LogLine("control_replica_open")
-      .Add("member", this->self)
+  LogLine line("control_replica_open");
+  line.Add("member", this->self)
       .Add("records", this->store->stats().records_read)
-      .Add("torn_bytes_cut", this->store->stats().torn_bytes_truncated)
-      .Info();
+      .Add("torn_bytes_cut", this->store->stats().torn_bytes_truncated);
+  if (const auto& value = this->acceptor->current().value) {
+    line.Add("version", value->version)
+        .Add("epoch", value->members.epoch)
+        .Add("phase", static_cast<int>(value->members.phase))
+        .Add("members", value->members.Everyone().size());
+  }
+  line.Info();
   return {};
 }
 
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -147,7 +147,9 @@
   }
   ControlPeek result{.has_quorum = peek->survey.HasQuorum(),
                      .answering = peek->survey.Answering(),
-                     .is_formed = peek->survey.is_formed()};
+                     .is_formed = peek->survey.is_formed(),
+                     .newest = peek->survey.newest(),
+                     .holding = peek->survey.Holding()};
   if (peek->survey.IsChosen()) {
     result.chosen = peek->survey.newest();
   }
--- a/knapweedroad/host/control_service.h
+++ b/knapweedroad/host/control_service.h
@@ -61,6 +61,10 @@
   std::set<MemberId> answering;
   // Some replica that answered holds a value or knows of members.
   bool is_formed = false;
+  // The newest accepted value that is known, chosen or not, and the replicas
+  // that answered that they have accepted just it.
+  std::optional<BallotedValue> newest;
+  std::set<MemberId> holding;
 };
 
 // A move of replicas as an operator asks for it, by the names of hosts.
