Calls shorter than the silence give a silent connection up

What callers saw: nothing yet; found by reading what a control host does whose peers lost power. A host without an agreed version asks all replicas with deadlines of 120 ms. A connection whose other end had lost power was kept until the kernel had resent its packets, ever more rarely, though the peer was back and would have answered on a new one.

Cause: each call that was alone on the connection reset the time since which nothing had come, so calls that are shorter than `silence` (300 ms) never reached it. Reads with longer deadlines did give the connection up.

Why the fix works: the time since which nothing has come goes on over calls that timed out, and begins anew with whatever comes.

Evidence: Peer/CallsShorterThanTheSilenceLeaveASilentConnection failed on the code before ("client.silent_connections() > 0 is false").

--- a/knapweedroad/net/peer_client.cc
+++ b/knapweedroad/net/peer_client.cc
@@ -34,6 +34,8 @@
   std::shared_ptr<PeerConnection> connection;
   std::unordered_map<uint64_t, std::shared_ptr<Pending>> pending;
   TimePoint heard;
+  // Calls have timed out on it since anything came.
+  bool has_timed_out = false;
   // A call has timed out on it after a silence.
   bool is_given_up = false;
 };
@@ -134,6 +136,7 @@
 void PeerClient::State::Read(const std::shared_ptr<Link>& link) {
   link->connection->ReadAll([&](const FrameHeader& header, std::string body) {
     link->heard = Runtime::Now();
+    link->has_timed_out = false;
     const auto found = link->pending.find(header.call);
     if (found == link->pending.end()) {
       return;
@@ -170,7 +173,8 @@
   const std::shared_ptr<Link> link = *used;
   const uint64_t call = ++self->last_call;
   auto pending = std::make_shared<Pending>(self->runtime);
-  if (link->pending.empty()) {
+  // The silence of calls that are shorter than it adds up.
+  if (link->pending.empty() && !link->has_timed_out) {
     link->heard = Runtime::Now();
   }
   link->pending.emplace(call, pending);
@@ -180,6 +184,7 @@
     pending->changed.WaitUntil(deadline);
   }
   link->pending.erase(call);
+  link->has_timed_out = link->has_timed_out || !pending->is_done;
   if (!pending->is_done &&
       Runtime::Now() - link->heard >= self->options.silence) {
     link->is_given_up = true;
--- a/knapweedroad/net/peer_test.cc
+++ b/knapweedroad/net/peer_test.cc
@@ -128,6 +128,31 @@
   Runtime::SleepFor(300ms);
 }
 
+// A replica is asked every 100 ms, with deadlines shorter than the silence that
+// gives a connection up: its host lost power, was back, and stayed unheard
+// until the kernel resent its packets.
+Test(Peer, CallsShorterThanTheSilenceLeaveASilentConnection) {
+  Runtime runtime;
+  PeerServerOptions options = Echo();
+  options.handler =
+      [](PeerMessageType,
+         std::string body) -> tl::expected<std::string, std::string> {
+    Runtime::SleepFor(1s);
+    return body;
+  };
+  PeerServer server(runtime, options);
+  const uint16_t port = server.Start().value();
+  PeerClient client(runtime, {.endpoint = {.ip = "127.0.0.1", .port = port},
+                              .silence = 150ms});
+  for (int i = 0; i < 10; ++i) {
+    cr_assert(
+        !client.Call(PeerMessageType::kAttempt, "x", Runtime::Now() + 30ms));
+  }
+  cr_expect(client.silent_connections() > 0);
+  // The handlers still sleep and write to closed connections.
+  Runtime::SleepFor(1200ms);
+}
+
 size_t CountOpenFiles() {
   const std::filesystem::directory_iterator files("/proc/self/fd");
   return static_cast<size_t>(std::distance(begin(files), end(files)));
