A log writes what still waits when it ends

What operators saw: nothing. A control replica that refuses its data folder logs control_replica_refused with file, offset and remedy, but a process that fails to start ends before the first Flush(): the line stayed in the buffer and only the text on standard error was left.

Cause: EventLog kept lines until Flush(), which only a running process calls.

Why the fix works: the destructor flushes. It runs on each way out of the role's process on which no Flush() comes before.

--- a/knapweedroad/base/event_log.cc
+++ b/knapweedroad/base/event_log.cc
@@ -38,6 +38,10 @@
   }
 }
 
+EventLog::~EventLog() {
+  this->Flush(this->second + std::chrono::seconds(1));
+}
+
 void EventLog::Append(std::string_view line) {
   this->buffer += line;
   this->buffer += '\n';
--- a/knapweedroad/base/event_log.h
+++ b/knapweedroad/base/event_log.h
@@ -33,6 +33,10 @@
 class EventLog {
  public:
   explicit EventLog(EventLogOptions options);
+  // Flushes: the last lines of a process that fails to start say why.
+  ~EventLog();
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
 
   void Write(std::string_view line, TimePoint now);
   void Flush(TimePoint now);
--- a/knapweedroad/base/event_log_test.cc
+++ b/knapweedroad/base/event_log_test.cc
@@ -50,5 +50,19 @@
   cr_expect(read.find("event=b") != std::string::npos);
 }
 
+// A process that fails to start ends before the first Flush(), and its log
+// doesn't say why.
+Test(event_log, what_still_waits_at_the_end_is_written) {
+  std::string read;
+  {
+    EventLog log({.write = [&](std::string_view bytes) {
+      read += bytes;
+      return bytes.size();
+    }});
+    log.Write("event=control_replica_refused", TimePoint(seconds(100)));
+  }
+  cr_assert_str_eq(read.c_str(), "event=control_replica_refused\n");
+}
+
 }  // namespace
 }  // namespace knapweedroad
