A control host that is destroyed while it looks for a quorum doesn't crash

What callers saw: only tests destroy a running control host; one that did so crashed at its end in ControlFollower::HearQuorum, called on a follower that was gone (stack: ReplicaMembership::Run, Look, on_quorum).

Cause: the destructor of ControlHost destroys its follower, while a look that is running ends later and tells the follower of the quorum.

Why the fix works: the follower is stopped and lives as long as the state that the running calls keep.

--- a/knapweedroad/edge/control_follower.cc
+++ b/knapweedroad/edge/control_follower.cc
@@ -353,6 +353,10 @@
     : state(std::make_shared<State>(runtime, std::move(options))) {}
 
 ControlFollower::~ControlFollower() {
+  this->Stop();
+}
+
+void ControlFollower::Stop() {
   this->state->is_stopped = true;
   this->ReportSoon();
 }
--- a/knapweedroad/edge/control_follower.h
+++ b/knapweedroad/edge/control_follower.h
@@ -56,6 +56,8 @@
   ~ControlFollower();
 
   void Start();
+  // Calls no hook any more.
+  void Stop();
 
   // Tells what take_outcomes() has without waiting for the next call.
   void ReportSoon();
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -204,7 +204,10 @@
   if (self.quota != nullptr) {
     self.quota->Stop();
   }
-  self.follower.reset();
+  // Calls that are running still note in it what they hear.
+  if (self.follower != nullptr) {
+    self.follower->Stop();
+  }
   self.peers.reset();
   self.server.reset();
   self.metrics_server.reset();
