A control host waits at its start for a disk that refuses writes

What callers saw: a control host that lost power, or was killed between a sync and its marker, and was restarted while its disk refused writes ended for good. The member is lost, and the next lost disk takes the quorum.

Class: an ordinary loss taken for a lasting one.

Why the fix works: errors of system calls are tried again each 0.5 s, as a running replica already does; nothing is served meanwhile. Damage and a folder in use end the start as before.

--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -19,6 +19,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTick = milliseconds(100);
+constexpr Duration kReopenInterval = milliseconds(500);
 constexpr Duration kAgreeTimeout = milliseconds(2000);
 // Larger bodies than any configuration of thousands of routes.
 constexpr size_t kMaxBodyBytes = 8 << 20;
@@ -32,15 +33,26 @@
         std::string("the settings give no control_address and data_folder: a "
                     "control host needs both"));
   }
-  auto replica = ControlReplica::Open(
-      this->runtime,
-      {.host = this->self, .folder = *this->options.settings.data_folder});
+  const ControlReplicaOptions replica_options{
+      .host = this->self, .folder = *this->options.settings.data_folder};
+  auto replica = ControlReplica::Open(this->runtime, replica_options);
   if (!replica) {
     LogLine("control_replica_refused")
         .Add("path", replica.error().path)
         .Add("offset", replica.error().offset)
         .Add("detail", replica.error().detail)
         .Error();
+  }
+  // A faulty or full disk refuses writes for a while only; a host that ended
+  // for it would be a lost member for good.
+  while (!replica && replica.error().kind == StorageErrorKind::kIo) {
+    if (this->options.on_tick) {
+      this->options.on_tick();
+    }
+    Runtime::SleepFor(kReopenInterval);
+    replica = ControlReplica::Open(this->runtime, replica_options);
+  }
+  if (!replica) {
     return tl::unexpected(replica.error().path + ": " + replica.error().detail);
   }
   this->replica = std::move(*replica);
