A test that a whole file opens on a disk that refuses writes

A killed control host that is started again while its disk refuses writes has to come back: a file that ends with its marker needs only a sync. The test passes on the code as it is, and fails ("write: File too large") where Open() writes each file anew.

--- a/knapweedroad/storage/record_store_test.cc
+++ b/knapweedroad/storage/record_store_test.cc
@@ -1,8 +1,10 @@
 #include "knapweedroad/storage/record_store.h"
 
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -174,6 +176,20 @@
   }
 }
 
+// A process is killed and started again while its disk refuses every write. The
+// replica could still tell what it holds, and doesn't start.
+Test(RecordStore, OpensAWholeFileOnADiskThatRefusesWrites) {
+  TestDataFolder folder;
+  folder.WriteThreeRecords();
+  std::signal(SIGXFSZ, SIG_IGN);
+  const rlimit nothing{.rlim_cur = 0, .rlim_max = 0};
+  cr_assert(setrlimit(RLIMIT_FSIZE, &nothing) == 0);
+  const auto store = folder.Open();
+  cr_assert(store.has_value(), "%s", store.error().detail.c_str());
+  cr_assert(folder.records.size() == 3);
+  cr_assert(!folder.Append(**store, "four"));
+}
+
 Test(RecordStore, OpenReportsEmptyNewestFileAsCorrupted) {
   TestDataFolder folder;
   folder.WriteThreeRecords();
