Reads of an undecided value vote before their callers have left

What callers saw: after a loss of power with a change half accepted, or accepted by just a quorum of which one lost its disk, reads of the configuration were answered 503 while a quorum was back and one known host was silent.

Cause: the question without a vote waited 350 ms for the silent host, and the run after it waited for it again, the whole 500 ms of an attempt. The vote began at 850 of the 900 ms that a caller waits. No caller gets more than a part of a vote on a link of 20 ms, and each read begins anew.

Why the fix works: once a quorum has answered and doesn't hold one value, both wait 100 ms more for the others, enough for another region, and the vote has 700 ms.

--- a/knapweedroad/control/change_run.cc
+++ b/knapweedroad/control/change_run.cc
@@ -222,6 +222,12 @@
   this->AskForQuery(members.Everyone(), actions);
   if (this->answered.size() >= this->asked.size()) {
     this->StartPrepare(now, actions);
+    return;
+  }
+  if (members.IsQuorum(this->Answered())) {
+    // Hosts that are down would use up the whole attempt.
+    this->phase_end =
+        std::min(this->phase_end, now + this->options.undecided_wait);
   }
 }
 
@@ -244,10 +250,7 @@
 bool ChangeRun::TryPropose(bool wait_for_joining,
                            TimePoint now,
                            RunActions& actions) {
-  std::set<MemberId> promised;
-  for (const auto& [member, accepted] : this->answered) {
-    promised.insert(member);
-  }
+  const std::set<MemberId> promised = this->Answered();
   ControlValue value;
   if (this->options.known.has_value()) {
     value = this->options.known->value;
@@ -351,6 +354,14 @@
   return members;
 }
 
+std::set<MemberId> ChangeRun::Answered() const {
+  std::set<MemberId> members;
+  for (const auto& [member, accepted] : this->answered) {
+    members.insert(member);
+  }
+  return members;
+}
+
 std::set<MemberId> ChangeRun::HoldersOfKnown() const {
   std::set<MemberId> holders;
   for (const auto& [member, accepted] : this->answered) {
--- a/knapweedroad/control/change_run.h
+++ b/knapweedroad/control/change_run.h
@@ -31,6 +31,9 @@
 
 namespace knapweedroad {
 
+// Enough for the reply of a replica in another region.
+inline constexpr Duration kUndecidedWait = std::chrono::milliseconds(100);
+
 // Changes the picked value and says what the answer is once the changed value
 // has been chosen. `holders` reported to hold exactly the picked value. May run
 // more than once, each time on another picked value.
@@ -56,6 +59,9 @@
   TimePoint deadline;
   // How long one attempt waits for replies.
   Duration attempt_timeout = std::chrono::milliseconds(500);
+  // How long a read waits for the other replicas once a quorum has answered and
+  // doesn't hold one value; then it takes a vote.
+  Duration undecided_wait = kUndecidedWait;
   // A value some replica accepted, seen before: saves the query.
   std::optional<BallotedValue> known;
   // Hold the proposal back until the joining members have answered too, for
@@ -133,6 +139,8 @@
 
   bool CanForm() const;
   std::vector<MemberId> FirstMembers() const;
+  // Those that answered this attempt.
+  std::set<MemberId> Answered() const;
   std::set<MemberId> HoldersOfKnown() const;
   // Holders are a quorum and no joining member is without the value.
   bool IsChosenEverywhereNeeded(const std::set<MemberId>& holders) const;
--- a/knapweedroad/control/change_run_test.cc
+++ b/knapweedroad/control/change_run_test.cc
@@ -21,6 +21,32 @@
   return made;
 }
 
+// A read that finds two members holding different values and a third silent.
+RunActions ReadOfTwoValues(ChangeRun& run, TimePoint time) {
+  const auto older =
+      ValueOf(5, {Member("a", 1), Member("b", 1), Member("c", 1)});
+  const auto newer =
+      ValueOf(6, {Member("a", 1), Member("b", 1), Member("c", 1)});
+  run.Start(time);
+  run.OnPrepareReply(
+      {.from = Member("a", 1), .accepted = older.ballot, .value = older.value},
+      time);
+  return run.OnPrepareReply(
+      {.from = Member("b", 1), .accepted = newer.ballot, .value = newer.value},
+      time);
+}
+
+ChangeRunOptions ReadOptions(TimePoint time) {
+  return {.next_ballot =
+              [](uint64_t round) {
+                return Ballot{round + 1, 2};
+              },
+          .backoff = [](int) { return Duration(1ms); },
+          .deadline = time + 550ms,
+          .attempt_timeout = kAttempt,
+          .ask_hosts = {HostId("a"), HostId("b"), HostId("c")}};
+}
+
 // The ballot of the prepare to that member; none if there is none.
 Ballot PreparedAt(const RunActions& actions, const MemberId& member) {
   for (const Envelope& envelope : actions.send) {
@@ -70,5 +96,33 @@
   cr_assert(PreparedAt(actions, Member("b", 2)).round == 301);
 }
 
+// A value was left half accepted and a member is down: reads waited for that
+// member until their callers had left, and took the vote too late.
+Test(ChangeRun, AReadOfAnUndecidedValueDoesNotWaitForASilentMember) {
+  TimePoint time;
+  ChangeRun run(ReadOptions(time));
+  const auto waiting = ReadOfTwoValues(run, time);
+  cr_assert(waiting.wake_at && *waiting.wake_at <= time + 100ms);
+  time = *waiting.wake_at;
+  const auto actions = run.OnWake(time);
+  cr_assert(PreparedAt(actions, Member("a", 1)).round == 7);
+}
+
+// A change that is under way is displaced by a read which votes while the reply
+// that would show the change as chosen is still coming.
+Test(ChangeRun, AReadOfAnUndecidedValueWaitsForRepliesOnTheirWay) {
+  TimePoint time;
+  ChangeRun run(ReadOptions(time));
+  ReadOfTwoValues(run, time);
+  const auto newer =
+      ValueOf(6, {Member("a", 1), Member("b", 1), Member("c", 1)});
+  time += 50ms;
+  run.OnWake(time);
+  run.OnPrepareReply(
+      {.from = Member("c", 1), .accepted = newer.ballot, .value = newer.value},
+      time);
+  cr_assert(run.result() && run.result()->chosen);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -141,9 +141,13 @@
       peek->changed.Set();
     });
   }
-  while (peek->out > 0 && Runtime::Now() < deadline &&
+  TimePoint end = deadline;
+  while (peek->out > 0 && Runtime::Now() < end &&
          !(soon && peek->survey.IsChosen())) {
-    peek->changed.WaitUntil(deadline);
+    peek->changed.WaitUntil(end);
+    if (soon && peek->survey.HasQuorum()) {
+      end = std::min(end, Runtime::Now() + kUndecidedWait);
+    }
   }
   ControlPeek result{.has_quorum = peek->survey.HasQuorum(),
                      .answering = peek->survey.Answering(),
--- a/knapweedroad/host/control_service.h
+++ b/knapweedroad/host/control_service.h
@@ -95,7 +95,8 @@
 
   // As Read(), but no replica writes to its disk for it, and it gives up where
   // a change is under way. Blocks until all have answered or the deadline; with
-  // `soon`, only until the value is known.
+  // `soon`, only until the value is known, or for kUndecidedWait after a quorum
+  // has answered that doesn't hold one value.
   ControlPeek Peek(TimePoint deadline, bool soon = false);
 
   // Adds, removes or replaces a replica and returns once the move is over;
