Reads that begin together no longer displace each other's votes

What callers saw: with a value undecided after a loss of power, reads at several control hosts at once were answered 503 for many seconds although a quorum was back.

Cause: a read whose vote was refused for a higher ballot voted again within 10 ms times the number of its attempts, with a higher one still. That displaced the vote which had refused it, before that one's accepts had made their round trip.

Why the fix works: a read that was refused asks without a promise first. That displaces nobody, and shows the value once the other vote has decided it; if it doesn't, the read votes again. Of votes that begin together the one with the highest ballot goes through.

Evidence: ChangeRun/AReadThatAnotherVoteDisplacedAsksBeforeItVotesAgain failed on the code before.

--- a/knapweedroad/control/change_run.cc
+++ b/knapweedroad/control/change_run.cc
@@ -305,6 +305,9 @@
     return;
   }
   this->refused.insert(from);
+  // Whoever has the higher ballot is about to decide the value. Another vote
+  // would displace that one; a query shows its end.
+  this->query_first = this->query_first || !this->options.transform;
   const ControlValue* value = nullptr;
   if (this->phase == Phase::kAccept) {
     value = &*this->proposed;
--- a/knapweedroad/control/change_run_test.cc
+++ b/knapweedroad/control/change_run_test.cc
@@ -124,5 +124,35 @@
   cr_assert(run.result() && run.result()->chosen);
 }
 
+// Hosts that read an undecided value at the same time displaced each other's
+// votes for seconds: each one that was refused voted again with a higher
+// ballot.
+Test(ChangeRun, AReadThatAnotherVoteDisplacedAsksBeforeItVotesAgain) {
+  TimePoint time;
+  ChangeRun run(ReadOptions(time));
+  time = *ReadOfTwoValues(run, time).wake_at;
+  const Ballot tried = PreparedAt(run.OnWake(time), Member("a", 1));
+  for (const char* const host : {"a", "b"}) {
+    run.OnPrepareReply({.from = Member(host, 1),
+                        .ballot = tried,
+                        .status = ReplyStatus::kLowerBallot,
+                        .promised = {.round = 90, .proposer = 1}},
+                       time);
+  }
+  time += 1ms;
+  const auto actions = run.OnWake(time);
+  cr_assert(!actions.send.empty());
+  cr_assert(PreparedAt(actions, Member("a", 1)).IsNone());
+  const auto decided =
+      ValueOf(90, {Member("a", 1), Member("b", 1), Member("c", 1)});
+  for (const char* const host : {"a", "b"}) {
+    run.OnPrepareReply({.from = Member(host, 1),
+                        .accepted = decided.ballot,
+                        .value = decided.value},
+                       time);
+  }
+  cr_assert(run.result() && run.result()->chosen);
+}
+
 }  // namespace
 }  // namespace knapweedroad
