A question to all replicas asks the members that replies name

What callers saw: nothing yet; found by reading what a control host does whose members were replaced while it was away. Its regular question to all replicas asked the hosts that it knew before, and found no quorum until the other control hosts had been heard of in another way; so its first round, and a read, took the slow path.

Cause: only runs followed the members and hosts that a reply names.

Why the fix works: each reply's newer members are asked in the same round, each host once.

Evidence: agreed_read/a_peek_asks_the_members_that_a_reply_names failed without it.

--- a/knapweedroad/edge/agreed_read_test.cc
+++ b/knapweedroad/edge/agreed_read_test.cc
@@ -99,5 +99,17 @@
   });
 }
 
+// A host that knows one member only, as the others have been replaced since,
+// found no quorum until another way told it of them.
+Test(agreed_read, a_peek_asks_the_members_that_a_reply_names) {
+  InRuntime([](Runtime& runtime, Replicas& replicas) {
+    replicas.Hold("a", 5);
+    replicas.Hold("b", 5);
+    ControlService service(runtime, replicas.Options({HostId("a")}));
+    const auto peek = service.Peek(Runtime::Now() + 5s);
+    cr_expect(peek.chosen && peek.chosen->value.version == 5);
+  });
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/host/control_service.cc
+++ b/knapweedroad/host/control_service.cc
@@ -106,40 +106,74 @@
 // One round of questions, shared by the fibers that wait for its replies.
 struct PeekState {
   PeekState(Runtime& runtime, const std::optional<BallotedValue>& known)
-      : changed(runtime), survey(known) {}
+      : changed(runtime),
+        survey(known),
+        held(known.has_value() ? known->ballot : Ballot()) {}
 
   TimedEvent changed;
   ReplicaSurvey survey;
+  Ballot held;
+  TimePoint deadline;
+  std::set<HostId> asked;
   size_t out = 0;
 };
 
+void AskInPeek(const std::shared_ptr<Wiring>& wiring,
+               const std::shared_ptr<PeekState>& peek,
+               const HostId& host);
+
+// Members may have been replaced since this host last heard of them.
+void TakePeekReply(const std::shared_ptr<Wiring>& wiring,
+                   const std::shared_ptr<PeekState>& peek,
+                   const PrepareReply& reply) {
+  peek->survey.OnReply(reply);
+  std::vector<MemberId> members = reply.known_members;
+  if (const auto& newest = peek->survey.newest()) {
+    const std::vector<MemberId> everyone = newest->value.members.Everyone();
+    members.insert(members.end(), everyone.begin(), everyone.end());
+  }
+  for (const MemberId& member : members) {
+    AskInPeek(wiring, peek, member.host);
+  }
+}
+
+void AskInPeek(const std::shared_ptr<Wiring>& wiring,
+               const std::shared_ptr<PeekState>& peek,
+               const HostId& host) {
+  if (Runtime::Now() >= peek->deadline || !peek->asked.insert(host).second) {
+    return;
+  }
+  ++wiring->running;
+  ++peek->out;
+  wiring->runtime.Spawn([wiring, peek, host] {
+    const auto bytes = wiring->Ask(
+        host,
+        EncodeControlMessage(QueryRequest{.to = {host}, .held = peek->held}),
+        peek->deadline);
+    const auto message = bytes.has_value()
+                             ? DecodeControlMessage(*bytes)
+                             : tl::expected<ControlMessage, std::string>(
+                                   tl::unexpected(std::string("no reply")));
+    if (message.has_value()) {
+      if (const auto* reply = std::get_if<PrepareReply>(&*message)) {
+        TakePeekReply(wiring, peek, *reply);
+      }
+    }
+    --peek->out;
+    --wiring->running;
+    peek->changed.Set();
+  });
+}
+
 ControlPeek PeekRound(const std::shared_ptr<Wiring>& wiring,
                       const std::set<HostId>& hosts,
                       const std::optional<BallotedValue>& known,
                       TimePoint deadline,
                       bool soon) {
   const auto peek = std::make_shared<PeekState>(wiring->runtime, known);
-  const Ballot held = known.has_value() ? known->ballot : Ballot();
+  peek->deadline = deadline;
   for (const HostId& host : hosts) {
-    ++wiring->running;
-    ++peek->out;
-    wiring->runtime.Spawn([wiring, peek, host, held, deadline] {
-      const auto bytes = wiring->Ask(
-          host, EncodeControlMessage(QueryRequest{.to = {host}, .held = held}),
-          deadline);
-      const auto message = bytes.has_value()
-                               ? DecodeControlMessage(*bytes)
-                               : tl::expected<ControlMessage, std::string>(
-                                     tl::unexpected(std::string("no reply")));
-      if (message.has_value()) {
-        if (const auto* reply = std::get_if<PrepareReply>(&*message)) {
-          peek->survey.OnReply(*reply);
-        }
-      }
-      --peek->out;
-      --wiring->running;
-      peek->changed.Set();
-    });
+    AskInPeek(wiring, peek, host);
   }
   TimePoint end = deadline;
   while (peek->out > 0 && Runtime::Now() < end &&
