A part of a data file that the disk fails to read is not taken for its end

What callers would see: a replica whose disk returns an error in the middle of its file, or for the names in its folder, starts without its last votes, or as a new member with another incarnation, and says nothing. Found by reading; not seen in a run of the product.

Cause: the file was read through an ifstream and the folder through a directory_iterator, whose errors nobody asked for: the end of what could be read was the end of the file, and a folder without readable names a new one.

Why the fix works: RecordStore makes its system calls through a small interface, FileSystem, and checks each one; Open() fails with kIo instead of replaying a part.

Evidence: RecordStorePowerLoss/OpenFailsWhenTheDiskCannotBeRead fails with either of the two errors ignored as before. A name that only starts like a number ("state-7x") no longer counts as a file of records.

--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -1,22 +1,18 @@
 #include "knapweedroad/storage/record_store.h"
 
 #include <fcntl.h>
-#include <sys/file.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstdio>
 #include <cstring>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
-#include <system_error>
+#include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
+#include "knapweedroad/storage/file_system.h"
 #include "knapweedroad/storage/record_format.h"
 
 namespace knapweedroad {
@@ -25,34 +21,24 @@
 constexpr std::string_view kFilePrefix = "state-";
 constexpr std::string_view kTemporarySuffix = ".tmp";
 constexpr const char* kLockName = "/lock";
-constexpr mode_t kFileMode = 0640;
+constexpr size_t kReadBytes = 1 << 16;
 constexpr uint64_t kMinFileToSnapshotRatio = 8;
 constexpr std::string_view kCorruptionRemedy =
     "; synced data is damaged. Do not delete single files: move the whole data "
     "folder away and replace this replica with a new one (its host joins under "
     "the same name with an empty data folder)";
 
-// Returns the numbers of the folder's files in increasing order. Removes
-// temporary files: they were not complete, as they had not been renamed.
-std::vector<uint64_t> ListFiles(const std::string& folder) {
-  std::vector<uint64_t> numbers;
-  std::error_code error;
-  for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-    const std::string name = entry.path().filename().string();
-    if (!name.starts_with(kFilePrefix)) {
-      continue;
-    }
-    if (name.ends_with(kTemporarySuffix)) {
-      std::filesystem::remove(entry.path(), error);
-      continue;
-    }
-    uint64_t number = 0;
-    const char* digits = name.data() + kFilePrefix.size();
-    std::from_chars(digits, name.data() + name.size(), number);
-    numbers.push_back(number);
-  }
-  std::sort(numbers.begin(), numbers.end());
-  return numbers;
+// Returns the number of a file of records, or nothing for another name.
+std::optional<uint64_t> FileNumber(std::string_view name) {
+  if (!name.starts_with(kFilePrefix)) {
+    return std::nullopt;
+  }
+  name.remove_prefix(kFilePrefix.size());
+  uint64_t number = 0;
+  const char* end = name.data() + name.size();
+  const auto [parsed, error] = std::from_chars(name.data(), end, number);
+  return error == std::errc() && parsed == end ? std::optional(number)
+                                               : std::nullopt;
 }
 
 StorageError IoError(std::string path, std::string_view call) {
@@ -72,14 +58,16 @@
 }  // namespace
 
 RecordStore::RecordStore(RecordStoreOptions options)
-    : options(std::move(options)) {}
+    : options(std::move(options)),
+      files(this->options.files == nullptr ? &SystemFiles()
+                                           : this->options.files) {}
 
 RecordStore::~RecordStore() {
   if (this->file >= 0) {
-    close(this->file);
+    this->files->Close(this->file);
   }
   if (this->lock_file >= 0) {
-    close(this->lock_file);
+    this->files->Close(this->lock_file);
   }
 }
 
@@ -98,18 +86,19 @@
 
 RecordStore::Outcome RecordStore::LockFolder() {
   const std::string& folder = this->options.folder;
-  std::error_code error;
-  std::filesystem::create_directories(folder, error);
-  if (error) {
-    return tl::unexpected(
-        StorageError{.path = folder, .detail = "mkdir: " + error.message()});
+  for (size_t end = 0; end != std::string::npos;) {
+    end = folder.find('/', end + 1);
+    const std::string parent = folder.substr(0, end);
+    if (this->files->CreateFolder(parent) != 0 && errno != EEXIST) {
+      return tl::unexpected(IoError(parent, "mkdir"));
+    }
   }
   const std::string path = folder + kLockName;
-  this->lock_file = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  this->lock_file = this->files->Open(path, O_RDWR | O_CREAT);
   if (this->lock_file < 0) {
     return tl::unexpected(IoError(path, "open"));
   }
-  if (flock(this->lock_file, LOCK_EX | LOCK_NB) != 0) {
+  if (this->files->Lock(this->lock_file) != 0) {
     return tl::unexpected(
         StorageError{.kind = StorageErrorKind::kLocked,
                      .path = folder,
@@ -122,39 +111,43 @@
 
 RecordStore::Outcome RecordStore::ReplayNewestFile(
     const std::function<void(std::string_view)>& replay) {
-  const std::vector<uint64_t> numbers = ListFiles(this->options.folder);
-  if (numbers.empty()) {
+  const auto numbers = this->ListFiles();
+  if (!numbers.has_value()) {
+    return tl::unexpected(numbers.error());
+  }
+  if (numbers->empty()) {
     return {};
   }
-  this->file_number = numbers.back();
+  this->file_number = numbers->back();
   const std::string path = this->FilePath(this->file_number);
-  this->file = open(path.c_str(), O_RDWR | O_CLOEXEC);
+  this->file = this->files->Open(path, O_RDWR);
   if (this->file < 0) {
     return tl::unexpected(IoError(path, "open"));
   }
-  std::ostringstream content;
-  content << std::ifstream(path, std::ios::binary).rdbuf();
-  const std::string bytes = std::move(content).str();
-  const ParsedRecords parsed = ParseRecords(bytes);
+  const auto bytes = this->ReadFile(path);
+  if (!bytes.has_value()) {
+    return tl::unexpected(bytes.error());
+  }
+  const ParsedRecords parsed = ParseRecords(*bytes);
   // A file gets its final name only after its first record has been synced, so
   // a file without records is corrupted.
   if (parsed.corruption_offset.has_value() || parsed.records.empty()) {
     return tl::unexpected(
         CorruptionError(path, parsed.corruption_offset.value_or(0)));
   }
-  this->counters.torn_bytes_truncated = bytes.size() - parsed.valid_bytes;
+  this->counters.torn_bytes_truncated = bytes->size() - parsed.valid_bytes;
   this->next_sequence = parsed.records.back().sequence + 1;
   this->file_bytes = parsed.valid_bytes;
   const bool is_synced =
-      parsed.ends_with_marker && parsed.valid_bytes == bytes.size();
+      parsed.ends_with_marker && parsed.valid_bytes == bytes->size();
   Outcome durable = is_synced ? this->SyncFileAndFolder(path)
                               : this->CopyToNewFile(parsed.records);
   if (!durable.has_value()) {
     return durable;
   }
-  for (const uint64_t number : numbers) {
+  for (const uint64_t number : *numbers) {
     if (number != this->file_number) {
-      unlink(this->FilePath(number).c_str());
+      this->files->Remove(this->FilePath(number));
     }
   }
   this->first_record_bytes = parsed.records.front().payload.size();
@@ -165,6 +158,44 @@
   return {};
 }
 
+tl::expected<std::vector<uint64_t>, StorageError> RecordStore::ListFiles() {
+  const std::string& folder = this->options.folder;
+  std::vector<std::string> names;
+  if (this->files->List(folder, names) != 0) {
+    return tl::unexpected(IoError(folder, "readdir"));
+  }
+  std::vector<uint64_t> numbers;
+  for (const std::string& name : names) {
+    if (const auto number = FileNumber(name); number.has_value()) {
+      numbers.push_back(*number);
+    } else if (name.starts_with(kFilePrefix) &&
+               name.ends_with(kTemporarySuffix)) {
+      // It was not complete, as it had not been renamed.
+      this->files->Remove(std::string(folder).append("/").append(name));
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+tl::expected<std::string, StorageError> RecordStore::ReadFile(
+    const std::string& path) {
+  std::string bytes;
+  while (true) {
+    const size_t size = bytes.size();
+    bytes.resize(size + kReadBytes);
+    const ssize_t count =
+        this->files->Read(this->file, std::span(bytes).subspan(size), size);
+    bytes.resize(size + static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    if (count < 0 && errno != EINTR) {
+      return tl::unexpected(IoError(path, "read"));
+    }
+    if (count == 0) {
+      return bytes;
+    }
+  }
+}
+
 RecordStore::Outcome RecordStore::Append(std::string_view record) {
   if (this->failed) {
     return tl::unexpected(
@@ -228,14 +259,13 @@
 RecordStore::Outcome RecordStore::ReplaceFile(std::string_view bytes) {
   const std::string path = this->FilePath(this->file_number + 1);
   const std::string temporary = path + std::string(kTemporarySuffix);
-  const int next = open(temporary.c_str(),
-                        O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  const int next = this->files->Open(temporary, O_RDWR | O_CREAT | O_TRUNC);
   if (next < 0) {
     return this->Fail(temporary, "open");
   }
   const int previous = std::exchange(this->file, next);
   if (previous >= 0) {
-    close(previous);
+    this->files->Close(previous);
   }
   this->file_bytes = 0;
   if (auto written = this->WriteAll(next, bytes); !written.has_value()) {
@@ -244,14 +274,16 @@
   if (auto synced = this->Sync(next, temporary); !synced.has_value()) {
     return synced;
   }
-  if (rename(temporary.c_str(), path.c_str()) != 0) {
+  if (this->files->Rename(temporary, path) != 0) {
     return this->Fail(path, "rename");
   }
   if (auto synced = this->SyncFolder(this->options.folder);
       !synced.has_value()) {
     return synced;
   }
-  unlink(this->FilePath(this->file_number).c_str());
+  if (previous >= 0) {
+    this->files->Remove(this->FilePath(this->file_number));
+  }
   ++this->file_number;
   ++this->counters.files_created;
   return {};
@@ -259,8 +291,7 @@
 
 RecordStore::Outcome RecordStore::WriteAll(int file, std::string_view bytes) {
   while (!bytes.empty()) {
-    const ssize_t written = pwrite(file, bytes.data(), bytes.size(),
-                                   static_cast<off_t>(this->file_bytes));
+    const ssize_t written = this->files->Write(file, bytes, this->file_bytes);
     if (written < 0 && errno == EINTR) {
       continue;
     }
@@ -280,7 +311,7 @@
     errno = EIO;
     return this->Fail(path, "fsync");
   }
-  if (fdatasync(file) != 0) {
+  if (this->files->Sync(file) != 0) {
     return this->Fail(path, "fsync");
   }
   return {};
@@ -294,13 +325,12 @@
 }
 
 RecordStore::Outcome RecordStore::SyncFolder(const std::string& folder) {
-  const int folder_file =
-      open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const int folder_file = this->files->Open(folder, O_RDONLY | O_DIRECTORY);
   if (folder_file < 0) {
     return this->Fail(folder, "open");
   }
   auto synced = this->Sync(folder_file, folder);
-  close(folder_file);
+  this->files->Close(folder_file);
   return synced;
 }
 
--- a/knapweedroad/storage/record_store.h
+++ b/knapweedroad/storage/record_store.h
@@ -15,6 +15,7 @@
 
 namespace knapweedroad {
 
+class FileSystem;
 struct ParsedRecord;
 
 struct RecordStoreOptions {
@@ -29,6 +30,8 @@
   uint64_t max_file_bytes = 1 << 20;
   // For tests. Called before each sync, which fails if this returns true.
   std::function<bool()> sync_fails;
+  // Must outlive the store; the file system of the process by default.
+  FileSystem* files = nullptr;
 };
 
 // Counters since the start of Open().
@@ -96,6 +99,8 @@
   Outcome ReplayNewestFile(const std::function<void(std::string_view)>& replay);
   Outcome AppendToFile(std::string_view record);
   Outcome StartFile(std::string_view first_record);
+  tl::expected<std::vector<uint64_t>, StorageError> ListFiles();
+  tl::expected<std::string, StorageError> ReadFile(const std::string& path);
   Outcome CopyToNewFile(const std::vector<ParsedRecord>& records);
   Outcome ReplaceFile(std::string_view bytes);
   Outcome WriteAll(int file, std::string_view bytes);
@@ -106,6 +111,7 @@
   std::string FilePath(uint64_t number) const;
 
   RecordStoreOptions options;
+  FileSystem* files;
   RecordStoreStats counters;
   bool failed = false;
   int lock_file = -1;
