A new data folder is synced in the folders above it

What callers would see: a control host acknowledges its first votes and loses power; the whole data folder is gone with all that was synced in it, and the host comes back as a new member. Found by reading; not seen in a run of the product.

Cause: the names inside the data folder are synced, the name of the folder itself and of the folders above it, which Open() creates, are not. POSIX keeps them only after a sync of the folder that holds them (some file systems keep them anyway).

Why the fix works: Open() of a folder without records syncs each folder above it, also those that it didn't create itself, as an earlier process may have created them and ended before the sync. It does so before the first record can be acknowledged; later starts pay nothing.

--- a/knapweedroad/storage/power_loss_test.cc
+++ b/knapweedroad/storage/power_loss_test.cc
@@ -48,5 +48,18 @@
   cr_assert(read == std::vector<std::string>{"one"});
 }
 
+// Power is lost right after the first record of a new folder was acknowledged,
+// and the folder is gone with it: the replica would come back as a new member.
+Test(RecordStorePowerLoss, KeepsTheFirstRecordOfANewFolder) {
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    DiskStandIn disk(seed);
+    std::vector<std::string> read;
+    cr_assert(!OpenAndAppend(disk, "one", read).has_value());
+    disk.LosePower();
+    cr_assert(!OpenAndAppend(disk, "two", read).has_value());
+    cr_assert(read == std::vector<std::string>{"one"}, "seed %lu", seed);
+  }
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
 #include <optional>
 #include <span>
 #include <utility>
@@ -116,7 +117,7 @@
     return tl::unexpected(numbers.error());
   }
   if (numbers->empty()) {
-    return {};
+    return this->SyncParentFolders();
   }
   this->file_number = numbers->back();
   const std::string path = this->FilePath(this->file_number);
@@ -334,6 +335,33 @@
   return synced;
 }
 
+// A new folder may be lost with all that was synced inside it, unless each
+// folder above it has been synced. An earlier process may have created them.
+RecordStore::Outcome RecordStore::SyncParentFolders() {
+  std::filesystem::path folder = this->options.folder;
+  while (folder.has_relative_path()) {
+    folder = folder.parent_path();
+    const std::string path = folder.empty() ? "." : folder.string();
+    const int file = this->files->Open(path, O_RDONLY | O_DIRECTORY);
+    if (file < 0 && errno == EACCES) {
+      // This user has not created a folder that it may not read.
+      continue;
+    }
+    if (file < 0) {
+      return this->Fail(path, "open");
+    }
+    ++this->counters.syncs;
+    // Some file systems can't sync a folder, or are read-only.
+    const bool is_synced =
+        this->files->Sync(file) == 0 || errno == EINVAL || errno == EROFS;
+    this->files->Close(file);
+    if (!is_synced) {
+      return this->Fail(path, "fsync");
+    }
+  }
+  return {};
+}
+
 RecordStore::Outcome RecordStore::Fail(std::string path,
                                        std::string_view call) {
   this->failed = true;
--- a/knapweedroad/storage/record_store.h
+++ b/knapweedroad/storage/record_store.h
@@ -107,6 +107,7 @@
   Outcome Sync(int file, const std::string& path);
   Outcome SyncFileAndFolder(const std::string& path);
   Outcome SyncFolder(const std::string& folder);
+  Outcome SyncParentFolders();
   Outcome Fail(std::string path, std::string_view call);
   std::string FilePath(uint64_t number) const;
 
