An operator's text can't prove that a torn record had been synced

What callers would see: an operator sends a text that holds a piece of a data file, a control host loses power while it writes that text, and refuses to start for good ("synced data is damaged").

Cause: the reader takes a valid header of a later record, anywhere behind an invalid one, for the proof that the invalid one had been synced. A loss of power may keep a payload and lose the header before it, so the bytes inside a payload count too.

Why the fix works: a payload that holds the magic number is stored as a record of a new kind, with a zero behind each start of the number, so no header can stand in it. Other records are stored as before, and old files are read as before. A program from before this commit refuses a file that holds such a record.

--- a/knapweedroad/storage/power_loss_test.cc
+++ b/knapweedroad/storage/power_loss_test.cc
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include "knapweedroad/storage/disk_stand_in.h"
+#include "knapweedroad/storage/record_format.h"
 #include "knapweedroad/storage/record_store.h"
 
 namespace knapweedroad {
@@ -61,5 +62,26 @@
   }
 }
 
+// An operator's text holds a piece of a data file, power is lost while it is
+// written, and the piece is taken for a proof that the torn record had been
+// synced: the replica would refuse to start for good.
+Test(RecordStorePowerLoss, OpensAfterATornTextThatHoldsHeaders) {
+  const std::string text = "text " + EncodeRecord(9, "") + EncodeSyncMarker(9);
+  const std::vector<std::string> lost = {"one"};
+  const std::vector<std::string> kept = {"one", text};
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    DiskStandIn disk(seed);
+    std::vector<std::string> read;
+    cr_assert(!OpenAndAppend(disk, "one", read).has_value());
+    disk.Kill();
+    disk.StopAtCall(1 + seed % 5, /*loses_power=*/true);
+    cr_assert(OpenAndAppend(disk, text, read).has_value());
+    disk.LosePower();
+    read.clear();
+    cr_assert(!OpenAndAppend(disk, "two", read).has_value(), "seed %lu", seed);
+    cr_assert(read == lost || read == kept, "seed %lu", seed);
+  }
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/storage/record_format.cc
+++ b/knapweedroad/storage/record_format.cc
@@ -1,13 +1,17 @@
 #include "knapweedroad/storage/record_format.h"
 
+#include <algorithm>
+
 #include <xxhash.h>
 
 namespace knapweedroad {
 namespace {
 
 constexpr uint32_t kMagic = 0x4452574b;
+constexpr std::string_view kMagicBytes = "KWRD";
 constexpr uint32_t kKindRecord = 1;
 constexpr uint32_t kKindSyncMarker = 2;
+constexpr uint32_t kKindEscapedRecord = 3;
 constexpr size_t kHashedHeaderBytes = kRecordHeaderBytes - sizeof(uint64_t);
 
 struct Header {
@@ -39,6 +43,41 @@
   return XXH64(bytes.data(), bytes.size(), kMagic);
 }
 
+// Puts a zero after each start of the magic number, so that no header can stand
+// in the result.
+std::string Escape(std::string_view payload) {
+  const std::string_view start = kMagicBytes.substr(0, kMagicBytes.size() - 1);
+  std::string escaped;
+  while (!payload.empty()) {
+    const size_t found = payload.find(start);
+    const bool is_found = found != std::string_view::npos;
+    const size_t copied = is_found ? found + start.size() : payload.size();
+    escaped += payload.substr(0, copied);
+    payload.remove_prefix(copied);
+    if (is_found) {
+      escaped += '\0';
+    }
+  }
+  return escaped;
+}
+
+std::string Unescape(std::string_view escaped) {
+  const std::string_view start = kMagicBytes.substr(0, kMagicBytes.size() - 1);
+  std::string payload;
+  while (!escaped.empty()) {
+    const size_t found = escaped.find(start);
+    const bool is_found = found != std::string_view::npos;
+    const size_t copied = is_found ? found + start.size() : escaped.size();
+    payload += escaped.substr(0, copied);
+    escaped.remove_prefix(std::min(escaped.size(), copied + 1));
+  }
+  return payload;
+}
+
+bool IsRecord(const Header& header) {
+  return header.kind == kKindRecord || header.kind == kKindEscapedRecord;
+}
+
 std::string EncodeHeader(const Header& header) {
   std::string bytes;
   AppendNumber(bytes, kMagic);
@@ -85,8 +124,7 @@
   const bool in_order =
       records.empty() || records.back().sequence + 1 == header->sequence;
   bytes.remove_prefix(kRecordHeaderBytes);
-  if (header->kind != kKindRecord || !in_order ||
-      header->length > bytes.size() ||
+  if (!IsRecord(*header) || !in_order || header->length > bytes.size() ||
       Hash(bytes.substr(0, header->length)) != header->payload_hash) {
     return std::nullopt;
   }
@@ -99,9 +137,8 @@
 bool ProvesSyncOfNext(std::string_view bytes,
                       const std::vector<ParsedRecord>& records) {
   const uint64_t next = records.empty() ? 0 : records.back().sequence + 1;
-  const std::string magic = EncodeHeader({}).substr(0, sizeof(kMagic));
   // A file's first record may have any number: its own header proves nothing.
-  size_t position = bytes.find(magic, records.empty() ? 1 : 0);
+  size_t position = bytes.find(kMagicBytes, records.empty() ? 1 : 0);
   while (position != std::string_view::npos) {
     const auto header = ParseHeader(bytes.substr(position));
     if (header.has_value() &&
@@ -109,7 +146,7 @@
          (header->sequence == next && header->kind == kKindSyncMarker))) {
       return true;
     }
-    position = bytes.find(magic, position + 1);
+    position = bytes.find(kMagicBytes, position + 1);
   }
   return false;
 }
@@ -124,18 +161,21 @@
   }
   const auto header =
       ParseNext(bytes.substr(kRecordHeaderBytes), parsed.records);
-  return header.has_value() && header->kind == kKindRecord ? header
-                                                           : std::nullopt;
+  return header.has_value() && IsRecord(*header) ? header : std::nullopt;
 }
 
 }  // namespace
 
 std::string EncodeRecord(uint64_t sequence, std::string_view payload) {
-  std::string bytes = EncodeHeader({.kind = kKindRecord,
-                                    .sequence = sequence,
-                                    .length = payload.size(),
-                                    .payload_hash = Hash(payload)});
-  bytes += payload;
+  const bool is_escaped = payload.find(kMagicBytes) != std::string_view::npos;
+  const std::string escaped = is_escaped ? Escape(payload) : std::string();
+  const std::string_view stored = is_escaped ? escaped : payload;
+  std::string bytes =
+      EncodeHeader({.kind = is_escaped ? kKindEscapedRecord : kKindRecord,
+                    .sequence = sequence,
+                    .length = stored.size(),
+                    .payload_hash = Hash(stored)});
+  bytes += stored;
   return bytes;
 }
 
@@ -161,12 +201,18 @@
       }
       rest.remove_prefix(gap);
     }
-    parsed.ends_with_marker = header->kind == kKindSyncMarker;
-    if (header->kind == kKindRecord) {
+    const bool is_marker = header->kind == kKindSyncMarker;
+    const std::string_view entry =
+        rest.substr(0, kRecordHeaderBytes + header->length);
+    parsed.ends_with_marker = is_marker;
+    if (!is_marker) {
+      const std::string_view stored = entry.substr(kRecordHeaderBytes);
       parsed.records.push_back(
-          {header->sequence, rest.substr(kRecordHeaderBytes, header->length)});
+          {header->sequence, header->kind == kKindEscapedRecord
+                                 ? Unescape(stored)
+                                 : std::string(stored)});
     }
-    parsed.valid_bytes += gap + kRecordHeaderBytes + header->length;
+    parsed.valid_bytes += gap + entry.size();
   }
   return parsed;
 }
--- a/knapweedroad/storage/record_format.h
+++ b/knapweedroad/storage/record_format.h
@@ -12,8 +12,10 @@
 // loss of power may leave any part of the two. What proves that a record had
 // been synced is its own marker or the header of a later record: an invalid
 // record before such a proof is corrupted. Without a proof it is a torn write.
-// A missing marker is the mark of a loss of power unless something proves that
-// the next record, and so the marker, had been synced.
+// A payload that holds the magic number is stored escaped, since its bytes
+// could be taken for such a proof. A missing marker is the mark of a loss of
+// power unless something proves that the next record, and so the marker, had
+// been synced.
 
 #ifndef KNAPWEEDROAD_STORAGE_RECORD_FORMAT_H_
 #define KNAPWEEDROAD_STORAGE_RECORD_FORMAT_H_
@@ -31,11 +33,11 @@
 
 struct ParsedRecord {
   uint64_t sequence = 0;
-  std::string_view payload;
+  std::string payload;
 };
 
 struct ParsedRecords {
-  // The valid records, in order. Their payloads point into the parsed bytes.
+  // The valid records, in order.
   std::vector<ParsedRecord> records;
   // The length of the valid records and sync markers, including the place of a
   // missing marker before the last record. Unless `corruption_offset` is set,
