A data folder opens below folders that can't be created or synced

What callers would see: a control host that never starts where the folders above its data folder exist but may not be made, opened or synced by it: mkdir may fail with another error than that the folder exists, as on a read-only view of the files.

Folders that exist aren't created; one that can't be opened wasn't created by this process, and of a sync only an I/O error counts. Found by reading; the power-loss tests of new folders hold as before.

--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -85,12 +85,22 @@
   return store;
 }
 
+bool RecordStore::IsFolder(const std::string& path) const {
+  const int file = this->files->Open(path, O_RDONLY | O_DIRECTORY);
+  if (file >= 0) {
+    this->files->Close(file);
+  }
+  return file >= 0;
+}
+
 RecordStore::Outcome RecordStore::LockFolder() {
   const std::string& folder = this->options.folder;
   for (size_t end = 0; end != std::string::npos;) {
     end = folder.find('/', end + 1);
     const std::string parent = folder.substr(0, end);
-    if (this->files->CreateFolder(parent) != 0 && errno != EEXIST) {
+    // Folders that exist may lie where this process may create none.
+    if (!this->IsFolder(parent) && this->files->CreateFolder(parent) != 0 &&
+        errno != EEXIST) {
       return tl::unexpected(IoError(parent, "mkdir"));
     }
   }
@@ -343,19 +353,15 @@
     folder = folder.parent_path();
     const std::string path = folder.empty() ? "." : folder.string();
     const int file = this->files->Open(path, O_RDONLY | O_DIRECTORY);
-    if (file < 0 && errno == EACCES) {
-      // This user has not created a folder that it may not read.
-      continue;
-    }
     if (file < 0) {
-      return this->Fail(path, "open");
+      // This process has not created a folder that it may not open.
+      continue;
     }
     ++this->counters.syncs;
-    // Some file systems can't sync a folder, or are read-only.
-    const bool is_synced =
-        this->files->Sync(file) == 0 || errno == EINVAL || errno == EROFS;
+    // Other errors tell that folders can't be synced there.
+    const bool has_failed = this->files->Sync(file) != 0 && errno == EIO;
     this->files->Close(file);
-    if (!is_synced) {
+    if (has_failed) {
       return this->Fail(path, "fsync");
     }
   }
--- a/knapweedroad/storage/record_store.h
+++ b/knapweedroad/storage/record_store.h
@@ -95,6 +95,7 @@
   explicit RecordStore(RecordStoreOptions options);
 
   using Outcome = tl::expected<void, StorageError>;
+  bool IsFolder(const std::string& path) const;
   Outcome LockFolder();
   Outcome ReplayNewestFile(const std::function<void(std::string_view)>& replay);
   Outcome AppendToFile(std::string_view record);
