Control replicas repair the end of their file in place when they start

What callers would see: after a loss of power, a control host on a full disk refuses to start until there is room, for reads too. And after a failed sync during a start, a later loss of power makes the replica refuse to start for good ("synced data is damaged"), though nothing that it acknowledged is missing.

Cause: a tail that isn't proven was copied to a new file, which needs room. A file that ended with a marker was only synced: if a sync failed at one start, the kernel may have dropped the marker and still show it, and the next start's sync succeeds without it. The record behind it then proves that the marker had been synced.

Why the fix works: Open() cuts the torn tail off and writes what nothing proves to be on the disk once more at its place: the last marker, or the last record and the marker before it. Equal bytes are written over equal ones, so a loss of power in between leaves what was there, and a dropped page is written again. A marker that the full disk refuses doesn't keep the records from being replayed; the next Append() fails.

--- a/knapweedroad/storage/record_format.cc
+++ b/knapweedroad/storage/record_format.cc
@@ -204,6 +204,14 @@
     const bool is_marker = header->kind == kKindSyncMarker;
     const std::string_view entry =
         rest.substr(0, kRecordHeaderBytes + header->length);
+    if (!is_marker && (gap > 0 || parsed.ends_with_marker)) {
+      parsed.unproven_offset = parsed.valid_bytes + gap - kRecordHeaderBytes;
+      parsed.unproven = EncodeSyncMarker(header->sequence - 1);
+    } else {
+      parsed.unproven_offset = parsed.valid_bytes;
+      parsed.unproven.clear();
+    }
+    parsed.unproven += entry;
     parsed.ends_with_marker = is_marker;
     if (!is_marker) {
       const std::string_view stored = entry.substr(kRecordHeaderBytes);
--- a/knapweedroad/storage/record_format.h
+++ b/knapweedroad/storage/record_format.h
@@ -47,6 +47,11 @@
   // Whether the bytes end with the marker of the last record: no bytes after
   // the last sync are missing or torn.
   bool ends_with_marker = false;
+  // What nothing proves to be on the disk, though it is valid: the last marker,
+  // or the last record and the marker before it. `unproven` holds the bytes as
+  // they have to be from `unproven_offset` to `valid_bytes`.
+  size_t unproven_offset = 0;
+  std::string unproven;
   // The offset in bytes of a corrupted record or marker, if there is one. It
   // had been synced, so the caller must not discard it.
   std::optional<size_t> corruption_offset;
--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -147,14 +147,8 @@
         CorruptionError(path, parsed.corruption_offset.value_or(0)));
   }
   this->counters.torn_bytes_truncated = bytes->size() - parsed.valid_bytes;
-  this->next_sequence = parsed.records.back().sequence + 1;
-  this->file_bytes = parsed.valid_bytes;
-  const bool is_synced =
-      parsed.ends_with_marker && parsed.valid_bytes == bytes->size();
-  Outcome durable = is_synced ? this->SyncFileAndFolder(path)
-                              : this->CopyToNewFile(parsed.records);
-  if (!durable.has_value()) {
-    return durable;
+  if (auto repaired = this->RepairTail(*bytes, parsed); !repaired.has_value()) {
+    return repaired;
   }
   for (const uint64_t number : *numbers) {
     if (number != this->file_number) {
@@ -207,6 +201,35 @@
   }
 }
 
+// Cuts the torn tail off and writes what may not have been synced once more,
+// in place, so that it needs no room on a full disk.
+RecordStore::Outcome RecordStore::RepairTail(std::string_view bytes,
+                                             const ParsedRecords& parsed) {
+  const std::string path = this->FilePath(this->file_number);
+  if (bytes.size() > parsed.valid_bytes &&
+      this->files->Truncate(this->file, parsed.valid_bytes) != 0) {
+    return this->Fail(path, "ftruncate");
+  }
+  // A sync alone is not enough: after a failed one, the kernel no longer writes
+  // the pages that it still shows.
+  this->file_bytes = parsed.unproven_offset;
+  if (auto written = this->WriteAll(this->file, parsed.unproven);
+      !written.has_value()) {
+    return written;
+  }
+  if (auto synced = this->Sync(this->file, path); !synced.has_value()) {
+    return synced;
+  }
+  const uint64_t sequence = parsed.records.back().sequence;
+  this->next_sequence = sequence + 1;
+  if (!parsed.ends_with_marker) {
+    // Without room for the marker the records can still be replayed: the
+    // failed write makes the next Append() fail.
+    (void)this->WriteAll(this->file, EncodeSyncMarker(sequence));
+  }
+  return this->SyncFolder(this->options.folder);
+}
+
 RecordStore::Outcome RecordStore::Append(std::string_view record) {
   if (this->failed) {
     return tl::unexpected(
@@ -256,16 +279,6 @@
   return {};
 }
 
-RecordStore::Outcome RecordStore::CopyToNewFile(
-    const std::vector<ParsedRecord>& records) {
-  std::string bytes;
-  for (const ParsedRecord& record : records) {
-    bytes += EncodeRecord(record.sequence, record.payload);
-    bytes += EncodeSyncMarker(record.sequence);
-  }
-  return this->ReplaceFile(bytes);
-}
-
 // Writes and syncs the bytes as the next file before it removes this one.
 RecordStore::Outcome RecordStore::ReplaceFile(std::string_view bytes) {
   const std::string path = this->FilePath(this->file_number + 1);
@@ -328,13 +341,6 @@
   return {};
 }
 
-RecordStore::Outcome RecordStore::SyncFileAndFolder(const std::string& path) {
-  if (auto synced = this->Sync(this->file, path); !synced.has_value()) {
-    return synced;
-  }
-  return this->SyncFolder(this->options.folder);
-}
-
 RecordStore::Outcome RecordStore::SyncFolder(const std::string& folder) {
   const int folder_file = this->files->Open(folder, O_RDONLY | O_DIRECTORY);
   if (folder_file < 0) {
--- a/knapweedroad/storage/record_store.h
+++ b/knapweedroad/storage/record_store.h
@@ -16,7 +16,7 @@
 namespace knapweedroad {
 
 class FileSystem;
-struct ParsedRecord;
+struct ParsedRecords;
 
 struct RecordStoreOptions {
   // The data folder; created if it does not exist.
@@ -62,7 +62,7 @@
 //  - Corruption of synced data. Open() fails. A start from an older record
 //    would lose a vote that had been sent.
 //  - A record that a crashed process wrote but may not have synced, and that is
-//    still readable. Open() writes the records to a new file before it replays
+//    still readable. Open() writes and syncs it once more before it replays
 //    any: after a failed sync the kernel may show what the disk does not hold.
 //  - A failed sync. The kernel may drop the unwritten pages, and a second sync
 //    may then report success, so every later Append() fails.
@@ -102,11 +102,10 @@
   Outcome StartFile(std::string_view first_record);
   tl::expected<std::vector<uint64_t>, StorageError> ListFiles();
   tl::expected<std::string, StorageError> ReadFile(const std::string& path);
-  Outcome CopyToNewFile(const std::vector<ParsedRecord>& records);
+  Outcome RepairTail(std::string_view bytes, const ParsedRecords& parsed);
   Outcome ReplaceFile(std::string_view bytes);
   Outcome WriteAll(int file, std::string_view bytes);
   Outcome Sync(int file, const std::string& path);
-  Outcome SyncFileAndFolder(const std::string& path);
   Outcome SyncFolder(const std::string& folder);
   Outcome SyncParentFolders();
   Outcome Fail(std::string path, std::string_view call);
