A whole data file opens on a disk that refuses every write

What callers would see: a control host that is restarted while its disk is full ends its start, and has no vote and answers no read until there is room, though its file is whole and was synced.

Cause: the last marker is written again at each start, and a full disk may refuse to write over bytes, too. The refused write now only makes the next Append() fail, after which the folder is read again from its start; the records, which the marker proves, are replayed.

--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -213,9 +213,11 @@
   // A sync alone is not enough: after a failed one, the kernel no longer writes
   // the pages that it still shows.
   this->file_bytes = parsed.unproven_offset;
-  if (auto written = this->WriteAll(this->file, parsed.unproven);
-      !written.has_value()) {
-    return written;
+  const Outcome written = this->WriteAll(this->file, parsed.unproven);
+  // A full disk that refuses to write the last marker again doesn't keep proven
+  // records from being replayed: the failed write makes the next Append() fail.
+  if (!written.has_value() && !parsed.ends_with_marker) {
+    return tl::unexpected(written.error());
   }
   if (auto synced = this->Sync(this->file, path); !synced.has_value()) {
     return synced;
@@ -223,8 +225,7 @@
   const uint64_t sequence = parsed.records.back().sequence;
   this->next_sequence = sequence + 1;
   if (!parsed.ends_with_marker) {
-    // Without room for the marker the records can still be replayed: the
-    // failed write makes the next Append() fail.
+    // The same holds for a marker that there is no room for.
     (void)this->WriteAll(this->file, EncodeSyncMarker(sequence));
   }
   return this->SyncFolder(this->options.folder);
