Control hosts begin with the members on their disks, not with seeds alone

What callers saw: after all control hosts had lost power and one its disk, that one answered each read of the configuration with 503 for as long as it ran ("state= no_membership", itself the only replica that answered), if the seeds in its settings had been replaced before. The others had lost their quorum's spare: a host that isn't heard of is no member again.

Cause: after a start a control host follows its seeds and whom those name. Members are on the disks, but were used by the replicas' own calls only, which tell nobody of the caller. With seeds that are gone no host follows another, and nobody tells a blank one of the rest.

Why the fix works: a control host also follows the hosts of the members of its own accepted value. A blank host runs at the address of a member, hears that it is followed, and asks the one that follows it.

Open: a blank host whose address is no member's, and hosts without a disk, still need one seed that lives.

--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -59,6 +59,18 @@
   return {};
 }
 
+// A host that lost its disk may know only seeds that are gone. The members that
+// others have on their disks find it, and so it hears of them.
+std::vector<HostId> ControlHost::State::FirstContacts() const {
+  std::vector<HostId> hosts = this->seeds;
+  if (const auto& value = this->replica->accepted()) {
+    for (const MemberId& member : value->members.Everyone()) {
+      hosts.push_back(member.host);
+    }
+  }
+  return hosts;
+}
+
 void ControlHost::State::MakeFollower() {
   this->follower = std::make_unique<ControlFollower>(
       this->runtime,
@@ -67,7 +79,7 @@
           .zone = this->options.settings.zone,
           .role = FollowerRole::kControl,
           .most_links = 0,
-          .seeds = [this] { return this->seeds; },
+          .seeds = [this] { return this->FirstContacts(); },
           .held_version = [this] { return this->agreed.version(); },
           .take_outcomes =
               [this](const HostId& to) {
