Changes without a quorum are logged with the missing members, and gauges show them

What operators saw: a change without a quorum was logged with accepted=0 and no word of the members; nothing but log lines showed how many members answer; and the last change of a list of outliers within 30 s was missing from the log until the next change.

A change without a quorum carries the report of agreed_read_failed, as the host's last regular question to all replicas found it, at most once a second. Gauges has_quorum, members, members_answering and membership_phase show the same question's outcome. RepeatedEventLog writes the state that was left out once the interval is over.

--- a/knapweedroad/base/log_limit.cc
+++ b/knapweedroad/base/log_limit.cc
@@ -5,7 +5,7 @@
 namespace knapweedroad {
 
 std::optional<uint64_t> LogLimit::Admit(TimePoint now) {
-  if (this->last_admitted && now - *this->last_admitted < this->interval) {
+  if (this->IsLimited(now)) {
     ++this->left_out;
     return std::nullopt;
   }
@@ -13,4 +13,12 @@
   return std::exchange(this->left_out, 0);
 }
 
+bool LogLimit::HasLeftOut(TimePoint now) const {
+  return this->left_out > 0 && !this->IsLimited(now);
+}
+
+bool LogLimit::IsLimited(TimePoint now) const {
+  return this->last_admitted && now - *this->last_admitted < this->interval;
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/base/log_limit.h
+++ b/knapweedroad/base/log_limit.h
@@ -23,7 +23,13 @@
   // may be written now, and counts this one as left out otherwise.
   std::optional<uint64_t> Admit(TimePoint now);
 
+  // Whether lines were left out since the last admitted one and the next one
+  // would be admitted.
+  bool HasLeftOut(TimePoint now) const;
+
  private:
+  bool IsLimited(TimePoint now) const;
+
   Duration interval;
   std::optional<TimePoint> last_admitted;
   uint64_t left_out = 0;
--- a/knapweedroad/edge/agreed_editor.cc
+++ b/knapweedroad/edge/agreed_editor.cc
@@ -45,16 +45,25 @@
       deadline);
   const bool is_accepted = outcome.result == ChangeResult::kAccepted;
   ++(is_accepted ? this->changes_accepted : this->changes_unknown);
-  LogLine("change")
-      .Add("change", name)
-      .Add("accepted", is_accepted)
-      .Add("version", outcome.version)
-      .Add("reason", static_cast<int>(outcome.reason))
-      .Add("detail", outcome.detail)
-      .Info();
+  this->ReportChange(name, outcome);
   return outcome;
 }
 
+void AgreedEditor::ReportChange(const std::string& name,
+                                const ChangeOutcome& outcome) {
+  LogLine line("change");
+  line.Add("change", name)
+      .Add("accepted", outcome.result == ChangeResult::kAccepted)
+      .Add("reason", static_cast<int>(outcome.reason))
+      .Add("detail", outcome.detail);
+  if (outcome.reason != ChangeReason::kNoQuorum) {
+    line.Add("version", outcome.version);
+  } else if (this->change_reports.Admit(Runtime::Now())) {
+    AddQuorumReport(line, this->options.last_look());
+  }
+  line.Info();
+}
+
 bool AgreedEditor::Edit(const std::string& name,
                         std::function<void(AgreedState&)> edit,
                         TimePoint deadline) {
--- a/knapweedroad/edge/agreed_editor.h
+++ b/knapweedroad/edge/agreed_editor.h
@@ -19,17 +19,17 @@
 #include "knapweedroad/control/change_request.h"
 #include "knapweedroad/control/control_value.h"
 #include "knapweedroad/edge/order_guard.h"
+#include "knapweedroad/host/control_service.h"
 #include "knapweedroad/registry/agreed_state.h"
 
 namespace knapweedroad {
 
-class ControlService;
-struct ControlPeek;
-
 struct AgreedEditorOptions {
   OperatorId author;
   // Outlives the editor.
   ControlService& service;
+  // What this host's last question to all replicas found, for the log.
+  std::function<ControlPeek()> last_look;
   // A read has found this chosen.
   std::function<void(uint64_t version, const std::string& text)> on_chosen;
 };
@@ -98,12 +98,14 @@
             TimePoint deadline);
   std::optional<ControlValue> ReadValue(TimePoint deadline);
   void ReportFailedRead(const ControlPeek& peek);
+  void ReportChange(const std::string& name, const ChangeOutcome& outcome);
 
   AgreedEditorOptions options;
   uint64_t changes_accepted = 0;
   uint64_t changes_unknown = 0;
   uint64_t reads_failed = 0;
   LogLimit read_lines{std::chrono::seconds(1)};
+  LogLimit change_reports{std::chrono::seconds(1)};
 };
 
 }  // namespace knapweedroad
--- a/knapweedroad/edge/agreed_read_test.cc
+++ b/knapweedroad/edge/agreed_read_test.cc
@@ -1,16 +1,21 @@
 // Reads of the agreed value through a control service whose calls are fakes.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include <criterion/criterion.h>
 
+#include "knapweedroad/base/log_line.h"
 #include "knapweedroad/control/control_messages.h"
+#include "knapweedroad/edge/agreed_editor.h"
+#include "knapweedroad/edge/replica_membership.h"
 #include "knapweedroad/host/control_service.h"
 #include "knapweedroad/net/runtime.h"
 
@@ -111,5 +116,110 @@
   });
 }
 
+// What was logged while it lived.
+class LoggedLines {
+ public:
+  LoggedLines() {
+    LogLine::SetSink(
+        [this](std::string_view line) { this->lines.emplace_back(line); });
+  }
+  ~LoggedLines() { LogLine::SetSink(nullptr); }
+
+  // How many lines contain all of the texts.
+  ptrdiff_t Count(std::vector<std::string> texts) const {
+    return std::ranges::count_if(this->lines, [&](const std::string& line) {
+      return std::ranges::all_of(texts, [&](const std::string& text) {
+        return line.find(text) != std::string::npos;
+      });
+    });
+  }
+
+ private:
+  std::vector<std::string> lines;
+};
+
+const std::vector<HostId> kAll = {HostId("a"), HostId("b"), HostId("c")};
+
+// A read that failed left no line that tells a lost quorum from other faults.
+Test(agreed_read, a_failed_read_is_logged_with_the_missing_members) {
+  InRuntime([](Runtime& runtime, Replicas& replicas) {
+    const LoggedLines log;
+    replicas.Hold("a", 5);
+    replicas.silent = {"b", "c"};
+    ControlService service(runtime, replicas.Options(kAll));
+    AgreedEditor editor({.author = OperatorId("o"), .service = service});
+    cr_assert(!editor.Read(Runtime::Now() + 20ms));
+    cr_assert(!editor.Read(Runtime::Now() + 20ms));
+    cr_expect(log.Count({"event=agreed_read_failed", "state=no_quorum",
+                         "missing=\"b#1 c#1\""}) == 1);
+    cr_expect(editor.failed_reads() == 2);
+    replicas.silent.clear();
+  });
+}
+
+// A change that found no quorum left no line that tells which members were
+// missing.
+Test(agreed_read,
+     a_change_without_a_quorum_is_logged_with_the_missing_members) {
+  InRuntime([](Runtime& runtime, Replicas& replicas) {
+    const LoggedLines log;
+    replicas.Hold("a", 5);
+    replicas.silent = {"b", "c"};
+    ControlService service(runtime, replicas.Options(kAll));
+    const ControlPeek look = service.Peek(Runtime::Now() + 20ms);
+    AgreedEditor editor({.author = OperatorId("o"),
+                         .service = service,
+                         .last_look = [&] { return look; }});
+    for (int i = 0; i < 2; ++i) {
+      cr_assert(!editor.PutRouting(1, "text", Runtime::Now() + 20ms));
+    }
+    cr_expect(log.Count({"event=change", "accepted=0"}) == 2);
+    cr_expect(log.Count({"event=change", "accepted=0", "state=no_quorum",
+                         "missing=\"b#1 c#1\""}) == 1);
+    replicas.silent.clear();
+  });
+}
+
+// A quorum that was lost and came back left no line.
+Test(agreed_read, a_lost_and_a_found_quorum_are_logged_once_each) {
+  InRuntime([](Runtime& runtime, Replicas& replicas) {
+    const LoggedLines log;
+    for (const char* const host : {"a", "b", "c"}) {
+      replicas.Hold(host, 5);
+    }
+    ControlService service(runtime, replicas.Options(kAll));
+    ReplicaMembership membership(
+        {.self = Member("a"),
+         .service = service,
+         .hosts = [] { return kAll; },
+         .has_version = [] { return true; },
+         .on_quorum = [](TimePoint) {},
+         .on_chosen = [](uint64_t, const std::string&) {}});
+    bool is_over = false;
+    runtime.Spawn([&] {
+      membership.Run();
+      is_over = true;
+    });
+    const auto await = [&](const std::string& event) {
+      const TimePoint give_up = Runtime::Now() + 20s;
+      while (log.Count({event}) == 0 && Runtime::Now() < give_up) {
+        Runtime::SleepFor(1ms);
+      }
+    };
+    await("event=quorum_found");
+    replicas.silent = {"b", "c"};
+    await("event=quorum_lost");
+    replicas.silent.clear();
+    membership.Stop();
+    while (!is_over) {
+      Runtime::SleepFor(1ms);
+    }
+    cr_expect(log.Count({"event=quorum_found", "state=chosen"}) == 1);
+    cr_expect(log.Count({"event=quorum_lost", "state=no_quorum",
+                         "missing=\"b#1 c#1\""}) == 1);
+    cr_expect(membership.last_look().newest.has_value());
+  });
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -11,6 +11,7 @@
 #include "knapweedroad/edge/control_host_id.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/role_parts.h"
+#include "knapweedroad/host/quorum_report.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/registry/announcement_redirect.h"
 #include "knapweedroad/registry/control_hosts_view.h"
@@ -54,7 +55,16 @@
       connectivity(this->options.settings.zone),
       registry({.self = this->self,
                 .silent_after = this->options.settings.heartbeat_interval *
-                                kMissedHeartbeats}) {}
+                                kMissedHeartbeats}),
+      outlier_lines({.event = "outliers_changed",
+                     .interval = kOutlierLineInterval,
+                     .describe = [this](LogLine& line) {
+                       const OutlierDetector& detector =
+                           this->outcomes.detector();
+                       line.Add("count", detector.outliers().size())
+                           .Add("revision", detector.revision())
+                           .Add("worst", DescribeOutliers(detector.outliers()));
+                     }}) {}
 
 std::vector<ControlHostRecord> ControlHost::State::ControlHosts() const {
   std::vector<ControlHostRecord> hosts = this->follower->LiveRecords();
@@ -123,15 +133,7 @@
     return;
   }
   this->hub->Wake();
-  if (const auto left_out = this->outlier_lines.Admit(Runtime::Now())) {
-    const OutlierDetector& detector = this->outcomes.detector();
-    LogLine("outliers_changed")
-        .Add("count", detector.outliers().size())
-        .Add("revision", detector.revision())
-        .Add("left_out", *left_out)
-        .Add("worst", DescribeOutliers(detector.outliers()))
-        .Info();
-  }
+  this->outlier_lines.OnEvent(Runtime::Now());
 }
 
 void ControlHost::State::Tick() {
@@ -157,6 +159,7 @@
   if (++this->ticks % kOutlierTicks == 0) {
     this->JudgeTargets();
   }
+  this->outlier_lines.Tick(now);
   if (this->options.on_tick) {
     this->options.on_tick();
   }
@@ -177,6 +180,13 @@
   add("agreed_version", "gauge", this->agreed.version());
   add("control_hosts", "gauge", this->ControlHosts().size());
   add("quorum_age_ms", "gauge", QuorumAgeMs(this->follower->View()));
+  const ControlPeek& look = this->membership->last_look();
+  const Membership members =
+      look.newest ? look.newest->value.members : Membership();
+  add("members", "gauge", members.Everyone().size());
+  add("members_answering", "gauge", CountAnsweringMembers(look));
+  add("membership_phase", "gauge", static_cast<int>(members.phase));
+  add("has_quorum", "gauge", look.has_quorum ? 1 : 0);
   if (this->options.settings.strict_revocation) {
     add("confirmation_age_ms", "gauge", ConfirmationAgeMs(*this->confirmer));
   }
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -11,7 +11,7 @@
 
 #include <tl/expected.hpp>
 
-#include "knapweedroad/base/log_limit.h"
+#include "knapweedroad/base/repeated_event_log.h"
 #include "knapweedroad/base/standstill_detector.h"
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/edge/agreed_editor.h"
@@ -84,7 +84,7 @@
   TargetRegistry registry;
   OutcomeCollector outcomes;
   bool is_judging_soon = false;
-  LogLimit outlier_lines{kOutlierLineInterval};
+  RepeatedEventLog outlier_lines;
   std::shared_ptr<ControlReplica> replica;
   std::unique_ptr<ControlService> service;
   std::unique_ptr<AgreedEditor> editor;
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -151,9 +151,15 @@
   this->editor = std::make_unique<AgreedEditor>(AgreedEditorOptions{
       .author = OperatorId("control-" + this->self.str()),
       .service = *this->service,
-      .on_chosen = [this](uint64_t version, const std::string& text) {
-        this->TakeAgreed(version, text);
-      }});
+      .last_look =
+          [this] {
+            return this->membership == nullptr ? ControlPeek()
+                                               : this->membership->last_look();
+          },
+      .on_chosen =
+          [this](uint64_t version, const std::string& text) {
+            this->TakeAgreed(version, text);
+          }});
   this->orders = std::make_unique<OrderGuard>(OrderGuardOptions{
       .read_version =
           [this](BootTime deadline) {
--- a/knapweedroad/edge/replica_membership.cc
+++ b/knapweedroad/edge/replica_membership.cc
@@ -84,7 +84,7 @@
 
 MemberView ReplicaMembership::Look(TimePoint deadline) {
   const TimePoint asked = Runtime::Now();
-  const ControlPeek peek = this->options.service.Peek(deadline);
+  ControlPeek peek = this->options.service.Peek(deadline);
   MemberView view{.has_quorum = peek.has_quorum,
                   .is_formed = peek.is_formed,
                   .answering = peek.answering};
@@ -96,6 +96,7 @@
     this->options.on_chosen(peek.chosen->value.version,
                             peek.chosen->value.configuration);
   }
+  this->newest_look = KeepForReport(std::move(peek));
   return view;
 }
 
--- a/knapweedroad/edge/replica_membership.h
+++ b/knapweedroad/edge/replica_membership.h
@@ -15,12 +15,10 @@
 #include "knapweedroad/base/time.h"
 #include "knapweedroad/control/member_id.h"
 #include "knapweedroad/control/membership_controller.h"
+#include "knapweedroad/host/control_service.h"
 
 namespace knapweedroad {
 
-class ControlService;
-struct ControlPeek;
-
 struct ReplicaMembershipOptions {
   // This host's replica.
   MemberId self;
@@ -51,6 +49,9 @@
   // are left. Blocks the calling fiber until that is done or the deadline.
   void Leave(TimePoint deadline);
 
+  // What the last question to all replicas found, as KeepForReport() leaves it.
+  const ControlPeek& last_look() const { return this->newest_look; }
+
  private:
   // Asks all replicas, and takes over what is chosen.
   MemberView Look(TimePoint deadline);
@@ -62,6 +63,7 @@
 
   ReplicaMembershipOptions options;
   MembershipController controller;
+  ControlPeek newest_look;
   bool had_quorum = false;
   bool is_stopped = false;
 };
--- a/knapweedroad/host/quorum_report.cc
+++ b/knapweedroad/host/quorum_report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -22,6 +23,13 @@
   return std::move(text).str();
 }
 
+void KeepMembers(std::optional<BallotedValue>& balloted) {
+  if (balloted) {
+    ControlValue& value = balloted->value;
+    value = {.version = value.version, .members = std::move(value.members)};
+  }
+}
+
 }  // namespace
 
 std::string_view QuorumState(const ControlPeek& peek) {
@@ -57,4 +65,20 @@
   line.Add("answering", Join(peek.answering));
 }
 
+size_t CountAnsweringMembers(const ControlPeek& peek) {
+  if (!peek.newest) {
+    return 0;
+  }
+  const std::vector<MemberId> members = peek.newest->value.members.Everyone();
+  return static_cast<size_t>(std::ranges::count_if(
+      members,
+      [&](const MemberId& member) { return peek.answering.contains(member); }));
+}
+
+ControlPeek KeepForReport(ControlPeek peek) {
+  KeepMembers(peek.chosen);
+  KeepMembers(peek.newest);
+  return peek;
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/host/quorum_report.h
+++ b/knapweedroad/host/quorum_report.h
@@ -11,6 +11,7 @@
 #ifndef KNAPWEEDROAD_HOST_QUORUM_REPORT_H_
 #define KNAPWEEDROAD_HOST_QUORUM_REPORT_H_
 
+#include <cstddef>
 #include <string_view>
 
 namespace knapweedroad {
@@ -29,6 +30,12 @@
 // value that was seen.
 void AddQuorumReport(LogLine& line, const ControlPeek& peek);
 
+// How many members of the newest value that was seen answered.
+size_t CountAnsweringMembers(const ControlPeek& peek);
+
+// Leaves out all that a report doesn't tell: the values may be megabytes.
+ControlPeek KeepForReport(ControlPeek peek);
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_HOST_QUORUM_REPORT_H_
--- a/knapweedroad/host/quorum_report_test.cc
+++ b/knapweedroad/host/quorum_report_test.cc
@@ -47,6 +47,23 @@
             "%s", line.c_str());
 }
 
+// A gauge counts blank replicas as members that answer.
+Test(quorum_report, only_members_count_as_answering_members) {
+  cr_assert(CountAnsweringMembers(PeekOf({kA, kBlankB}, {kA})) == 1);
+  cr_assert(CountAnsweringMembers({.answering = {kBlankB}}) == 0);
+}
+
+// A report that is kept for the log holds on to configurations of megabytes.
+Test(quorum_report, what_is_kept_for_a_report_has_no_texts_and_says_the_same) {
+  ControlPeek peek = PeekOf({kA, kB}, {kA});
+  peek.newest->value.configuration = "text";
+  peek.chosen = peek.newest;
+  const ControlPeek kept = KeepForReport(peek);
+  cr_assert(kept.newest->value.configuration.empty());
+  cr_assert(kept.chosen->value.configuration.empty());
+  cr_assert(Describe(kept) == Describe(peek));
+}
+
 // A log doesn't tell a value that too few replicas hold from a lost quorum.
 Test(quorum_report, a_value_that_too_few_hold_is_undecided) {
   cr_assert(QuorumState(PeekOf({kA, kB}, {kA})) == "undecided");
