Control hosts don't read a replica that its disk's thread reads anew

What callers would see: a crash or a wrong list of hosts at a control host whose disk fails. Since it follows the members that its replica holds, its own fiber reads the accepted value at any time, while a broken replica is read anew from the disk by another thread. Found by reading; no run under a thread sanitizer.

Nothing is told of a broken replica until it has been read.

--- a/knapweedroad/host/control_replica.cc
+++ b/knapweedroad/host/control_replica.cc
@@ -213,7 +213,8 @@
 
 const std::optional<ControlValue>& ControlReplica::accepted() const {
   static const std::optional<ControlValue> nothing;
-  return this->state->acceptor.has_value()
+  // The disk's thread reads a broken replica anew.
+  return !this->state->broken && this->state->acceptor.has_value()
              ? this->state->acceptor->current().value
              : nothing;
 }
--- a/knapweedroad/host/control_replica.h
+++ b/knapweedroad/host/control_replica.h
@@ -55,7 +55,7 @@
   void Learn(const Membership& members);
 
   const MemberId& id() const;
-  // What has been accepted here, chosen or not.
+  // What has been accepted here, chosen or not; nothing while the disk fails.
   const std::optional<ControlValue>& accepted() const;
   RecordStoreStats stats() const;
   // A sync has failed: this replica is out until its disk is well again.
