--- a/knapweedroad/edge/agreed_read_test.cc
+++ b/knapweedroad/edge/agreed_read_test.cc
@@ -31,8 +31,6 @@
 // Three replicas that answer queries and make no promises.
 class Replicas {
  public:
-  explicit Replicas(Runtime& runtime) : runtime(runtime) {}
-
   ControlServiceOptions Options(std::vector<HostId> known_hosts) {
     return {.self = HostId("reader"),
             .first_hosts = std::move(known_hosts),
@@ -72,14 +70,13 @@
         .from = Member(host), .accepted = value.ballot, .value = value.value});
   }
 
-  Runtime& runtime;
   std::map<std::string, BallotedValue> held;
 };
 
 void InRuntime(const std::function<void(Runtime&, Replicas&)>& story) {
   Runtime runtime;
   runtime.Spawn([&] {
-    Replicas replicas(runtime);
+    Replicas replicas;
     story(runtime, replicas);
     runtime.Stop();
   });
@@ -166,7 +163,7 @@
     replicas.Hold("a", 5);
     replicas.silent = {"b", "c"};
     ControlService service(runtime, replicas.Options(kAll));
-    const ControlPeek look = service.Peek(Runtime::Now() + 20ms);
+    ControlPeek look = service.Peek(Runtime::Now() + 20ms);
     AgreedEditor editor({.author = OperatorId("o"),
                          .service = service,
                          .last_look = [&] { return look; }});
