Histories in virtual time know only seeds and members; one rule for whom hosts turn to

What the histories missed: a host in them asked every other host, so that none could show a host without its disk whose settings name machines that are gone.

A host now asks its seeds, the members that it knows and whom it has heard of. That rule is ControlContacts, which control hosts use, too, in place of the rule in the wiring: it also counts the members of a newer value that was heard.

--- a/knapweedroad/control/fake_cluster.cc
+++ b/knapweedroad/control/fake_cluster.cc
@@ -334,12 +334,15 @@
   return host.up && !host.is_frozen;
 }
 
-ReplicaSurvey FakeCluster::Survey(const std::string& name) {
+ReplicaSurvey FakeCluster::Survey(const std::string& name,
+                                  const std::set<std::string>& asked) {
   Proposer& proposer = *this->hosts.at(name)->proposer;
+  proposer.AskAlso({asked.begin(), asked.end()});
   ReplicaSurvey survey(proposer.known());
   const Ballot held = proposer.known() ? proposer.known()->ballot : Ballot();
   for (const auto& [other, host] : this->hosts) {
-    if (this->is_running(other) && this->IsConnected(name, other) &&
+    const bool is_asked = asked.empty() || asked.contains(other);
+    if (is_asked && this->is_running(other) && this->IsConnected(name, other) &&
         !host->syncing.has_value()) {
       survey.OnReply(
           host->acceptor->OnQuery({.to = {HostId(other)}, .held = held}));
@@ -375,6 +378,11 @@
   return &*this->hosts.at(host)->acceptor;
 }
 
+const std::optional<BallotedValue>& FakeCluster::known(
+    const std::string& host) const {
+  return this->hosts.at(host)->proposer->known();
+}
+
 bool FakeCluster::Chance(double probability) {
   return std::bernoulli_distribution(probability)(this->random);
 }
--- a/knapweedroad/control/fake_cluster.h
+++ b/knapweedroad/control/fake_cluster.h
@@ -83,13 +83,17 @@
   void Heal();
 
   bool is_running(const std::string& host) const;
-  // What the replicas tell a host that asks all of them now. It learns a chosen
-  // value from that.
-  ReplicaSurvey Survey(const std::string& host);
+  // What the replicas tell a host that asks these now, or all of them where
+  // `asked` is empty. It learns a chosen value from that, and its runs begin
+  // with the same hosts.
+  ReplicaSurvey Survey(const std::string& host,
+                       const std::set<std::string>& asked = {});
 
   // Adds a host with a blank disk, if need be, and returns its identity.
   MemberId AddHost(const std::string& host);
   const Acceptor* acceptor(const std::string& host) const;
+  // The newest accepted value that the host has seen since its start.
+  const std::optional<BallotedValue>& known(const std::string& host) const;
 
  private:
   struct Host;
--- a/knapweedroad/control/membership_world.cc
+++ b/knapweedroad/control/membership_world.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "knapweedroad/control/control_contacts.h"
+#include "knapweedroad/control/control_value.h"
+
 namespace knapweedroad {
 namespace {
 
@@ -13,6 +16,8 @@
 constexpr Duration kLook = milliseconds(700);
 constexpr Duration kUnsettledLook = milliseconds(200);
 constexpr Duration kLookTimeout = milliseconds(350);
+constexpr Duration kFirstLook = milliseconds(60);
+constexpr Duration kFirstLookTimeout = milliseconds(120);
 constexpr Duration kMoveTimeout = milliseconds(3000);
 // When callers turn to another host.
 constexpr Duration kCallerPatience = milliseconds(1000);
@@ -23,18 +28,27 @@
 MembershipWorld::MembershipWorld(const FakeClusterOptions& options)
     : replicas(options), random(options.seed) {
   for (const std::string& host : options.hosts) {
+    this->seeds[host] = options.hosts;
     this->Boot(host);
   }
 }
 
 void MembershipWorld::Boot(const std::string& host) {
-  this->watchers[host] = {.controller = std::make_unique<MembershipController>(
-                              MembershipControllerOptions{
-                                  .self = this->replicas.acceptor(host)->id()}),
-                          .next_look = this->replicas.now()};
+  this->watchers[host] = {
+      .controller =
+          std::make_unique<MembershipController>(MembershipControllerOptions{
+              .self = this->replicas.acceptor(host)->id()}),
+      .next_look = this->replicas.now(),
+      .heard = {this->seeds.at(host).begin(), this->seeds.at(host).end()}};
 }
 
-void MembershipWorld::AddHost(const std::string& host) {
+void MembershipWorld::AddHost(const std::string& host,
+                              const std::vector<std::string>& seeds) {
+  this->seeds[host] = seeds;
+  if (seeds.empty()) {
+    this->seeds[host] = this->Running();
+    this->seeds[host].resize(std::min<size_t>(this->seeds[host].size(), 3));
+  }
   this->replicas.AddHost(host);
   this->Boot(host);
 }
@@ -62,13 +76,48 @@
   return running;
 }
 
+std::vector<HostId> MembershipWorld::Contacts(const std::string& host) const {
+  const std::vector<std::string>& names = this->seeds.at(host);
+  std::vector<HostId> own_seeds(names.begin(), names.end());
+  return ControlContacts(own_seeds,
+                         this->replicas.acceptor(host)->current().value,
+                         this->replicas.known(host));
+}
+
+ReplicaSurvey MembershipWorld::Survey(const std::string& host) {
+  std::set<std::string> asked = this->watchers.at(host).heard;
+  asked.insert(host);
+  for (const HostId& contact : this->Contacts(host)) {
+    asked.insert(contact.str());
+  }
+  return this->replicas.Survey(host, asked);
+}
+
+void MembershipWorld::Exchange(const std::string& host,
+                               const std::set<MemberId>& answering) {
+  std::set<std::string>& heard = this->watchers.at(host).heard;
+  for (const HostId& contact : this->Contacts(host)) {
+    heard.insert(contact.str());
+  }
+  for (const MemberId& member : answering) {
+    const std::string other = member.host.str();
+    if (heard.contains(other)) {
+      Watcher& followed = this->watchers.at(other);
+      followed.heard.insert(host);
+      heard.insert(followed.heard.begin(), followed.heard.end());
+    }
+  }
+}
+
 MemberView MembershipWorld::View(const std::string& host) {
-  const ReplicaSurvey survey = this->replicas.Survey(host);
+  const ReplicaSurvey survey = this->Survey(host);
+  this->Exchange(host, survey.Answering());
   MemberView view{.has_quorum = survey.HasQuorum(),
                   .is_formed = survey.is_formed(),
                   .answering = survey.Answering()};
   if (survey.IsChosen()) {
     view.members = survey.newest()->value.members;
+    this->watchers.at(host).has_version = true;
   }
   return view;
 }
@@ -119,12 +168,16 @@
   const MemberView view = this->View(host);
   this->Act(host, watcher, watcher.controller->Decide(view, now));
   std::uniform_int_distribution<int> part(50, 100);
-  const Duration pause =
-      watcher.controller->IsSettled(now) ? kLook : kUnsettledLook;
+  Duration pause = kFirstLook;
+  if (watcher.has_version) {
+    pause = watcher.controller->IsSettled(now) ? kLook : kUnsettledLook;
+  }
   // A look lasts until all hosts that are known have answered or its time-out.
+  const Duration timeout =
+      watcher.has_version ? kLookTimeout : kFirstLookTimeout;
   const bool all_answer = view.answering.size() >= this->watchers.size();
   watcher.next_look = now + pause * part(this->random) / 100 +
-                      (all_answer ? Duration::zero() : kLookTimeout);
+                      (all_answer ? Duration::zero() : timeout);
 }
 
 void MembershipWorld::RunFor(Duration span) {
@@ -162,13 +215,20 @@
   return false;
 }
 
+std::optional<uint64_t> MembershipWorld::ReadAt(const std::string& host) {
+  const ReplicaSurvey survey = this->Survey(host);
+  if (!survey.IsChosen()) {
+    return std::nullopt;
+  }
+  return std::stoull("0" + survey.newest()->value.configuration);
+}
+
 std::optional<uint64_t> MembershipWorld::Read(Duration within) {
   const TimePoint end = this->replicas.now() + within;
   while (this->replicas.now() < end) {
     for (const std::string& host : this->Running()) {
-      const ReplicaSurvey survey = this->replicas.Survey(host);
-      if (survey.IsChosen()) {
-        return std::stoull("0" + survey.newest()->value.configuration);
+      if (const auto number = this->ReadAt(host)) {
+        return number;
       }
     }
     this->RunFor(kStep);
@@ -176,4 +236,16 @@
   return std::nullopt;
 }
 
+bool MembershipWorld::AllRead(uint64_t number, Duration within) {
+  const TimePoint end = this->replicas.now() + within;
+  std::vector<std::string> left = this->Running();
+  while (!left.empty() && this->replicas.now() < end) {
+    std::erase_if(left, [&](const std::string& host) {
+      return this->ReadAt(host) == number;
+    });
+    this->RunFor(kStep);
+  }
+  return left.empty();
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/control/membership_world.h
+++ b/knapweedroad/control/membership_world.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,11 @@
  public:
   explicit MembershipWorld(const FakeClusterOptions& options);
 
-  // An empty machine at another address.
-  void AddHost(const std::string& host);
+  // An empty machine at another address. Its settings name `seeds`, or three
+  // hosts that run where it is empty.
+  void AddHost(const std::string& host,
+               const std::vector<std::string>& seeds = {});
+  // With the settings that it had.
   void Restart(const std::string& host);
   // Leaves the members as at a termination signal, and ends for good.
   void Stop(const std::string& host);
@@ -39,6 +43,8 @@
   bool Change(uint64_t number, Duration within);
   // The newest acknowledged number; nothing if no host can tell in time.
   std::optional<uint64_t> Read(Duration within);
+  // Whether each host that runs tells this number in time.
+  bool AllRead(uint64_t number, Duration within);
 
   FakeCluster& cluster() { return this->replicas; }
   // Hosts that run, whether or not they are members.
@@ -50,9 +56,19 @@
     std::optional<FakeCluster::TaskId> task;
     TimePoint task_end;
     TimePoint next_look;
+    // Hosts of the settings, and those heard of since the start.
+    std::set<std::string> heard;
+    bool has_version = false;
   };
 
   void Boot(const std::string& host);
+  std::optional<uint64_t> ReadAt(const std::string& host);
+  // What the host learns of the replicas at those that it knows.
+  ReplicaSurvey Survey(const std::string& host);
+  // Control hosts that the host follows of itself.
+  std::vector<HostId> Contacts(const std::string& host) const;
+  // Hosts that follow one another tell each other of the hosts they hear.
+  void Exchange(const std::string& host, const std::set<MemberId>& answering);
   void Look(const std::string& host, Watcher& watcher);
   MemberView View(const std::string& host);
   void Act(const std::string& host,
@@ -63,6 +79,7 @@
   FakeCluster replicas;
   std::mt19937 random;
   std::map<std::string, Watcher> watchers;
+  std::map<std::string, std::vector<std::string>> seeds;
   uint64_t requests = 0;
 };
 
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -70,8 +70,6 @@
   tl::expected<void, std::string> Serve();
   void BeginWork();
 
-  // Control hosts known without having heard of them: seeds and members.
-  std::vector<HostId> FirstContacts() const;
   // Live ones, this one among them.
   std::vector<ControlHostRecord> ControlHosts() const;
 
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -5,6 +5,7 @@
 
 #include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/control/control_contacts.h"
 #include "knapweedroad/edge/call_origin.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/edge/peer_calls.h"
@@ -59,18 +60,6 @@
   return {};
 }
 
-// A host that lost its disk may know only seeds that are gone. The members that
-// others have on their disks find it, and so it hears of them.
-std::vector<HostId> ControlHost::State::FirstContacts() const {
-  std::vector<HostId> hosts = this->seeds;
-  if (const auto& value = this->replica->accepted()) {
-    for (const MemberId& member : value->members.Everyone()) {
-      hosts.push_back(member.host);
-    }
-  }
-  return hosts;
-}
-
 void ControlHost::State::MakeFollower() {
   this->follower = std::make_unique<ControlFollower>(
       this->runtime,
@@ -79,7 +68,11 @@
           .zone = this->options.settings.zone,
           .role = FollowerRole::kControl,
           .most_links = 0,
-          .seeds = [this] { return this->FirstContacts(); },
+          .seeds =
+              [this] {
+                return ControlContacts(this->seeds, this->replica->accepted(),
+                                       this->service->known());
+              },
           .held_version = [this] { return this->agreed.version(); },
           .take_outcomes =
               [this](const HostId& to) {
