--- a/knapweedroad/control/membership_power_loss_test.cc
+++ b/knapweedroad/control/membership_power_loss_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -21,13 +22,9 @@
 constexpr Duration kAckTimeout = seconds(5);
 constexpr Duration kRecovery = seconds(12);
 
-// Which settings a machine that starts at another address gets.
-enum class NewSeeds { kFirstHosts, kRunningHosts };
-
 struct HistoryOptions {
   uint32_t seed = 1;
   int members = 3;
-  NewSeeds new_seeds = NewSeeds::kRunningHosts;
 };
 
 // A history of one seed, and what went wrong first in it.
@@ -52,7 +49,6 @@
     std::uniform_int_distribution<int64_t> span(least.count(), most.count());
     return Duration(span(this->random));
   }
-  // Hosts are named in the order in which they came.
   std::string DrawHost() {
     const auto running = this->world.Running();
     return running[this->Draw(static_cast<int>(running.size()))];
@@ -75,11 +71,7 @@
 
   std::string Add() {
     const std::string host = "m" + std::to_string(++this->added);
-    if (this->options.new_seeds == NewSeeds::kFirstHosts) {
-      this->world.AddHost(host, {"a", "b", "c"});
-    } else {
-      this->world.AddHost(host);
-    }
+    this->world.AddHost(host);
     this->story += "+" + host + " ";
     return host;
   }
