--- a/knapweedroad/control/membership_power_loss_test.cc
+++ b/knapweedroad/control/membership_power_loss_test.cc
@@ -70,7 +70,7 @@
   }
 
   std::string Add() {
-    const std::string host = "m" + std::to_string(++this->added);
+    std::string host = "m" + std::to_string(++this->added);
     this->world.AddHost(host);
     this->story += "+" + host + " ";
     return host;
