--- a/knapweedroad/host/quorum_report.h
+++ b/knapweedroad/host/quorum_report.h
@@ -26,7 +26,7 @@
 std::string_view QuorumState(const ControlPeek& peek);
 
 // Adds the pairs state, version, epoch, phase, members, answering, missing and
-// holding. Members are written as HOST/INCARNATION; all refer to the newest
+// holding. Members are written as HOST#INCARNATION; all refer to the newest
 // value that was seen.
 void AddQuorumReport(LogLine& line, const ControlPeek& peek);
 
