--- a/review/5/lost_sign_off.cc
+++ b/review/6/lost_sign_off.cc
@@ -29,8 +29,10 @@
 // From the acknowledgement to the kill.
 constexpr milliseconds kKillAfter{20};
 constexpr milliseconds kDownFor{700};
-// Traffic before the sign-off: longer than TouchMs.
-constexpr milliseconds kCalm{5250};
+// From the start to the sign-off. Traffic begins 5 s before, or more. Control
+// hosts write what they know to disk twice a second; this is between two
+// writes.
+constexpr milliseconds kSignOffAt{9300};
 // How long the searcher serves after the acknowledgement: DrainMs and some
 // seconds more.
 constexpr seconds kServesFor{12};
@@ -90,6 +92,7 @@
     (host.role == "control" ? control_ips : entry_ips).push_back(host.ip);
   }
   deployment.StartAll(/*is_first_start=*/true);
+  const Clock::time_point sign_off_at = Clock::now() + kSignOffAt;
   std::vector<std::unique_ptr<Searcher>> searchers;
   for (size_t zone = 0; zone < kZones; ++zone) {
     searchers.push_back(std::make_unique<Searcher>(
@@ -115,7 +118,7 @@
                    .path = "/one/x",
                    .requests_per_second = 60});
   callers.Start();
-  std::this_thread::sleep_for(kCalm);
+  std::this_thread::sleep_until(sign_off_at);
   Searcher& leaving = *searchers.front();
   const std::string by = leaving.SignOff();
   const double acknowledged = Since();
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -126,6 +126,22 @@
   }
 }
 
+size_t Deployment::RestartEnded() {
+  size_t ended = 0;
+  for (Host& host : this->all) {
+    int status = 0;
+    if (waitpid(host.pid, &status, WNOHANG) != host.pid) {
+      continue;
+    }
+    ++ended;
+    Note("BROKEN: " + host.name + " ended by itself, " +
+         (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                              : "code " + std::to_string(WEXITSTATUS(status))));
+    this->Start(host, /*is_first_start=*/false);
+  }
+  return ended;
+}
+
 bool Deployment::HasEnded() const {
   for (const Host& host : this->all) {
     siginfo_t info{};
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -34,6 +34,8 @@
 
   void StartAll(bool is_first_start);
   void KillAll();
+  // Starts processes again that have ended by themselves; how many.
+  size_t RestartEnded();
   // Whether a process has ended though nobody killed it.
   bool HasEnded() const;
 
