Review case 6: a disk lost again as its host joins, and then another

A control host that loses its disk while it joins leaves a change of members that is never given up: its hosts displace each other's ballots for as long as one looks (60 s in a trial). The next lost disk takes the acknowledged configuration. The sign-off is case 8 now.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/4, review/5 and review/6; needs g++ only.
+# Builds the stand-ins of review/4 to review/8; needs g++ only.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
@@ -13,5 +13,9 @@
   -pthread -o target/review-2/extra_answer
 g++ -std=c++20 -O2 -Wall -Wextra -I. review/4/split_body.cc "${objects[@]}" \
   -pthread -o target/review-2/split_body
-g++ -std=c++20 -O2 -Wall -Wextra -I. review/6/lost_sign_off.cc "${objects[@]}" \
+g++ -std=c++20 -O2 -Wall -Wextra -I. review/8/lost_sign_off.cc "${objects[@]}" \
   -pthread -o target/review-2/lost_sign_off
+g++ -std=c++20 -O2 -Wall -Wextra -I. review/7/unordered_version.cc \
+  "${objects[@]}" -pthread -o target/review-2/unordered_version
+g++ -std=c++20 -O2 -Wall -Wextra -I. review/6/lost_again.cc "${objects[@]}" \
+  -pthread -o target/review-2/lost_again
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -43,8 +43,12 @@
 
 }  // namespace
 
-Deployment::Deployment(std::string program, size_t entries_per_zone)
-    : program(std::move(program)), network(FreeNetwork()) {
+Deployment::Deployment(std::string program,
+                       size_t entries_per_zone,
+                       std::string extra)
+    : program(std::move(program)),
+      extra(std::move(extra)),
+      network(FreeNetwork()) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   this->folder = mkdtemp(pattern.data());
@@ -89,6 +93,7 @@
                    {"name", host.name},
                    {"zone", host.zone},
                    {"seeds", seeds},
+                   {"extra", this->extra},
                    {"first", is_first_start ? "true" : "false"},
                    {"ip", host.ip}});
   const std::string log = this->folder + "/" + host.name + ".log";
@@ -112,6 +117,39 @@
   }
 }
 
+void Deployment::StartZone(const std::string& zone, bool is_other) {
+  for (Host& host : this->all) {
+    if ((host.zone == zone) != is_other) {
+      this->Start(host, /*is_first_start=*/false);
+    }
+  }
+}
+
+void Deployment::StartOne(const std::string& name) {
+  for (Host& host : this->all) {
+    if (host.name == name) {
+      this->Start(host, /*is_first_start=*/false);
+    }
+  }
+}
+
+void Deployment::KillOne(const std::string& name) {
+  for (Host& host : this->all) {
+    if (host.name == name && host.pid != 0) {
+      Note(name + " is killed");
+      kill(host.pid, SIGKILL);
+      waitpid(host.pid, nullptr, 0);
+      host.pid = 0;
+    }
+  }
+}
+
+void Deployment::LoseDisk(const std::string& name) const {
+  std::error_code ignored;
+  std::filesystem::remove_all(this->folder + "/data-" + name, ignored);
+  Note(name + " has lost its disk");
+}
+
 void Deployment::KillAll() {
   for (const Host& host : this->all) {
     if (host.pid != 0) {
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -27,12 +27,21 @@
 class Deployment {
  public:
   // Ends the process with 2 if no loopback network is free.
-  Deployment(std::string program, size_t entries_per_zone);
+  // `extra` are more lines of settings.
+  Deployment(std::string program,
+             size_t entries_per_zone,
+             std::string extra = {});
   ~Deployment();
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
   void StartAll(bool is_first_start);
+  // Starts the hosts of a zone, or of all other zones, after a loss of power.
+  void StartZone(const std::string& zone, bool is_other);
+  void StartOne(const std::string& name);
+  void KillOne(const std::string& name);
+  // Empties the data folder of a host that doesn't run.
+  void LoseDisk(const std::string& name) const;
   void KillAll();
   // Starts processes again that have ended by themselves; how many.
   size_t RestartEnded();
@@ -50,6 +59,7 @@
   void Start(Host& host, bool is_first_start) const;
 
   std::string program;
+  std::string extra;
   std::string network;
   std::string folder;
   std::vector<Host> all;
--- a/review/stand_ins_2/searcher.cc
+++ b/review/stand_ins_2/searcher.cc
@@ -182,6 +182,7 @@
       Fill("beat", {{"service", this->options.service},
                     {"address", this->address},
                     {"zone", this->options.zone},
+                    {"version", this->options.version},
                     {"slots", std::to_string(this->options.slots)},
                     {"sequence", std::to_string(++this->sequence)},
                     {"born", std::to_string(this->born)}});
--- a/review/stand_ins_2/searcher.h
+++ b/review/stand_ins_2/searcher.h
@@ -25,6 +25,7 @@
   std::string service;
   std::string zone;
   std::string ip;
+  std::string version = "v1";
   // Of the control hosts.
   std::vector<std::string> control_ips;
   size_t slots = 2;
