Control: let a change of members end without the members it lost

Cause: a run that changes members held its proposal back until all joining members had promised, in each phase and for each request. The runs that give a change up, or that end a settled one, waited 500 ms for the replica that was gone, while other hosts prepared higher ballots for the same step. The members stayed in a joint phase, whose quorums count the lost lives.

A run waits for joining members only to go forward from kJoining, the one step that needs them to hold the value.

--- a/knapweedroad/control/change_run.cc
+++ b/knapweedroad/control/change_run.cc
@@ -255,7 +255,8 @@
   if (this->options.known.has_value()) {
     value = this->options.known->value;
     if (!value.members.IsQuorum(promised) ||
-        (wait_for_joining && !AllIn(value.members.Joining(), promised))) {
+        (wait_for_joining &&
+         this->IsWaitingForJoining(value.members, promised))) {
       return false;
     }
   } else {
@@ -376,6 +377,14 @@
   return holders;
 }
 
+// In the later phases the direction is settled, and a joining member may be
+// gone for good.
+bool ChangeRun::IsWaitingForJoining(const Membership& members,
+                                    const std::set<MemberId>& promised) const {
+  return members.phase == MembershipPhase::kJoining &&
+         !AllIn(members.Joining(), promised);
+}
+
 bool ChangeRun::IsChosenEverywhereNeeded(
     const std::set<MemberId>& holders) const {
   const Membership& members = this->options.known->value.members;
--- a/knapweedroad/control/change_run.h
+++ b/knapweedroad/control/change_run.h
@@ -64,8 +64,9 @@
   Duration undecided_wait = kUndecidedWait;
   // A value some replica accepted, seen before: saves the query.
   std::optional<BallotedValue> known;
-  // Hold the proposal back until the joining members have answered too, for
-  // one attempt's time at most: steps of a change of members need it.
+  // In MembershipPhase::kJoining, hold the proposal back until the joining
+  // members have answered too, for one attempt's time at most: the phase is
+  // left forward only once they hold the value.
   bool wait_for_joining = false;
   // Hosts to ask while no value is known.
   std::vector<HostId> ask_hosts;
@@ -142,6 +143,9 @@
   // Those that answered this attempt.
   std::set<MemberId> Answered() const;
   std::set<MemberId> HoldersOfKnown() const;
+  // Whether the proposal waits for a joining member that hasn't answered.
+  bool IsWaitingForJoining(const Membership& members,
+                           const std::set<MemberId>& promised) const;
   // Holders are a quorum and no joining member is without the value.
   bool IsChosenEverywhereNeeded(const std::set<MemberId>& holders) const;
 
--- a/knapweedroad/control/fake_cluster.cc
+++ b/knapweedroad/control/fake_cluster.cc
@@ -16,6 +16,8 @@
   bool is_frozen = false;
   // Counts restarts: what was scheduled for an earlier life is void.
   int life = 0;
+  // Of this host's disk; absent: as of the options.
+  std::optional<Duration> sync_time;
   std::vector<AcceptorRecord> disk;
   std::optional<AcceptorRecord> syncing;
   std::deque<Delivery> waiting;
@@ -72,7 +74,7 @@
   proposer.backoff = [this](int attempt) {
     return this->Delay(std::chrono::milliseconds(20) * std::min(attempt, 10));
   };
-  proposer.attempt_timeout = std::chrono::milliseconds(100);
+  proposer.attempt_timeout = this->options.attempt_timeout;
   host.proposer = std::make_unique<Proposer>(std::move(proposer));
 }
 
@@ -268,7 +270,8 @@
     return;
   }
   host.syncing = std::move(record);
-  this->At(this->time + this->Delay(this->options.sync_time),
+  const Duration sync_time = host.sync_time.value_or(this->options.sync_time);
+  this->At(this->time + this->Delay(sync_time),
            [this, &host, life = host.life, answer] {
              this->WhenThawed(host.name, [this, &host, life, answer] {
                if (host.life != life || !host.up) {
@@ -354,6 +357,10 @@
   return survey;
 }
 
+void FakeCluster::SlowDisk(const std::string& name, Duration sync_time) {
+  this->hosts.at(name)->sync_time = sync_time;
+}
+
 void FakeCluster::CutOff(std::set<std::string> hosts) {
   this->cut_off = std::move(hosts);
 }
--- a/knapweedroad/control/fake_cluster.h
+++ b/knapweedroad/control/fake_cluster.h
@@ -39,6 +39,8 @@
   Duration max_delay = std::chrono::milliseconds(5);
   Duration sync_time = std::chrono::milliseconds(2);
   Duration deadline = std::chrono::seconds(5);
+  // See ChangeRunOptions.
+  Duration attempt_timeout = std::chrono::milliseconds(100);
   // A fault: replies leave before their record is synced.
   bool answer_before_sync = false;
 };
@@ -78,6 +80,8 @@
   // Thaw().
   void Freeze(const std::string& host);
   void Thaw(const std::string& host);
+  // From now on each sync of the host takes up to `sync_time`.
+  void SlowDisk(const std::string& host, Duration sync_time);
   // These hosts hear only each other until Heal().
   void CutOff(std::set<std::string> hosts);
   void Heal();
--- a/knapweedroad/control/proposer.cc
+++ b/knapweedroad/control/proposer.cc
@@ -51,6 +51,7 @@
 
 ChangeRun Proposer::MakeMembershipStep(std::optional<MembershipRequest> request,
                                        TimePoint deadline) {
+  const bool gives_up = request.has_value() && request->give_up;
   return this->MakeRun(
       [request = std::move(request), chosen_epoch = this->chosen_epoch](
           ControlValue& value, const std::set<MemberId>& holders) {
@@ -59,7 +60,7 @@
                     .holders = holders,
                     .chosen_epoch = chosen_epoch});
       },
-      deadline, /*wait_for_joining=*/true);
+      deadline, /*wait_for_joining=*/!gives_up);
 }
 
 void Proposer::Learn(const ChangeRun& run) {
--- a/spec/agreement.pml
+++ b/spec/agreement.pml
@@ -15,6 +15,11 @@
  * With LOST, a is gone for good before the change, as a replaced machine: once
  * the new set decides, one more loss must leave a quorum.
  *
+ * With ENDS, the joining member may be gone for good too, as a host that loses
+ * its disk again while it joins and answers as yet another member. From every
+ * state one host that is left alone must end a change that is running, in
+ * ENDING_STEPS runs, wherever a quorum answers.
+ *
  * Broken variants, each of which must be caught:
  *   NO_SYNC        an acceptor answers before its record is on the disk
  *   BLANK_COUNTED  a replica that lost its disk answers as the old member
@@ -23,6 +28,9 @@
  *   UNCHOSEN_STEP  the joint sets are left on a step that isn't chosen yet
  *   LOOSE_READ     a read takes the newest value of any quorum for chosen
  *   ADD_BESIDE     d joins beside the lost member instead of in its place
+ *   NO_GIVE_UP     a change whose joining member is gone is only carried on
+ *   WAIT_JOINING   the run that gives up waits for the joining member's promise
+ *   WAIT_SETTLED   the runs after it, or after the last step forward, wait for it
  */
 
 #ifndef ATTEMPTS
@@ -30,7 +38,12 @@
 #endif
 
 #define FIRST 1 /* the ballot of the first value; 0: blank */
+#define ENDING_STEPS 4
+#ifdef ENDS
+#define VALUES (ATTEMPTS + 3 + ENDING_STEPS)
+#else
 #define VALUES (ATTEMPTS + 3)
+#endif
 #define MEMBERS 4
 
 /* Sets of members are bits. */
@@ -245,6 +258,98 @@
   od
 }
 
+#ifdef ENDS
+#define IsStable(p) ((p) == STABLE_OLD || (p) == STABLE_NEW)
+
+#ifdef WAIT_JOINING
+#define WaitsIn(p) ((p) == JOINING)
+#elif defined(WAIT_SETTLED)
+#define WaitsIn(p) ((p) == FINISHING || (p) == REVERTING)
+#else
+#define WaitsIn(p) false
+#endif
+
+/* One host ends the change alone, while all others stand still. */
+proctype Ender() {
+  byte ballot = ATTEMPTS + 3;
+  byte best;
+  byte gone = LOST_SET;
+  byte answering;
+  bit joiner_holds;
+  bit is_stuck;
+  byte i;
+
+  atomic {
+    if
+    :: gone = gone | Bit(JOINER)
+    :: skip
+    fi;
+    answering = ALL & ~gone;
+    do
+    :: ballot < VALUES ->
+       best = FIRST;
+       for (i : 0 .. 3) {
+         if
+         :: Has(answering, i) ->
+            promised[i] = ballot;
+            if
+            :: accepted[i] > best -> best = accepted[i]
+            :: else -> skip
+            fi
+         :: else -> skip
+         fi
+       }
+       if
+       :: IsStable(phase[best]) -> break
+       :: !IsStable(phase[best]) && !IsQuorum(phase[best], answering) -> break
+       :: !IsStable(phase[best]) && IsQuorum(phase[best], answering) &&
+          WaitsIn(phase[best]) && Has(gone, JOINER) ->
+          is_stuck = 1;
+          break
+       :: else -> skip
+       fi;
+       joiner_holds = Has(answering, JOINER) && accepted[JOINER] == best;
+       phase[ballot] = phase[best];
+       past[ballot] = past[best];
+       if
+       :: phase[best] == JOINING && joiner_holds -> phase[ballot] = FINISHING
+#ifndef NO_GIVE_UP
+       :: phase[best] == JOINING && Has(gone, JOINER) ->
+          phase[ballot] = REVERTING
+#endif
+       :: phase[best] == FINISHING && MayLeave(FINISHING) ->
+          phase[ballot] = STABLE_NEW
+       :: phase[best] == REVERTING && MayLeave(REVERTING) ->
+          phase[ballot] = STABLE_OLD
+       :: else -> skip
+       fi;
+       for (i : 0 .. 3) {
+         if
+         :: Has(answering, i) && IsMember(phase[ballot], i) ->
+            accepted[i] = ballot
+         :: else -> skip
+         fi
+       }
+       if
+       :: IsQuorum(phase[ballot], answering) ->
+          chosen_phases = chosen_phases | Bit(phase[ballot])
+       :: else -> skip
+       fi;
+       best = ballot;
+       if
+       :: IsStable(phase[best]) -> break
+       :: else -> skip
+       fi;
+       ballot++
+    :: else -> is_stuck = 1; break
+    od;
+    assert(!is_stuck);
+    /* Nothing after this end counts. */
+    false
+  }
+}
+#endif
+
 #if defined(NO_SYNC) || defined(BLANK_COUNTED)
 proctype Crash() {
   byte i;
@@ -313,6 +418,9 @@
 #ifdef READERS
     run Reader();
 #endif
+#ifdef ENDS
+    run Ender();
+#endif
 #if defined(NO_SYNC) || defined(BLANK_COUNTED)
     run Crash();
     run Crash();
