Control: acknowledge a departure once a quorum has it on disk

Cause: a sign-off, or an announcement that says leaving, was acknowledged from the memory of one control host; its copy on disk is written each 0.5 s, and nothing repeats a sign-off. One for a target that the host didn't know was acknowledged and dropped, so that an announcement that came later made the target serve.

Departures of some milliseconds share messages and syncs. An unknown target that signs off is kept as gone.

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -175,6 +175,12 @@
   add("changes_accepted_total", "counter", this->editor->accepted());
   add("changes_unknown_total", "counter", this->editor->unknown());
   add("reads_failed_total", "counter", this->editor->failed_reads());
+  add("departures_total", "counter", this->departures->departures());
+  add("departure_rounds_total", "counter", this->departures->rounds());
+  add("departures_not_held_total", "counter", this->departures_not_held);
+  const RecordStoreStats stored = this->departure_store->stats();
+  add("departure_syncs", "gauge", stored.syncs);
+  add("departure_bytes", "gauge", stored.bytes_written);
   add("targets", "gauge", this->registry.size());
   add("entry_hosts", "gauge", this->hub->EntryHosts().size());
   add("agreed_version", "gauge", this->agreed.version());
@@ -214,6 +220,9 @@
   if (self.quota != nullptr) {
     self.quota->Stop();
   }
+  if (self.departures != nullptr) {
+    self.departures->Stop();
+  }
   // Calls that are running still note in it what they hear.
   if (self.follower != nullptr) {
     self.follower->Stop();
@@ -236,6 +245,7 @@
   self.rollouts = self.MakeRolloutOwner();
   self.quota = self.MakeQuotaService();
   self.MakeMembership();
+  self.MakeDepartures();
   self.MakeConfirmer();
   if (auto served = self.Serve(); !served) {
     return served;
@@ -259,7 +269,7 @@
   self.server->Stop(std::min(Runtime::Now() + kStopWait, give_up));
 }
 
-AnnounceResult ControlHost::Announce(TargetRecord record) {
+AnnounceResult ControlHost::Announce(TargetRecord record, TimePoint deadline) {
   State& self = *this->state;
   ++self.announcements;
   const uint64_t before = self.registry.revision();
@@ -275,7 +285,9 @@
         .Info();
     self.hub->Wake();
   }
-  return result;
+  const bool is_held =
+      result == AnnounceResult::kFull || self.HoldDeparture(id, deadline);
+  return is_held ? result : AnnounceResult::kNotHeld;
 }
 
 std::optional<Endpoint> ControlHost::NearerHost(const ZoneId& zone,
@@ -294,13 +306,21 @@
                   .port = self.options.settings.control_address->port};
 }
 
-void ControlHost::SignOff(const TargetId& id,
-                          uint64_t started_ms,
-                          uint64_t sequence) {
+AnnounceResult ControlHost::SignOff(const TargetId& id,
+                                    uint64_t started_ms,
+                                    uint64_t sequence,
+                                    TimePoint deadline) {
   State& self = *this->state;
-  self.registry.Deregister(id, started_ms, sequence, Runtime::Now());
-  LogLine("target_signed_off").Add("target", id).Info();
+  const AnnounceResult result =
+      self.registry.Deregister(id, started_ms, sequence, Runtime::Now());
+  LogLine("target_signed_off")
+      .Add("target", id)
+      .Add("result", static_cast<int>(result))
+      .Info();
   self.hub->Wake();
+  const bool is_held =
+      result == AnnounceResult::kFull || self.HoldDeparture(id, deadline);
+  return is_held ? result : AnnounceResult::kNotHeld;
 }
 
 bool ControlHost::PutRouting(uint64_t number,
--- a/knapweedroad/edge/control_host.h
+++ b/knapweedroad/edge/control_host.h
@@ -58,13 +58,20 @@
   // Lets running calls end. Blocks the calling fiber.
   void Shutdown();
 
-  // A target tells of itself.
-  AnnounceResult Announce(TargetRecord record);
+  // A target tells of itself. Blocks the calling fiber where it says that it
+  // leaves, as SignOff().
+  AnnounceResult Announce(TargetRecord record, TimePoint deadline);
   // Where a target of that zone is to announce itself from now on; nothing: it
   // goes on as it does.
   std::optional<Endpoint> NearerHost(const ZoneId& zone,
                                      const TargetId& target) const;
-  void SignOff(const TargetId& id, uint64_t started_ms, uint64_t sequence);
+  // A target is gone; see TargetRegistry::Deregister(). Blocks the calling
+  // fiber until a quorum has that on its disks, or the deadline (kNotHeld): it
+  // may be known by then, and the same again settles it.
+  AnnounceResult SignOff(const TargetId& id,
+                         uint64_t started_ms,
+                         uint64_t sequence,
+                         TimePoint deadline);
 
   // Makes the text the newest configuration unless its number is not above the
   // newest one's. True: a quorum holds this or a newer one on its disks; false:
--- a/knapweedroad/edge/control_host_state.h
+++ b/knapweedroad/edge/control_host_state.h
@@ -19,6 +19,9 @@
 #include "knapweedroad/edge/control_follower.h"
 #include "knapweedroad/edge/control_host.h"
 #include "knapweedroad/edge/control_links.h"
+#include "knapweedroad/edge/departure_messages.h"
+#include "knapweedroad/edge/departure_replicator.h"
+#include "knapweedroad/edge/departure_store.h"
 #include "knapweedroad/edge/directory_cache.h"
 #include "knapweedroad/edge/order_guard.h"
 #include "knapweedroad/edge/quorum_confirmer.h"
@@ -51,6 +54,13 @@
   OrderResult RunOrder(const std::string& name,
                        const CallOrigin& origin,
                        const OrderGuard::Change& change);
+  // The newest members that this host has seen; empty: none.
+  Membership NewestMembers() const;
+  // Whether the target's departure, if it has one, is held by a quorum in time.
+  bool HoldDeparture(const TargetId& id, TimePoint deadline);
+  // Another control host has departures stored here.
+  tl::expected<DepartureReply, std::string> TakeDepartures(
+      const DepartureCall& call);
   // Makes the list of outliers anew.
   void JudgeTargets();
   std::string PrintMetrics() const;
@@ -66,6 +76,7 @@
   std::shared_ptr<RolloutOwner> MakeRolloutOwner();
   std::shared_ptr<QuotaService> MakeQuotaService();
   void MakeMembership();
+  void MakeDepartures();
   void MakeConfirmer();
   tl::expected<void, std::string> Serve();
   void BeginWork();
@@ -92,6 +103,8 @@
   std::unique_ptr<QuorumConfirmer> confirmer;
   std::unique_ptr<WatchHub> hub;
   std::unique_ptr<DirectoryCache> directory;
+  std::unique_ptr<DepartureStore> departure_store;
+  std::unique_ptr<DepartureReplicator> departures;
   std::unique_ptr<ControlFollower> follower;
   std::shared_ptr<RolloutOwner> rollouts;
   std::shared_ptr<QuotaService> quota;
@@ -101,6 +114,7 @@
   AgreedValue agreed;
   int ticks = 0;
   uint64_t announcements = 0;
+  uint64_t departures_not_held = 0;
   bool is_stopped = false;
 };
 
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -117,8 +117,16 @@
     this->registry.Merge(record, Runtime::Now());
   }
   this->hub->RememberEntryHosts(known.entry_hosts);
+  this->departure_store = std::make_unique<DepartureStore>(
+      this->runtime,
+      DepartureStoreOptions{.folder = *this->options.settings.data_folder});
+  const std::vector<TargetRecord> departures = this->departure_store->Load();
+  for (const TargetRecord& departure : departures) {
+    this->registry.Merge(departure, Runtime::Now());
+  }
   LogLine("directory_read")
       .Add("targets", known.targets.size())
+      .Add("departures", departures.size())
       .Add("entry_hosts", known.entry_hosts.size())
       .Info();
 }
@@ -135,7 +143,8 @@
           .call =
               [this](const HostId& host, const std::string& message,
                      TimePoint deadline) {
-                return this->links.Call(host, message, deadline);
+                return this->links.Call(host, PeerMessageType::kControl,
+                                        message, deadline);
               },
           .on_chosen =
               [this](const ControlValue& value) {
@@ -250,6 +259,24 @@
               }});
 }
 
+void ControlHost::State::MakeDepartures() {
+  this->departures = std::make_unique<DepartureReplicator>(
+      this->runtime,
+      DepartureReplicatorOptions{
+          .self = this->replica->id(),
+          .members = [this] { return this->NewestMembers(); },
+          .save =
+              [this](const std::vector<TargetRecord>& departures) {
+                return this->departure_store->Save(departures);
+              },
+          .call =
+              [this](const HostId& host, const std::string& call,
+                     TimePoint deadline) {
+                return this->links.Call(host, PeerMessageType::kDeparture, call,
+                                        deadline);
+              }});
+}
+
 void ControlHost::State::MakeConfirmer() {
   this->confirmer = std::make_unique<QuorumConfirmer>(QuorumConfirmerOptions{
       .service = *this->service,
@@ -290,6 +317,10 @@
                                    .rollouts = *this->rollouts,
                                    .quota = *this->quota,
                                    .confirmer = *this->confirmer,
+                                   .on_departures =
+                                       [this](const DepartureCall& call) {
+                                         return this->TakeDepartures(call);
+                                       },
                                    .on_outcomes =
                                        [this](const OutcomeReport& report) {
                                          this->TakeUrgent(report);
--- a/knapweedroad/edge/control_links.cc
+++ b/knapweedroad/edge/control_links.cc
@@ -14,6 +14,7 @@
 
 tl::expected<std::string, std::string> ControlLinks::Call(
     const HostId& host,
+    PeerMessageType type,
     const std::string& message,
     TimePoint deadline) {
   auto& link = this->links[host];
@@ -21,7 +22,7 @@
     link = std::make_unique<PeerClient>(
         this->runtime, PeerClientOptions{.endpoint = EndpointOf(host)});
   }
-  auto reply = link->Call(PeerMessageType::kControl, message, deadline);
+  auto reply = link->Call(type, message, deadline);
   if (!reply) {
     return tl::unexpected(std::move(reply.error().detail));
   }
--- a/knapweedroad/edge/control_links.h
+++ b/knapweedroad/edge/control_links.h
@@ -11,6 +11,7 @@
 
 #include "knapweedroad/base/id.h"
 #include "knapweedroad/base/time.h"
+#include "knapweedroad/wire/peer_message_type.h"
 
 namespace knapweedroad {
 
@@ -25,6 +26,7 @@
   // Sends a message to the replica on `host` and blocks the calling fiber until
   // its reply or the deadline; the error is for the log.
   tl::expected<std::string, std::string> Call(const HostId& host,
+                                              PeerMessageType type,
                                               const std::string& message,
                                               TimePoint deadline);
 
--- a/knapweedroad/edge/peer_calls.cc
+++ b/knapweedroad/edge/peer_calls.cc
@@ -4,6 +4,7 @@
 
 #include "knapweedroad/base/boot_clock.h"
 #include "knapweedroad/edge/agreed_value.h"
+#include "knapweedroad/edge/departure_messages.h"
 #include "knapweedroad/edge/quorum_confirmer.h"
 #include "knapweedroad/edge/quota_calls.h"
 #include "knapweedroad/edge/rollout_owner.h"
@@ -58,6 +59,20 @@
   return std::string();
 }
 
+tl::expected<std::string, std::string> AnswerDeparture(
+    const PeerCallParts& parts,
+    const std::string& body) {
+  const auto call = DecodePacked<DepartureCall>(body);
+  if (!call) {
+    return tl::unexpected("unreadable call: " + call.error());
+  }
+  const auto reply = parts.on_departures(*call);
+  if (!reply) {
+    return tl::unexpected(reply.error());
+  }
+  return EncodePacked(*reply);
+}
+
 tl::expected<std::string, std::string> AnswerConfirm(
     const QuorumConfirmer& confirmer,
     const std::string& body) {
@@ -101,6 +116,8 @@
       return AnswerPermitCall(parts.quota, body);
     case PeerMessageType::kConfirm:
       return AnswerConfirm(parts.confirmer, body);
+    case PeerMessageType::kDeparture:
+      return AnswerDeparture(parts, body);
     default:
       return tl::unexpected(std::string("not a call of control hosts"));
   }
--- a/knapweedroad/edge/peer_calls.h
+++ b/knapweedroad/edge/peer_calls.h
@@ -18,6 +18,8 @@
 class QuorumConfirmer;
 class RolloutOwner;
 class WatchHub;
+struct DepartureCall;
+struct DepartureReply;
 struct OutcomeReport;
 
 // The parts of a control host that answer calls; all outlive them.
@@ -28,6 +30,8 @@
   RolloutOwner& rollouts;
   QuotaService& quota;
   const QuorumConfirmer& confirmer;
+  std::function<tl::expected<DepartureReply, std::string>(const DepartureCall&)>
+      on_departures;
   std::function<void(const OutcomeReport&)> on_outcomes;
 };
 
--- a/knapweedroad/registry/target_registry.cc
+++ b/knapweedroad/registry/target_registry.cc
@@ -42,6 +42,10 @@
           ? cold_until - entry.cold_until > kColdJitter && cold_until > now
           : entry.cold_until - cold_until > kColdJitter &&
                 entry.cold_until > now;
+  if (record.phase == TargetPhase::kServing ||
+      record.started_ms != entry.record.started_ms) {
+    entry.held_phase.reset();
+  }
   const bool is_visible_change =
       is_new || cold_moved || DiffersVisibly(record, entry.record);
   entry.record = std::move(record);
@@ -95,17 +99,15 @@
                                              : AnnounceResult::kOutdated;
 }
 
-void TargetRegistry::Deregister(const TargetId& id,
-                                uint64_t started_ms,
-                                uint64_t sequence,
-                                TimePoint now) {
-  const auto found = this->entries.find(id);
-  if (found == this->entries.end()) {
-    return;
-  }
-  Entry& entry = found->second;
+AnnounceResult TargetRegistry::EndIncarnation(Entry& entry,
+                                              uint64_t started_ms,
+                                              uint64_t sequence,
+                                              TimePoint now) {
   if (started_ms != 0 && started_ms < entry.record.started_ms) {
-    return;
+    return AnnounceResult::kOutdated;
+  }
+  if (started_ms > entry.record.started_ms) {
+    entry.held_phase.reset();
   }
   entry.record.started_ms = std::max(entry.record.started_ms, started_ms);
   entry.record.sequence = std::max(entry.record.sequence, sequence);
@@ -113,6 +115,49 @@
   if (entry.record.phase != TargetPhase::kGone) {
     this->MarkGone(entry);
   }
+  return AnnounceResult::kAccepted;
+}
+
+AnnounceResult TargetRegistry::Deregister(const TargetId& id,
+                                          uint64_t started_ms,
+                                          uint64_t sequence,
+                                          TimePoint now) {
+  const auto found = this->entries.find(id);
+  if (found != this->entries.end()) {
+    return this->EndIncarnation(found->second, started_ms, sequence, now);
+  }
+  if (this->entries.size() >= this->options.max_targets) {
+    return AnnounceResult::kFull;
+  }
+  this->Apply({.id = id,
+               .started_ms = started_ms,
+               .sequence = sequence,
+               .phase = TargetPhase::kGone,
+               .heartbeat_receiver = this->options.self},
+              now);
+  return AnnounceResult::kAccepted;
+}
+
+void TargetRegistry::MarkDepartureHeld(const TargetRecord& departure) {
+  const auto found = this->entries.find(departure.id);
+  if (found != this->entries.end() &&
+      found->second.record.started_ms == departure.started_ms &&
+      found->second.record.phase == departure.phase) {
+    found->second.held_phase = departure.phase;
+  }
+}
+
+const TargetRecord* TargetRegistry::FindUnheldDeparture(
+    const TargetId& id) const {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end()) {
+    return nullptr;
+  }
+  const Entry& entry = found->second;
+  const bool is_departure = entry.record.phase == TargetPhase::kLeaving ||
+                            entry.record.phase == TargetPhase::kGone;
+  return is_departure && entry.held_phase != entry.record.phase ? &entry.record
+                                                                : nullptr;
 }
 
 void TargetRegistry::Merge(TargetRecord record, TimePoint now) {
@@ -123,6 +168,14 @@
     }
     return;
   }
+  // A sign-off that reached its host before any announcement names an
+  // incarnation only.
+  if (record.phase == TargetPhase::kGone && record.service.empty() &&
+      record.started_ms == found->second.record.started_ms) {
+    this->EndIncarnation(found->second, record.started_ms, record.sequence,
+                         now);
+    return;
+  }
   const TargetPhase received_phase = record.phase;
   const HostId received_receiver = record.heartbeat_receiver;
   if (this->Apply(std::move(record), now)) {
--- a/knapweedroad/registry/target_registry.h
+++ b/knapweedroad/registry/target_registry.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -27,7 +28,7 @@
   // Records of silent or deregistered targets are dropped after this time.
   Duration forget_after = std::chrono::seconds(60);
   // Bounds memory against a flood of invented ids.
-  size_t max_targets = 20'000;
+  size_t max_targets = 40'000;
 };
 
 // The result of an announcement.
@@ -35,6 +36,9 @@
   kAccepted,
   kOutdated,  // a newer record exists; nothing changed
   kFull,
+  // Too few control hosts could store that the target leaves: it must not be
+  // acknowledged. TargetRegistry itself never returns this.
+  kNotHeld,
 };
 
 class TargetRegistry {
@@ -46,12 +50,22 @@
   AnnounceResult Announce(TargetRecord record, TimePoint now);
 
   // Marks the target as gone. `started_ms` and `sequence` are zero if the
-  // target doesn't state them: the incarnation recorded here ends. A call for
-  // an earlier incarnation or an unknown target changes nothing.
-  void Deregister(const TargetId& id,
-                  uint64_t started_ms,
-                  uint64_t sequence,
-                  TimePoint now);
+  // target doesn't state them: the incarnation recorded here ends. Returns
+  // kOutdated for an earlier incarnation, which changes nothing. An unknown
+  // target is recorded as gone, so that its announcement that arrives later
+  // doesn't make it serve; kFull if there is no room for it.
+  AnnounceResult Deregister(const TargetId& id,
+                            uint64_t started_ms,
+                            uint64_t sequence,
+                            TimePoint now);
+
+  // Records that the target's departure, as Find() returns it, outlives the
+  // losses that the deployment has to bear.
+  void MarkDepartureHeld(const TargetRecord& departure);
+
+  // Returns the target's departure if it is leaving or gone and that isn't held
+  // yet; null otherwise.
+  const TargetRecord* FindUnheldDeparture(const TargetId& id) const;
 
   // Merges a record that another control host forwarded.
   void Merge(TargetRecord record, TimePoint now);
@@ -90,9 +104,16 @@
     TimePoint cold_until;
     TimePoint last_update;
     uint64_t changed = 0;
+    // The departure that is held; absent before, and once the target serves
+    // again.
+    std::optional<TargetPhase> held_phase;
   };
 
   bool Apply(TargetRecord record, TimePoint now);
+  AnnounceResult EndIncarnation(Entry& entry,
+                                uint64_t started_ms,
+                                uint64_t sequence,
+                                TimePoint now);
   void ResolveAddressConflict(const TargetId& id, TimePoint now);
   void MarkGone(Entry& entry);
 
--- a/knapweedroad/storage/record_store.cc
+++ b/knapweedroad/storage/record_store.cc
@@ -19,9 +19,11 @@
 namespace knapweedroad {
 namespace {
 
-constexpr std::string_view kFilePrefix = "state-";
 constexpr std::string_view kTemporarySuffix = ".tmp";
-constexpr const char* kLockName = "/lock";
+constexpr std::string_view kLockSuffix = ".lock";
+// Older programs lock the folder by it.
+constexpr std::string_view kStateName = "state";
+constexpr const char* kStateLockName = "/lock";
 constexpr size_t kReadBytes = 1 << 16;
 constexpr uint64_t kMinFileToSnapshotRatio = 8;
 constexpr std::string_view kCorruptionRemedy =
@@ -29,19 +31,6 @@
     "folder away and replace this replica with a new one (its host joins under "
     "the same name with an empty data folder)";
 
-// Returns the number of a file of records, or nothing for another name.
-std::optional<uint64_t> FileNumber(std::string_view name) {
-  if (!name.starts_with(kFilePrefix)) {
-    return std::nullopt;
-  }
-  name.remove_prefix(kFilePrefix.size());
-  uint64_t number = 0;
-  const char* end = name.data() + name.size();
-  const auto [parsed, error] = std::from_chars(name.data(), end, number);
-  return error == std::errc() && parsed == end ? std::optional(number)
-                                               : std::nullopt;
-}
-
 StorageError IoError(std::string path, std::string_view call) {
   return {.kind = StorageErrorKind::kIo,
           .path = std::move(path),
@@ -104,7 +93,10 @@
       return tl::unexpected(IoError(parent, "mkdir"));
     }
   }
-  const std::string path = folder + kLockName;
+  const std::string path =
+      this->options.name == kStateName
+          ? folder + kStateLockName
+          : folder + "/" + this->options.name + std::string(kLockSuffix);
   this->lock_file = this->files->Open(path, O_RDWR | O_CREAT);
   if (this->lock_file < 0) {
     return tl::unexpected(IoError(path, "open"));
@@ -171,9 +163,9 @@
   }
   std::vector<uint64_t> numbers;
   for (const std::string& name : names) {
-    if (const auto number = FileNumber(name); number.has_value()) {
+    if (const auto number = this->FileNumber(name); number.has_value()) {
       numbers.push_back(*number);
-    } else if (name.starts_with(kFilePrefix) &&
+    } else if (name.starts_with(this->options.name + "-") &&
                name.ends_with(kTemporarySuffix)) {
       // It was not complete, as it had not been renamed.
       this->files->Remove(std::string(folder).append("/").append(name));
@@ -381,8 +373,23 @@
   return tl::unexpected(IoError(std::move(path), call));
 }
 
+// Returns the number of a file of records, or nothing for another name.
+std::optional<uint64_t> RecordStore::FileNumber(
+    std::string_view file_name) const {
+  const std::string prefix = this->options.name + "-";
+  if (!file_name.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  file_name.remove_prefix(prefix.size());
+  uint64_t number = 0;
+  const char* end = file_name.data() + file_name.size();
+  const auto [parsed, error] = std::from_chars(file_name.data(), end, number);
+  return error == std::errc() && parsed == end ? std::optional(number)
+                                               : std::nullopt;
+}
+
 std::string RecordStore::FilePath(uint64_t number) const {
-  return this->options.folder + "/" + std::string(kFilePrefix) +
+  return this->options.folder + "/" + this->options.name + "-" +
          std::to_string(number);
 }
 
--- a/knapweedroad/storage/record_store.h
+++ b/knapweedroad/storage/record_store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
 struct RecordStoreOptions {
   // The data folder; created if it does not exist.
   std::string folder;
+  // Tells the store's files from those of other stores in the folder.
+  std::string name = "state";
   // Returns the whole state as one record, including the record that is being
   // appended. Each new file starts with it, so that a restart reads only one
   // file of bounded length.
@@ -109,6 +112,7 @@
   Outcome SyncFolder(const std::string& folder);
   Outcome SyncParentFolders();
   Outcome Fail(std::string path, std::string_view call);
+  std::optional<uint64_t> FileNumber(std::string_view file_name) const;
   std::string FilePath(uint64_t number) const;
 
   RecordStoreOptions options;
--- a/knapweedroad/wire/peer_message_type.h
+++ b/knapweedroad/wire/peer_message_type.h
@@ -31,6 +31,7 @@
   kRefill = 20,        // RefillCall -> RefillReply
   kPermit = 21,        // PermitCall -> PermitReply
   kLossReport = 22,    // LossReport -> nothing
+  kDeparture = 23,     // DepartureCall -> DepartureReply
 };
 
 }  // namespace knapweedroad
