Edge: take no status outside 200 to 599 for an answer

Callers got a searcher's 600 or 999 as their answer; 000 to 099, a 101 that nobody asked for and interim statuses with a body or seal cost them the whole deadline (504).

Cause: the parser takes any three digits, and the status was sorted by one bound: below 200 interim, anything else final.

Such bytes now end the exchange at once as no answer, which may have run: 502 for an unsafe request, which isn't sent again; another target for a safe one; a part less for a scatter. The reader of messages decides, so that health questions and hosts that gather are covered; what an entry host of another version passes on is checked, too, and HttpClient likewise.

--- a/knapweedroad/edge/gather_relay_test.cc
+++ b/knapweedroad/edge/gather_relay_test.cc
@@ -154,6 +154,17 @@
   cr_expect(world.targets[0]->requests == 0);
 }
 
+// A status that is none comes back as an answer from the host that gathers.
+Test(gather_relay, an_odd_status_is_no_answer, .timeout = 60) {
+  World world;
+  world.targets[0]->status = 600;
+  const GatherReply reply =
+      world.relay.Gather(World::Call({"t0"}, World::kLong));
+  cr_assert(reply.parts.size() == 1);
+  cr_expect(reply.parts[0].kind == static_cast<uint8_t>(ReplyKind::kBroken));
+  cr_expect(reply.records.empty());
+}
+
 // Guards against a shard that is asked again only when its hedge is due
 // although its target has refused long before.
 Test(gather_relay, a_failure_is_told_at_once, .timeout = 60) {
--- a/knapweedroad/edge/message_reader.h
+++ b/knapweedroad/edge/message_reader.h
@@ -21,6 +21,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "knapweedroad/net/answer_status.h"
+
 namespace knapweedroad::internal {
 
 struct HeaderLine {
@@ -101,8 +103,11 @@
     this->method.assign(method_text.data(), method_text.size());
     this->path.assign(target.data(), target.size());
   }
-  void on_response_impl(int code, View, int, Error&) override {
+  void on_response_impl(int code, View, int, Error& error) override {
     this->status = code;
+    if (!IsFinalStatus(code) && !IsInterimStatus(code)) {
+      error = boost::beast::http::error::bad_status;
+    }
   }
   void on_field_impl(boost::beast::http::field,
                      View name,
--- a/knapweedroad/edge/request_attempts.cc
+++ b/knapweedroad/edge/request_attempts.cc
@@ -10,6 +10,7 @@
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_message.h"
 #include "knapweedroad/edge/target_reply.h"
+#include "knapweedroad/net/answer_status.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/routing/load_balancer.h"
 #include "knapweedroad/routing/request_run.h"
@@ -35,6 +36,14 @@
 constexpr double kPartBytesWeight = 0.05;
 
 TargetReply ReplyOf(GatheredPart part) {
+  const bool is_readable =
+      part.kind <= static_cast<uint8_t>(ReplyKind::kDisconnected) &&
+      (part.kind != static_cast<uint8_t>(ReplyKind::kAnswered) ||
+       IsFinalStatus(part.status));
+  if (!is_readable) {
+    // A host of another version passes on what this one doesn't take.
+    return {.kind = ReplyKind::kBroken, .was_gathered = true};
+  }
   TargetReply reply{.kind = static_cast<ReplyKind>(part.kind),
                     .says_not_run = part.says_not_run,
                     .latency = microseconds(part.latency_us),
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -12,6 +12,7 @@
 #include "knapweedroad/edge/message_reader.h"
 #include "knapweedroad/edge/socket_options.h"
 #include "knapweedroad/edge/target_reply.h"
+#include "knapweedroad/net/answer_status.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -216,11 +217,15 @@
       this->Break(ReplyKind::kBroken);
       return;
     }
+    const bool is_interim =
+        this->reader->is_header_done() && IsInterimStatus(this->reader->status);
+    if (is_interim && this->HasFinalFields()) {
+      this->Break(ReplyKind::kBroken);
+      return;
+    }
     if (!this->reader->is_done()) {
       break;
     }
-    constexpr int kFirstFinalStatus = 200;
-    const bool is_interim = this->reader->status < kFirstFinalStatus;
     if (is_interim || this->IsLeftOver()) {
       this->skipped_left_over = this->skipped_left_over || !is_interim;
       if (!this->Skip()) {
@@ -235,6 +240,18 @@
   this->AwaitBytes();
 }
 
+bool TargetConnection::HasFinalFields() const {
+  for (size_t i = 0; i < this->reader->lines(); ++i) {
+    const std::string_view name = this->reader->name(i);
+    if (IsSameName(name, "Content-Length") ||
+        IsSameName(name, "Transfer-Encoding") ||
+        IsSameName(name, this->header_names.seal)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool TargetConnection::IsLeftOver() const {
   for (size_t i = 0; i < this->reader->lines(); ++i) {
     if (IsSameName(this->reader->name(i), this->header_names.request_id)) {
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -98,6 +98,9 @@
   void AwaitBytes();
   void OnReadable(const boost::system::error_code& error);
   void Parse(std::string_view bytes);
+  // Whether the message being read has fields that only final answers have: its
+  // status is then wrong, and nothing comes after it.
+  bool HasFinalFields() const;
   // Whether the message just read was another request's.
   bool IsLeftOver() const;
   void Finish(bool has_extra_bytes);
--- a/knapweedroad/net/http_client.cc
+++ b/knapweedroad/net/http_client.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "knapweedroad/net/answer_status.h"
 #include "knapweedroad/net/fiber_event.h"
 #include "knapweedroad/net/runtime.h"
 
@@ -27,6 +28,8 @@
 // The parser limits the header, but neither a chunk's line nor the lines after
 // the last chunk: what it hasn't taken yet waits here. Bodies don't.
 constexpr size_t kMostUnparsedBytes = 64 << 10;
+// Interim answers before the final one.
+constexpr int kMostInterim = 16;
 
 NetErrorKind KindOf(const error_code& error) {
   if (error == beast::error::timeout) {
@@ -290,22 +293,34 @@
                  .reused_connection = connection.has_served,
                  .detail = "write: " + error.message()});
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(this->options.max_body_bytes);
-  FiberEvent read;
-  http::async_read(connection.stream, connection.buffer, parser,
-                   [&](error_code result, size_t) {
-                     error = result;
-                     read.Set();
-                   });
-  read.Wait();
-  if (error) {
-    return tl::unexpected(NetError{.kind = KindOf(error),
-                                   .written = true,
-                                   .reused_connection = connection.has_served,
-                                   .detail = "read: " + error.message()});
+  for (int interim = 0; interim <= kMostInterim; ++interim) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(this->options.max_body_bytes);
+    FiberEvent read;
+    http::async_read(connection.stream, connection.buffer, parser,
+                     [&](error_code result, size_t) {
+                       error = result;
+                       read.Set();
+                     });
+    read.Wait();
+    if (error) {
+      return tl::unexpected(NetError{.kind = KindOf(error),
+                                     .written = true,
+                                     .reused_connection = connection.has_served,
+                                     .detail = "read: " + error.message()});
+    }
+    const int status = static_cast<int>(parser.get().result_int());
+    if (IsFinalStatus(status)) {
+      return Convert(parser.release());
+    }
+    if (!IsInterimStatus(status)) {
+      break;
+    }
   }
-  return Convert(parser.release());
+  return tl::unexpected(NetError{.kind = NetErrorKind::kMalformed,
+                                 .written = true,
+                                 .reused_connection = connection.has_served,
+                                 .detail = "read: no final status"});
 }
 
 HttpClient::HttpClient(Runtime& runtime, HttpClientOptions options)
