Net: bound what connections hold in sum, on every port

A host in trouble could take all memory of another one: frames between hosts took 16 MB each as soon as their length came, replies that it didn't read piled up; bodies to the control port took 8 MB and callers' bodies their limit, each a connection. Requests of all callers there are lost with the process.

Cause: each message was bounded, their sum wasn't. ReceiveBudget, until now for answers of targets, bounds it for frames, HTTP requests and callers; small messages are always read, larger ones are refused as not run or cut. Health answers end at 16 KB; a scatter's part keeps its greatest records.

--- a/knapweedroad/edge/caller_server.cc
+++ b/knapweedroad/edge/caller_server.cc
@@ -11,11 +11,13 @@
 #include <boost/asio/write.hpp>
 
 #include "knapweedroad/edge/caller_message.h"
+#include "knapweedroad/edge/caller_refusal.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/message_reader.h"
 #include "knapweedroad/edge/socket_options.h"
 #include "knapweedroad/net/listen.h"
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -36,6 +38,15 @@
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 // Bytes of later requests kept while one is answered.
 constexpr size_t kMostPipelined = 64 << 10;
+// Of requests, and of answers that their callers haven't taken, on all
+// connections; a usual request is always read.
+constexpr size_t kMostHeldBytes = 40 << 20;
+constexpr size_t kAlwaysHeldBytes = 16 << 10;
+// A caller that takes no bytes for this long loses an answer for which there is
+// no room.
+constexpr Duration kWriteTimeoutWithoutRoom = std::chrono::seconds(1);
+constexpr Duration kRetryWithoutRoom = std::chrono::milliseconds(300);
+constexpr int kUnavailable = 503;
 
 int StatusOf(const error_code& error) {
   if (error == http::error::body_limit) {
@@ -62,6 +73,7 @@
   tcp::acceptor acceptor;
   std::unordered_set<std::shared_ptr<Connection>> open;
   std::array<char, kReadBytes> scratch;
+  ReceiveBudget memory{kMostHeldBytes, kAlwaysHeldBytes};
   size_t running = 0;
   bool is_draining = false;
   bool is_stopped = false;
@@ -72,7 +84,9 @@
       public std::enable_shared_from_this<Connection> {
  public:
   Connection(std::shared_ptr<State> server, tcp::socket socket)
-      : server(std::move(server)), socket(std::move(socket)) {}
+      : server(std::move(server)),
+        socket(std::move(socket)),
+        memory(this->server->memory) {}
 
   void Start();
   void Answer(CallerAnswer answer) override;
@@ -105,6 +119,9 @@
   std::string inbox;
   std::unique_ptr<RequestReader> reader;
   std::string outbox;
+  BudgetShare memory;
+  // Of the request that runs.
+  size_t request_bytes = 0;
 };
 
 void CallerServer::State::Accept(tcp::socket socket) {
@@ -170,8 +187,10 @@
   }
   this->inbox.append(bytes);
   if (this->phase == Phase::kRunning || this->phase == Phase::kWriting) {
-    // Kept for after the answer; over the bound the caller has to wait.
-    if (this->inbox.size() < kMostPipelined) {
+    // Kept for after the answer; over the bounds the caller has to wait.
+    const bool has_room = this->memory.Set(
+        this->request_bytes + this->outbox.size() + this->inbox.size());
+    if (has_room && this->inbox.size() < kMostPipelined) {
       this->AwaitBytes();
     }
     return;
@@ -199,6 +218,10 @@
     this->Refuse(StatusOf(error));
     return;
   }
+  if (!this->memory.Set(this->reader->held_bytes() + this->inbox.size())) {
+    this->Refuse(kUnavailable);
+    return;
+  }
   if (this->reader->is_done()) {
     this->Dispatch();
     return;
@@ -246,6 +269,7 @@
   }
   request.body = std::move(from.body);
   this->wants_close = !from.keep_alive();
+  this->request_bytes = this->reader->held_bytes() + request.body.size();
   this->reader.reset();
   this->Enter(Phase::kRunning);
   // Watches for the caller's leaving while the request runs.
@@ -256,10 +280,12 @@
 
 void CallerServer::State::Connection::Refuse(int status) {
   this->reader.reset();
-  this->inbox.clear();
+  this->inbox = {};
+  this->memory.Set(0);
   this->wants_close = true;
   this->Enter(Phase::kRunning);
-  this->Answer({.status = status});
+  this->Answer(status == kUnavailable ? MakeRefusal(status, kRetryWithoutRoom)
+                                      : CallerAnswer{.status = status});
 }
 
 void CallerServer::State::Connection::Answer(CallerAnswer answer) {
@@ -268,6 +294,7 @@
   }
   this->on_abandoned = nullptr;
   this->on_stopped = nullptr;
+  this->request_bytes = 0;
   this->closes =
       this->wants_close || answer.closes || this->server->is_draining;
   std::string bytes;
@@ -301,6 +328,7 @@
   }
   bytes.erase(0, error ? 0 : written);
   this->outbox = std::move(bytes);
+  this->memory.Set(this->outbox.size() + this->inbox.size());
   asio::async_write(
       this->socket, asio::buffer(this->outbox),
       [self = this->shared_from_this()](const error_code& result, size_t) {
@@ -318,11 +346,13 @@
     error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     this->inbox = {};
+    this->memory.Set(0);
     this->Enter(Phase::kLinger);
     this->AwaitBytes();
     return;
   }
   this->Enter(Phase::kIdle);
+  this->memory.Set(this->inbox.size());
   if (this->inbox.empty()) {
     this->inbox = {};
     this->AwaitBytes();
@@ -353,7 +383,9 @@
       }
       return;
     case Phase::kWriting:
-      if (age > kWriteTimeout) {
+      if (age > kWriteTimeout ||
+          (age > kWriteTimeoutWithoutRoom &&
+           !this->server->memory.MayHold(this->memory.held_bytes()))) {
         this->Close();
       }
       return;
@@ -388,6 +420,7 @@
   }
   error_code ignored;
   this->socket.close(ignored);
+  this->memory.Set(0);
   const auto abandoned = std::exchange(this->on_abandoned, nullptr);
   this->on_stopped = nullptr;
   this->Enter(Phase::kIdle);
--- a/knapweedroad/edge/caller_server_test.cc
+++ b/knapweedroad/edge/caller_server_test.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <cstddef>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -82,5 +84,67 @@
   cr_assert_eq(answered, kRequests);
 }
 
+// Load pattern: many callers whose bodies never end, each below its limit.
+// Together they take all memory; they are refused as not run, and small
+// requests are served.
+Test(caller_server, bodies_without_end_share_one_budget, .timeout = 60) {
+  constexpr size_t kCallers = 300;
+  constexpr size_t kBodyBytes = 250 << 10;
+  Runtime runtime;
+  const HeaderNames names;
+  size_t refused = 0;
+  std::string small;
+  runtime.Spawn([&] {
+    CallerServer server(
+        runtime,
+        {.endpoint = {"127.0.0.1", 0},
+         .header_names = names,
+         .on_request =
+             [](const CallerRequest&,
+                const std::shared_ptr<CallerExchange>& exchange) {
+               exchange->Answer({.status = 401});
+             },
+         .limits = [] { return CallerLimits{.max_body_bytes = 1 << 20}; }});
+    const uint16_t port = server.Start().value();
+    const std::string bytes =
+        "POST / HTTP/1.1\r\nHost: h\r\n"
+        "Content-Length: 262144\r\n\r\n" +
+        std::string(kBodyBytes, 'b');
+    std::vector<tcp::socket> callers;
+    for (size_t i = 0; i < kCallers; ++i) {
+      callers.emplace_back(runtime.io())
+          .connect({boost::asio::ip::make_address("127.0.0.1"), port});
+      callers.back().non_blocking(true);
+      std::string_view left = bytes;
+      for (int tries = 0; !left.empty() && tries < 50; ++tries) {
+        boost::system::error_code error;
+        const size_t sent = callers.back().write_some(
+            boost::asio::buffer(left.data(), left.size()), error);
+        left.remove_prefix(error ? 0 : sent);
+        Runtime::SleepFor(milliseconds(1));
+      }
+    }
+    for (tcp::socket& caller : callers) {
+      std::string answer;
+      ReadAvailable(caller, answer);
+      refused += answer.starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    tcp::socket caller(runtime.io());
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    caller.non_blocking(true);
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    Runtime::SleepFor(milliseconds(50));
+    ReadAvailable(caller, small);
+    callers.clear();
+    caller.close();
+    runtime.Stop();
+  });
+  runtime.Run();
+  // 40 MB of 250 KB each are read.
+  cr_expect(refused > kCallers / 3, "%zu", refused);
+  cr_expect(CountAnswers(small) == 1);
+}
+
 }  // namespace
 }  // namespace knapweedroad
--- a/knapweedroad/edge/endless_answer_test.cc
+++ b/knapweedroad/edge/endless_answer_test.cc
@@ -12,10 +12,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
-#include "knapweedroad/edge/answer_budget.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_links.h"
 #include "knapweedroad/edge/target_reply.h"
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -169,6 +169,28 @@
       "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx");
 }
 
+// Nobody reads the body of a health answer, and each target has its own.
+Test(endless_answer, a_health_answer_has_a_short_limit, .timeout = 60) {
+  Runtime runtime;
+  const HeaderNames header_names{.request_id = "Request-Id"};
+  TargetLinks links(runtime, {.header_names = header_names});
+  EndlessTarget target(runtime,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n",
+                       "0123456789abcdef");
+  std::optional<ReplyKind> kind;
+  links.Send({.target = TargetId("t"),
+              .address = target.address(),
+              .bytes = [] { return std::string("GET / HTTP/1.1\r\n\r\n"); },
+              .max_answer_bytes = 16 << 10,
+              .deadline = Runtime::Now() + 5s},
+             [&](const TargetReply& reply) { kind = reply.kind; });
+  while (!kind) {
+    Runtime::SleepFor(10ms);
+    links.Sweep(Runtime::Now());
+  }
+  cr_expect(kind == ReplyKind::kBroken);
+}
+
 // Each answer stays below its own limit, and together they take all memory.
 Test(endless_answer, many_at_once_share_one_budget, .timeout = 60) {
   Runtime runtime;
@@ -187,12 +209,12 @@
 }
 
 Test(answer_budget, only_large_answers_are_cut_when_it_is_spent) {
-  AnswerBudget budget(1 << 20);
+  ReceiveBudget budget(1 << 20);
   budget.Grow(2 << 20);
-  cr_expect(!budget.MayHold(AnswerBudget::kAlwaysHeld + 1));
-  cr_expect(budget.MayHold(AnswerBudget::kAlwaysHeld));
+  cr_expect(!budget.MayHold(ReceiveBudget::kAlwaysHeld + 1));
+  cr_expect(budget.MayHold(ReceiveBudget::kAlwaysHeld));
   budget.Release(1 << 20);
-  cr_expect(budget.MayHold(AnswerBudget::kAlwaysHeld + 1));
+  cr_expect(budget.MayHold(ReceiveBudget::kAlwaysHeld + 1));
 }
 
 }  // namespace
--- a/knapweedroad/edge/entry_request.cc
+++ b/knapweedroad/edge/entry_request.cc
@@ -25,6 +25,7 @@
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/quota/quota_tolerance.h"
 #include "knapweedroad/routing/load_balancer.h"
+#include "knapweedroad/routing/record_merge.h"
 #include "knapweedroad/routing/request_run.h"
 #include "knapweedroad/routing/route_table.h"
 #include "knapweedroad/routing/weighted_round_robin.h"
@@ -317,6 +318,10 @@
   const TimePoint now = Runtime::Now();
   switch (outcome) {
     case AttemptOutcome::kAnswer:
+      if (this->route->is_scatter) {
+        reply.answer.body = KeepGreatestRecords(std::move(reply.answer.body),
+                                                this->route->top_records);
+      }
       this->Do(this->run->OnAnswer(number, std::move(reply.answer), now));
       return;
     case AttemptOutcome::kFailure:
--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -142,7 +142,8 @@
                    /*is_scatter=*/true, reply.latency, Runtime::Now());
   run->ended.push_back(PartOf(index, reply));
   if (outcome.outcome == AttemptOutcome::kAnswer) {
-    run->bodies.push_back(std::move(reply.answer.body));
+    run->bodies.push_back(KeepGreatestRecords(std::move(reply.answer.body),
+                                              run->of->top_records));
   } else {
     run->has_failure = true;
   }
--- a/knapweedroad/edge/target_connection.cc
+++ b/knapweedroad/edge/target_connection.cc
@@ -6,13 +6,13 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
-#include "knapweedroad/edge/answer_budget.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/header_text.h"
 #include "knapweedroad/edge/message_reader.h"
 #include "knapweedroad/edge/socket_options.h"
 #include "knapweedroad/edge/target_reply.h"
 #include "knapweedroad/net/answer_status.h"
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -23,7 +23,6 @@
 using boost::system::error_code;
 
 constexpr size_t kMaxHeaderBytes = 32 << 10;
-constexpr size_t kMaxAnswerBytes = 8 << 20;
 // Interim answers, and answers to other requests, before the right one.
 constexpr int kMostSkipped = 16;
 
@@ -47,7 +46,7 @@
 
 TargetConnection::TargetConnection(asio::io_context& io,
                                    const HeaderNames& header_names,
-                                   AnswerBudget& budget,
+                                   ReceiveBudget& budget,
                                    std::span<char> scratch)
     : socket(io),
       header_names(header_names),
@@ -61,7 +60,7 @@
 std::shared_ptr<TargetConnection> TargetConnection::Make(
     asio::io_context& io,
     const HeaderNames& header_names,
-    AnswerBudget& budget,
+    ReceiveBudget& budget,
     std::span<char> scratch) {
   return std::shared_ptr<TargetConnection>(
       new TargetConnection(io, header_names, budget, scratch));
@@ -116,7 +115,8 @@
 
 void TargetConnection::NewReader() {
   this->DropReader();
-  this->reader = std::make_unique<Reader>(kMaxHeaderBytes, kMaxAnswerBytes);
+  this->reader = std::make_unique<Reader>(kMaxHeaderBytes,
+                                          this->question.max_answer_bytes);
 }
 
 void TargetConnection::Exchange(TargetQuestion asked, ReplyHandler done) {
--- a/knapweedroad/edge/target_connection.h
+++ b/knapweedroad/edge/target_connection.h
@@ -28,7 +28,7 @@
 class MessageReader;
 }  // namespace internal
 
-class AnswerBudget;
+class ReceiveBudget;
 struct HeaderNames;
 enum class ReplyKind : uint8_t;
 struct TargetReply;
@@ -48,6 +48,8 @@
   std::string request_id;
   // Whether the answer's header lines are wanted, beside those that are read.
   bool wants_header = true;
+  // Longer answers are taken for bytes that are none.
+  size_t max_answer_bytes = 8 << 20;
 };
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
@@ -56,7 +58,7 @@
   // `budget` and `header_names` outlive the connection.
   static std::shared_ptr<TargetConnection> Make(boost::asio::io_context& io,
                                                 const HeaderNames& header_names,
-                                                AnswerBudget& budget,
+                                                ReceiveBudget& budget,
                                                 std::span<char> scratch);
   ~TargetConnection();
 
@@ -92,7 +94,7 @@
 
   TargetConnection(boost::asio::io_context& io,
                    const HeaderNames& header_names,
-                   AnswerBudget& budget,
+                   ReceiveBudget& budget,
                    std::span<char> scratch);
   void Write();
   void AwaitBytes();
@@ -122,7 +124,7 @@
   boost::asio::ip::tcp::socket socket;
   const HeaderNames& header_names;
   std::span<char> scratch;
-  AnswerBudget& budget;
+  ReceiveBudget& budget;
   std::unique_ptr<Reader> reader;
   // As the budget knows it.
   size_t held_bytes = 0;
--- a/knapweedroad/edge/target_links.cc
+++ b/knapweedroad/edge/target_links.cc
@@ -11,10 +11,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "knapweedroad/base/log_line.h"
-#include "knapweedroad/edge/answer_budget.h"
 #include "knapweedroad/edge/header_names.h"
 #include "knapweedroad/edge/target_connection.h"
 #include "knapweedroad/edge/target_reply.h"
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -53,7 +53,7 @@
   Runtime& runtime;
   TargetLinksOptions options;
   std::array<char, kReadBytes> scratch;
-  AnswerBudget budget{kMostUnfinishedBytes};
+  ReceiveBudget budget{kMostUnfinishedBytes};
   std::unordered_map<TargetId, std::vector<Connection>> idle;
   // Kept since the last sweep, and perhaps in use again.
   std::vector<std::pair<TargetId, std::weak_ptr<TargetConnection>>> kept;
@@ -178,7 +178,8 @@
     this->connection->Exchange(
         {.bytes = this->send.bytes(),
          .request_id = std::move(this->send.request_id),
-         .wants_header = this->send.wants_header},
+         .wants_header = this->send.wants_header,
+         .max_answer_bytes = this->send.max_answer_bytes},
         [self = this->shared_from_this()](TargetReply reply) {
           const bool is_cut = reply.kind == ReplyKind::kBroken ||
                               reply.kind == ReplyKind::kDisconnected;
--- a/knapweedroad/edge/target_links.h
+++ b/knapweedroad/edge/target_links.h
@@ -48,6 +48,8 @@
   bool settles = false;
   // Health questions use a connection of their own.
   bool keep_connection = true;
+  // Longer answers are taken for bytes that are none.
+  size_t max_answer_bytes = 8 << 20;
   TimePoint deadline;
 };
 
--- a/knapweedroad/edge/target_prober.cc
+++ b/knapweedroad/edge/target_prober.cc
@@ -15,6 +15,8 @@
 
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
 constexpr int kOk = 200;
+// Nobody reads the body of a health answer.
+constexpr size_t kMostAnswerBytes = 16 << 10;
 
 }  // namespace
 
@@ -42,6 +44,7 @@
                     .address = probe.address,
                     .bytes = [bytes = std::move(bytes)] { return bytes; },
                     .max_idle = Duration::zero(),
+                    .max_answer_bytes = kMostAnswerBytes,
                     .deadline = now + kProbeTimeout},
                    [self = this->weak_from_this(),
                     target = probe.target](const TargetReply& reply) {
--- a/knapweedroad/net/http_server.cc
+++ b/knapweedroad/net/http_server.cc
@@ -10,6 +10,7 @@
 
 #include "knapweedroad/net/fiber_event.h"
 #include "knapweedroad/net/listen.h"
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/net/runtime.h"
 
 namespace knapweedroad {
@@ -26,6 +27,10 @@
 // The parser limits the header, but neither a chunk's line nor the lines after
 // the last chunk: what it hasn't taken yet waits here. Bodies don't.
 constexpr size_t kMostUnparsedBytes = 64 << 10;
+// Of requests that are being received or answered, on all connections; smaller
+// ones, as those of targets, are always read.
+constexpr size_t kMostBodyBytes = 32 << 20;
+constexpr size_t kAlwaysHeldBytes = 16 << 10;
 // How long writing an answer may take before the reader is given up on.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
@@ -49,6 +54,12 @@
       error == http::error::buffer_overflow) {
     return ProblemFor(431, "the header is over its size limit");
   }
+  if (error == asio::error::no_memory) {
+    HttpResponse response =
+        ProblemFor(503, "too many large requests come at once");
+    response.headers["Retry-After"] = "0.3";
+    return response;
+  }
   if (error == beast::error::timeout) {
     return ProblemFor(408, "the request did not come whole in time");
   }
@@ -91,7 +102,8 @@
   bool ServeOne(const std::shared_ptr<Connection>& connection);
   error_code ReadFirstBytes(Connection& connection);
   error_code ReadWhole(Connection& connection,
-                       http::request_parser<http::string_body>& parser);
+                       http::request_parser<http::string_body>& parser,
+                       BudgetShare& share);
   HttpResponse Handle(const std::shared_ptr<Connection>& connection,
                       const HttpRequest& request,
                       TimePoint received);
@@ -101,6 +113,7 @@
   Runtime& runtime;
   HttpServerOptions options;
   tcp::acceptor acceptor;
+  ReceiveBudget bodies{kMostBodyBytes, kAlwaysHeldBytes};
   std::unordered_set<std::shared_ptr<Connection>> open;
   size_t peak = 0;
   size_t refused = 0;
@@ -154,16 +167,22 @@
 
 error_code HttpServer::State::ReadWhole(
     Connection& connection,
-    http::request_parser<http::string_body>& parser) {
-  error_code error;
-  FiberEvent read;
+    http::request_parser<http::string_body>& parser,
+    BudgetShare& share) {
   connection.stream.expires_after(this->options.read_timeout);
-  http::async_read(connection.stream, connection.buffer, parser,
-                   [&](error_code result, size_t) {
-                     error = result;
-                     read.Set();
-                   });
-  read.Wait();
+  error_code error;
+  while (!error && !parser.is_done()) {
+    FiberEvent read;
+    http::async_read_some(connection.stream, connection.buffer, parser,
+                          [&](error_code result, size_t) {
+                            error = result;
+                            read.Set();
+                          });
+    read.Wait();
+    if (!error && !share.Set(parser.get().body().size())) {
+      error = asio::error::no_memory;
+    }
+  }
   return error;
 }
 
@@ -179,7 +198,9 @@
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->options.max_body_bytes);
   parser.header_limit(static_cast<uint32_t>(this->options.max_header_bytes));
-  const error_code error = this->ReadWhole(*connection, parser);
+  // Held until the answer is written: the handler keeps the body as long.
+  BudgetShare share(this->bodies);
+  const error_code error = this->ReadWhole(*connection, parser, share);
   bool keep = false;
   if (!error) {
     const bool wants_keep = parser.keep_alive();
--- a/knapweedroad/net/peer_connection.cc
+++ b/knapweedroad/net/peer_connection.cc
@@ -1,11 +1,15 @@
 #include "knapweedroad/net/peer_connection.h"
 
+#include <algorithm>
+#include <span>
 #include <utility>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include "knapweedroad/base/log_line.h"
 #include "knapweedroad/net/fiber_event.h"
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/wire/codec.h"
 
@@ -15,10 +19,16 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-error_code ReadExactly(asio::ip::tcp::socket& socket, std::string& into) {
+// A body's memory is taken as its bytes come: its length may lie.
+constexpr size_t kBodyStep = 64 << 10;
+// Frames that the other host hasn't read; two of the longest.
+constexpr size_t kMostUnread = 2 * size_t{kMaxFrameBody};
+
+error_code ReadExactly(asio::ip::tcp::socket& socket, std::span<char> into) {
   error_code error;
   FiberEvent read;
-  asio::async_read(socket, asio::buffer(into), [&](error_code result, size_t) {
+  const asio::mutable_buffer buffer(into.data(), into.size());
+  asio::async_read(socket, buffer, [&](error_code result, size_t) {
     error = result;
     read.Set();
   });
@@ -38,6 +48,13 @@
   if (this->is_closed) {
     return false;
   }
+  if (this->outgoing.size() > kMostUnread) {
+    LogLine("peer_reads_nothing")
+        .Add("unread", this->outgoing.size())
+        .Warning();
+    this->Close();
+    return false;
+  }
   header.body_bytes = static_cast<uint32_t>(body.size());
   this->outgoing += EncodeBytes(header);
   this->outgoing += body;
@@ -72,15 +89,32 @@
     if (!header || header->body_bytes > kMaxFrameBody) {
       break;
     }
-    std::string body(header->body_bytes, '\0');
-    if (!body.empty() && ReadExactly(this->socket, body)) {
+    auto body = this->ReadBody(header->body_bytes);
+    if (!body) {
       break;
     }
-    on_frame(*header, std::move(body));
+    on_frame(*header, *std::move(body));
   }
   this->Close();
 }
 
+std::optional<std::string> PeerConnection::ReadBody(size_t bytes) {
+  std::string body;
+  BudgetShare share(this->runtime.frame_budget());
+  while (body.size() < bytes) {
+    const size_t begin = body.size();
+    body.resize(std::min(bytes, begin + kBodyStep));
+    if (!share.Set(body.size())) {
+      LogLine("peer_frames_too_large").Add("bytes", bytes).Warning();
+      return std::nullopt;
+    }
+    if (ReadExactly(this->socket, std::span(body).subspan(begin))) {
+      return std::nullopt;
+    }
+  }
+  return body;
+}
+
 void PeerConnection::Close() {
   this->is_closed = true;
   error_code ignored;
--- a/knapweedroad/net/peer_connection.h
+++ b/knapweedroad/net/peer_connection.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,8 @@
 
  private:
   void WriteNext();
+  // Nothing: the connection has ended, or too much is being received.
+  std::optional<std::string> ReadBody(size_t bytes);
 
   Runtime& runtime;
   boost::asio::ip::tcp::socket socket;
--- a/knapweedroad/net/peer_server.cc
+++ b/knapweedroad/net/peer_server.cc
@@ -17,6 +17,11 @@
 using boost::system::error_code;
 using internal::PeerConnection;
 
+// Of one connection. A host that calls without end waits, and its calls with
+// it.
+constexpr size_t kMostRunning = 1024;
+constexpr Duration kRunningPoll = std::chrono::milliseconds(2);
+
 }  // namespace
 
 struct PeerServer::State : std::enable_shared_from_this<PeerServer::State> {
@@ -25,6 +30,7 @@
 
   void Accept(tcp::socket socket);
   void Answer(const std::shared_ptr<PeerConnection>& connection,
+              const std::shared_ptr<size_t>& running_here,
               const FrameHeader& call,
               std::string body);
 
@@ -41,8 +47,12 @@
       std::make_shared<PeerConnection>(this->runtime, std::move(socket));
   this->open.insert(connection);
   this->runtime.Spawn([self = this->shared_from_this(), connection] {
+    const auto running = std::make_shared<size_t>(0);
     connection->ReadAll([&](const FrameHeader& call, std::string body) {
-      self->Answer(connection, call, std::move(body));
+      while (*running >= kMostRunning && !connection->closed()) {
+        Runtime::SleepFor(kRunningPoll);
+      }
+      self->Answer(connection, running, call, std::move(body));
     });
     self->open.erase(connection);
   });
@@ -50,16 +60,19 @@
 
 void PeerServer::State::Answer(
     const std::shared_ptr<PeerConnection>& connection,
+    const std::shared_ptr<size_t>& running_here,
     const FrameHeader& call,
     std::string body) {
   ++this->running;
-  this->runtime.Spawn([self = this->shared_from_this(), connection, call,
-                       body = std::move(body)]() mutable {
+  ++*running_here;
+  this->runtime.Spawn([self = this->shared_from_this(), connection,
+                       running_here, call, body = std::move(body)]() mutable {
     const auto reply = self->options.handler(call.type, std::move(body));
     FrameHeader header = call;
     header.kind = reply ? FrameKind::kReply : FrameKind::kFailure;
     connection->Send(header, reply ? *reply : reply.error());
     --self->running;
+    --*running_here;
   });
 }
 
--- a/knapweedroad/net/runtime.cc
+++ b/knapweedroad/net/runtime.cc
@@ -15,10 +15,13 @@
 #include "knapweedroad/net/asio_scheduler.h"
 #include "knapweedroad/net/fiber_event.h"
 #include "knapweedroad/net/fiber_stacks.h"
+#include "knapweedroad/net/receive_budget.h"
 
 namespace knapweedroad {
 namespace {
 
+// Two of the longest messages, and many usual ones.
+constexpr size_t kMostFrameBytes = 32 << 20;
 // How long a runtime that ends waits for its fibers.
 constexpr Duration kFibersGrace = std::chrono::seconds(5);
 constexpr Duration kFibersPoll = std::chrono::milliseconds(1);
@@ -32,6 +35,7 @@
   boost::asio::signal_set signals{this->io};
   boost::asio::signal_set reload{this->io};
   FiberEvent stopped;
+  ReceiveBudget frames{kMostFrameBytes};
   size_t fibers = 0;
   std::vector<std::shared_ptr<void>> kept;
 };
@@ -122,4 +126,8 @@
   return this->state->io;
 }
 
+ReceiveBudget& Runtime::frame_budget() {
+  return this->state->frames;
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/net/runtime.h
+++ b/knapweedroad/net/runtime.h
@@ -20,6 +20,8 @@
 
 namespace knapweedroad {
 
+class ReceiveBudget;
+
 class Runtime {
  public:
   // Installs the fiber scheduler on this thread: one runtime a thread, ever.
@@ -60,6 +62,9 @@
 
   boost::asio::io_context& io();
 
+  // Of messages between hosts that haven't come whole, on all connections.
+  ReceiveBudget& frame_budget();
+
  private:
   struct State;
   std::unique_ptr<State> state;
--- a/knapweedroad/routing/record_merge.cc
+++ b/knapweedroad/routing/record_merge.cc
@@ -26,4 +26,12 @@
   return merged;
 }
 
+std::string KeepGreatestRecords(std::string part, size_t top) {
+  if (part.size() / kRecordBytes <= top) {
+    return part;
+  }
+  const std::string_view whole = part;
+  return MergeRecords({&whole, 1}, top);
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/routing/record_merge.h
+++ b/knapweedroad/routing/record_merge.h
@@ -20,6 +20,10 @@
 // Trailing bytes of a part that are shorter than a record are ignored.
 std::string MergeRecords(std::span<const std::string_view> parts, size_t top);
 
+// Returns the part with no more than its `top` greatest records, which are all
+// that an answer can use of it.
+std::string KeepGreatestRecords(std::string part, size_t top);
+
 }  // namespace knapweedroad
 
 #endif  // KNAPWEEDROAD_ROUTING_RECORD_MERGE_H_
