Edge: refuse at a stop what can't end within the grace

An unsafe request that came in the first half of a stopping host's grace was passed on whatever it would take, and got 504 at the end while its searcher ran it (14 requests of 3 s, taken 2.5 to 3.0 s into a grace of 6 s).

Cause: only in the second half was a request's longest time compared with the end.

The longest recent answer of the route, or for a route of which nothing is known and that must not run twice the caller's deadline, has to fit; else the answer is 503 at once, as not run. An entry host that gathers for others returns the parts that are there at its end.

--- a/knapweedroad/edge/admit_request.cc
+++ b/knapweedroad/edge/admit_request.cc
@@ -1,5 +1,6 @@
 #include "knapweedroad/edge/admit_request.h"
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -90,10 +91,19 @@
 }
 
 bool PendingRequest::ComesTooLate() const {
+  if (!this->parts.leaving) {
+    return false;
+  }
   const TimePoint now = Runtime::Now();
-  const TimePoint deadline = RunDeadline(*this->route, this->request);
-  return this->parts.leaving &&
-         !this->parts.leaving->MayTake(now, deadline - now);
+  const LeavingSchedule& leaving = *this->parts.leaving;
+  const Duration longest = RunDeadline(*this->route, this->request) - now;
+  const auto memory = this->parts.routes.find(this->route->name);
+  const Duration expected = ExpectedRunTime(
+      *this->route,
+      memory == this->parts.routes.end() ? RouteMemory() : memory->second,
+      longest);
+  return !leaving.MayTake(now, longest) ||
+         !leaving.CanEnd(now, std::min(longest, expected));
 }
 
 void PendingRequest::RefuseAtStop() {
--- a/knapweedroad/edge/entry_host.cc
+++ b/knapweedroad/edge/entry_host.cc
@@ -379,6 +379,7 @@
       .Add("running", self.callers->running())
       .Info();
   self.callers->StopRunning();
+  self.gather_relay.StopRunning();
   // Callers close first: a close would reset answers that are on their way.
   self.AwaitNoWork(schedule.end_by(), /*closes_idle=*/false);
 }
--- a/knapweedroad/edge/gather_relay.cc
+++ b/knapweedroad/edge/gather_relay.cc
@@ -266,6 +266,21 @@
                 [now](const auto& entry) { return now > entry.second.until; });
 }
 
+void GatherRelay::StopRunning() {
+  for (const auto& [token, run] : this->runs) {
+    for (size_t index = 0; index < run->attempts.size(); ++index) {
+      Attempt& attempt = run->attempts[index];
+      if (attempt.exchange != nullptr) {
+        attempt.exchange->Abandon(Duration::zero(), nullptr);
+        attempt.exchange.reset();
+        run->ended.push_back(PartOf(index, {.kind = ReplyKind::kBroken}));
+      }
+    }
+    run->running = 0;
+    run->changed.Set();
+  }
+}
+
 void GatherRelay::End(uint64_t token, Duration grace) {
   const auto found = this->runs.find(token);
   if (found == this->runs.end()) {
--- a/knapweedroad/edge/gather_relay.h
+++ b/knapweedroad/edge/gather_relay.h
@@ -76,6 +76,9 @@
 
   // Refuses further calls. Those that run continue.
   void StartDraining() { this->is_draining = true; }
+  // Has calls that run return now with the parts that have ended; attempts that
+  // haven't ended are cut, and told as broken.
+  void StopRunning();
   size_t running() const { return this->runs.size(); }
   // Whether records of answered calls may still be asked for.
   bool holds_records() const { return !this->held.empty(); }
--- a/knapweedroad/edge/gather_relay_test.cc
+++ b/knapweedroad/edge/gather_relay_test.cc
@@ -281,6 +281,24 @@
   cr_expect(world.targets[0]->requests == 0);
 }
 
+// The host ends with attempts running, and parts that are there are lost.
+Test(gather_relay, a_host_that_ends_returns_what_is_there, .timeout = 60) {
+  World world;
+  world.targets[1]->is_stalled = true;
+  world.runtime.Spawn([&] {
+    Runtime::SleepFor(100ms);
+    world.relay.StopRunning();
+  });
+  const GatherReply reply =
+      world.relay.Gather(World::Call({"t0", "t1"}, World::kLong));
+  cr_expect(reply.running == 0);
+  cr_expect(reply.records == std::string(16, 'a'));
+  cr_assert(reply.parts.size() == 2);
+  cr_expect(reply.parts[1].kind == static_cast<uint8_t>(ReplyKind::kBroken));
+  cr_expect(world.relay.running() == 0);
+  world.Resume();
+}
+
 Test(gather_relay, what_it_makes_counts_at_its_load_balancer, .timeout = 60) {
   World world;
   world.targets[0]->status = 500;
--- a/knapweedroad/edge/leaving_schedule.cc
+++ b/knapweedroad/edge/leaving_schedule.cc
@@ -22,6 +22,10 @@
          now + longest <= this->answer_by();
 }
 
+bool LeavingSchedule::CanEnd(TimePoint now, Duration expected) const {
+  return now + expected <= this->answer_by();
+}
+
 TimePoint LeavingSchedule::answer_by() const {
   return this->end_by() - kAnswerMargin;
 }
--- a/knapweedroad/edge/leaving_schedule.h
+++ b/knapweedroad/edge/leaving_schedule.h
@@ -29,6 +29,9 @@
   // and then only if it ends in any case before answer_by().
   bool MayTake(TimePoint now, Duration longest) const;
 
+  // Whether a request that runs for `expected` is answered before answer_by().
+  bool CanEnd(TimePoint now, Duration expected) const;
+
   // When all that still runs gets its final answer.
   TimePoint answer_by() const;
 
--- a/knapweedroad/edge/leaving_schedule_test.cc
+++ b/knapweedroad/edge/leaving_schedule_test.cc
@@ -27,6 +27,9 @@
       }
     }
   }
+  // Nor one that is known to last too long, however early it comes.
+  cr_expect(schedule.CanEnd(kTold + milliseconds(2400), seconds(3)));
+  cr_expect(!schedule.CanEnd(kTold + milliseconds(2600), seconds(3)));
   cr_expect(schedule.answer_by() < schedule.end_by());
   cr_expect(schedule.end_by() < kTold + seconds(6));
 }
--- a/knapweedroad/edge/run_plan.cc
+++ b/knapweedroad/edge/run_plan.cc
@@ -59,6 +59,14 @@
   return std::max<Duration>(gather_within, until_due / 2);
 }
 
+Duration ExpectedRunTime(const RouteConfig& route,
+                         const RouteMemory& memory,
+                         Duration longest) {
+  constexpr double kLongest = 1.0;
+  return memory.latency.Quantile(kLongest).value_or(
+      route.idempotent ? Duration::zero() : longest);
+}
+
 TimePoint RunDeadline(const RouteConfig& route, const CallerRequest& request) {
   return request.received +
          std::min(request.time_left.value_or(route.timeout), route.timeout);
--- a/knapweedroad/edge/run_plan.h
+++ b/knapweedroad/edge/run_plan.h
@@ -39,6 +39,13 @@
 // time until the answer is due.
 Duration CoordinatorReplyTime(Duration gather_within, Duration until_due);
 
+// Returns how long a request of the route may be expected to run: as long as
+// the longest of the recent ones, or, while nothing is known of them, `longest`
+// if it must not run twice, and no time otherwise.
+Duration ExpectedRunTime(const RouteConfig& route,
+                         const RouteMemory& memory,
+                         Duration longest);
+
 // When a request ends in any case.
 TimePoint RunDeadline(const RouteConfig& route, const CallerRequest& request);
 
