Registry: leave out records of targets that can't be used

One odd announcement was taken and told to all hosts: names of 70,000 bytes, control characters, an empty zone. One with the largest sequence or start couldn't be passed by any later one of its target, so that its leaving went unheard.

Cause: fields were checked by type, and at the door only; what came from another host or from a disk wasn't checked.

One check says what a record must keep to. At the door the answer is 400 with the field; elsewhere the record is left out and logged, and the others hold.

--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -16,6 +16,7 @@
 #include "knapweedroad/registry/announcement_redirect.h"
 #include "knapweedroad/registry/control_hosts_view.h"
 #include "knapweedroad/registry/outlier_detector.h"
+#include "knapweedroad/registry/target_record_check.h"
 #include "knapweedroad/rollout/rollout_orders.h"
 
 namespace knapweedroad {
@@ -93,7 +94,9 @@
   }
   const uint64_t before = this->registry.revision();
   for (const TargetRecord& record : reply.targets) {
-    this->registry.Merge(record, Runtime::Now());
+    if (IsUsableRecord(record, from.str())) {
+      this->registry.Merge(record, Runtime::Now());
+    }
   }
   if (reply.has_hosts) {
     this->hub->LearnEntryHosts(from, reply.entry_hosts.upserted);
--- a/knapweedroad/edge/control_host_departures.cc
+++ b/knapweedroad/edge/control_host_departures.cc
@@ -2,11 +2,13 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "knapweedroad/base/log_line.h"
 #include "knapweedroad/edge/control_host_state.h"
 #include "knapweedroad/net/runtime.h"
+#include "knapweedroad/registry/target_record_check.h"
 
 namespace knapweedroad {
 
@@ -49,6 +51,9 @@
       return tl::unexpected("target " + departure.id.str() +
                             " is neither leaving nor gone");
     }
+    if (std::string fault = WhyUnusable(departure); !fault.empty()) {
+      return tl::unexpected(std::move(fault));
+    }
     const TargetRecord* const known = this->registry.Find(departure.id);
     const bool ends_any_incarnation = departure.phase == TargetPhase::kGone &&
                                       departure.service.empty() &&
--- a/knapweedroad/edge/control_host_wiring.cc
+++ b/knapweedroad/edge/control_host_wiring.cc
@@ -13,6 +13,7 @@
 #include "knapweedroad/edge/role_parts.h"
 #include "knapweedroad/net/runtime.h"
 #include "knapweedroad/quota/quota_messages.h"
+#include "knapweedroad/registry/target_record_check.h"
 
 namespace knapweedroad {
 namespace {
@@ -24,6 +25,7 @@
 constexpr Duration kAgreeTimeout = milliseconds(2000);
 // Larger bodies than any configuration of thousands of routes.
 constexpr size_t kMaxBodyBytes = 8 << 20;
+constexpr const char* kDiskSource = "disk";
 
 }  // namespace
 
@@ -114,7 +116,9 @@
       this->runtime, *this->options.settings.data_folder);
   const DirectorySnapshot known = this->directory->Load();
   for (const TargetRecord& record : known.targets) {
-    this->registry.Merge(record, Runtime::Now());
+    if (IsUsableRecord(record, kDiskSource)) {
+      this->registry.Merge(record, Runtime::Now());
+    }
   }
   this->hub->RememberEntryHosts(known.entry_hosts);
   this->departure_store = std::make_unique<DepartureStore>(
@@ -122,7 +126,9 @@
       DepartureStoreOptions{.folder = *this->options.settings.data_folder});
   const std::vector<TargetRecord> departures = this->departure_store->Load();
   for (const TargetRecord& departure : departures) {
-    this->registry.Merge(departure, Runtime::Now());
+    if (IsUsableRecord(departure, kDiskSource)) {
+      this->registry.Merge(departure, Runtime::Now());
+    }
   }
   LogLine("directory_read")
       .Add("targets", known.targets.size())
--- a/knapweedroad/edge/target_news.cc
+++ b/knapweedroad/edge/target_news.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "knapweedroad/base/log_line.h"
+#include "knapweedroad/registry/target_record_check.h"
 #include "knapweedroad/registry/watch_messages.h"
 #include "knapweedroad/routing/load_balancer.h"
 
@@ -56,6 +57,9 @@
     lines = {.second_began = now};
   }
   for (const TargetRecord& record : reply.targets) {
+    if (!IsUsableRecord(record, from.str())) {
+      continue;
+    }
     const bool is_change = IsChange(balancer.Find(record.id), record);
     balancer.UpdateTarget(record, now);
     if (!is_change) {
--- a/knapweedroad/registry/target_registry_test.cc
+++ b/knapweedroad/registry/target_registry_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "knapweedroad/registry/target_record_check.h"
+
 namespace knapweedroad {
 namespace {
 
@@ -159,5 +161,23 @@
             AnnounceResult::kAccepted);
 }
 
+// Bytes of a damaged disk or of another host make a record that no target could
+// have announced.
+Test(target_registry, records_out_of_range_are_unusable) {
+  cr_expect(WhyUnusable(Record("t", 1000, 1)).empty());
+  TargetRecord phase = Record("t", 1000, 1);
+  phase.phase = static_cast<TargetPhase>(200);
+  TargetRecord cold = Record("t", 1000, 1);
+  cold.cold_left = Duration::max();
+  TargetRecord address = Record("t", 1000, 1);
+  address.address = {"10.0.0.1", 0};
+  TargetRecord late = Record("t", 1000, kMaxTargetNumber + 1);
+  for (const TargetRecord& record : {phase, cold, address, late}) {
+    cr_expect(!WhyUnusable(record).empty());
+  }
+  cr_expect(
+      WhyUnusable({.id = TargetId("t"), .phase = TargetPhase::kGone}).empty());
+}
+
 }  // namespace
 }  // namespace knapweedroad
