Net: bound in sum what other hosts don't read

A host that asks and reads nothing was cut at 32 MB of replies; some of them together could still take all memory. Replies that wait count against 48 MB on all connections, beside 1 MB each.

Evidence: endless_message/a_host_that_reads_no_reply_is_cut passes as before; the sum has no test of its own.

--- a/knapweedroad/net/peer_connection.cc
+++ b/knapweedroad/net/peer_connection.cc
@@ -39,7 +39,9 @@
 }  // namespace
 
 PeerConnection::PeerConnection(Runtime& runtime, asio::ip::tcp::socket socket)
-    : runtime(runtime), socket(std::move(socket)) {
+    : runtime(runtime),
+      socket(std::move(socket)),
+      unread(runtime.unread_budget()) {
   error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
@@ -48,10 +50,9 @@
   if (this->is_closed) {
     return false;
   }
-  if (this->outgoing.size() > kMostUnread) {
-    LogLine("peer_reads_nothing")
-        .Add("unread", this->outgoing.size())
-        .Warning();
+  const size_t waiting = this->outgoing.size() + this->writing.size();
+  if (!this->unread.Set(waiting) || waiting > kMostUnread) {
+    LogLine("peer_reads_nothing").Add("unread", waiting).Warning();
     this->Close();
     return false;
   }
@@ -69,7 +70,8 @@
   asio::async_write(
       this->socket, asio::buffer(this->writing),
       [self = this->shared_from_this()](error_code error, size_t) {
-        self->writing.clear();
+        self->writing = {};
+        self->unread.Set(self->outgoing.size());
         if (error) {
           self->Close();
         } else if (!self->outgoing.empty()) {
@@ -117,6 +119,8 @@
 
 void PeerConnection::Close() {
   this->is_closed = true;
+  this->outgoing = {};
+  this->unread.Set(this->writing.size());
   error_code ignored;
   this->socket.close(ignored);
 }
--- a/knapweedroad/net/peer_connection.h
+++ b/knapweedroad/net/peer_connection.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "knapweedroad/net/receive_budget.h"
 #include "knapweedroad/wire/frame_header.h"
 
 namespace knapweedroad {
@@ -26,7 +27,8 @@
  public:
   PeerConnection(Runtime& runtime, boost::asio::ip::tcp::socket socket);
 
-  // Queues a frame; never blocks. False once the connection is closed.
+  // Queues a frame; never blocks. False once the connection is closed, as it is
+  // when the other host reads too little.
   bool Send(FrameHeader header, std::string_view body);
 
   // Reads frames until the connection ends; blocks the calling fiber.
@@ -45,6 +47,7 @@
   boost::asio::ip::tcp::socket socket;
   std::string outgoing;
   std::string writing;
+  BudgetShare unread;
   bool is_closed = false;
 };
 
--- a/knapweedroad/net/runtime.cc
+++ b/knapweedroad/net/runtime.cc
@@ -22,6 +22,10 @@
 
 // Two of the longest messages, and many usual ones.
 constexpr size_t kMostFrameBytes = 32 << 20;
+// The list of all targets of a large deployment to hundreds of hosts at once is
+// below the second bound, each time.
+constexpr size_t kMostUnreadBytes = 48 << 20;
+constexpr size_t kAlwaysUnreadBytes = 1 << 20;
 // How long a runtime that ends waits for its fibers.
 constexpr Duration kFibersGrace = std::chrono::seconds(5);
 constexpr Duration kFibersPoll = std::chrono::milliseconds(1);
@@ -29,13 +33,15 @@
 }  // namespace
 
 struct Runtime::State {
+  // Outlive the connections that handlers of `io` still hold.
+  ReceiveBudget frames{kMostFrameBytes};
+  ReceiveBudget unread{kMostUnreadBytes, kAlwaysUnreadBytes};
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work = boost::asio::make_work_guard(this->io);
   boost::asio::signal_set signals{this->io};
   boost::asio::signal_set reload{this->io};
   FiberEvent stopped;
-  ReceiveBudget frames{kMostFrameBytes};
   size_t fibers = 0;
   std::vector<std::shared_ptr<void>> kept;
 };
@@ -130,4 +136,8 @@
   return this->state->frames;
 }
 
+ReceiveBudget& Runtime::unread_budget() {
+  return this->state->unread;
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/net/runtime.h
+++ b/knapweedroad/net/runtime.h
@@ -64,6 +64,8 @@
 
   // Of messages between hosts that haven't come whole, on all connections.
   ReceiveBudget& frame_budget();
+  // Of messages that other hosts haven't read, on all connections.
+  ReceiveBudget& unread_budget();
 
  private:
   struct State;
