--- a/knapweedroad/control/membership_world.cc
+++ b/knapweedroad/control/membership_world.cc
@@ -192,6 +192,34 @@
   }
 }
 
+void MembershipWorld::RestartAfter(const std::string& host, Duration down) {
+  this->replicas.Crash(host);
+  this->RunFor(down);
+  this->Restart(host);
+}
+
+void MembershipWorld::LoseDiskOf(const std::string& host, Duration down) {
+  this->replicas.Crash(host);
+  this->replicas.LoseDisk(host);
+  this->RunFor(down);
+  this->Restart(host);
+}
+
+bool MembershipWorld::RunUntil(MembershipPhase phase, Duration within) {
+  const auto has_accepted = [&](const std::string& host) {
+    const auto& value = this->replicas.acceptor(host)->current().value;
+    return value.has_value() && value->members.phase == phase;
+  };
+  const TimePoint end = this->replicas.now() + within;
+  while (!std::ranges::any_of(this->Running(), has_accepted)) {
+    if (this->replicas.now() >= end) {
+      return false;
+    }
+    this->RunFor(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
 bool MembershipWorld::Change(uint64_t number, Duration within) {
   const TimePoint end = this->replicas.now() + within;
   const ChangeRequest request{
--- a/knapweedroad/control/membership_world.h
+++ b/knapweedroad/control/membership_world.h
@@ -38,6 +38,13 @@
 
   void RunFor(Duration span);
 
+  // The host is down for that long, and back with its disk or without it.
+  void RestartAfter(const std::string& host, Duration down);
+  void LoseDiskOf(const std::string& host, Duration down);
+
+  // Whether some running host has accepted members in that phase in time.
+  bool RunUntil(MembershipPhase phase, Duration within);
+
   // Whether the change is acknowledged within the time, through any host that
   // runs; the same again is sent to the next one after a second.
   bool Change(uint64_t number, Duration within);
--- a/knapweedroad/edge/caller_server_test.cc
+++ b/knapweedroad/edge/caller_server_test.cc
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstddef>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -115,12 +114,12 @@
       callers.emplace_back(runtime.io())
           .connect({boost::asio::ip::make_address("127.0.0.1"), port});
       callers.back().non_blocking(true);
-      std::string_view left = bytes;
-      for (int tries = 0; !left.empty() && tries < 50; ++tries) {
+      for (size_t sent = 0, tries = 0; sent < bytes.size() && tries < 50;
+           ++tries) {
         boost::system::error_code error;
-        const size_t sent = callers.back().write_some(
-            boost::asio::buffer(left.data(), left.size()), error);
-        left.remove_prefix(error ? 0 : sent);
+        sent += callers.back().write_some(
+            boost::asio::buffer(bytes.data() + sent, bytes.size() - sent),
+            error);
         Runtime::SleepFor(milliseconds(1));
       }
     }
--- a/knapweedroad/edge/control_host.cc
+++ b/knapweedroad/edge/control_host.cc
@@ -272,27 +272,6 @@
   self.server->Stop(std::min(Runtime::Now() + kStopWait, give_up));
 }
 
-AnnounceResult ControlHost::Announce(TargetRecord record, TimePoint deadline) {
-  State& self = *this->state;
-  ++self.announcements;
-  const uint64_t before = self.registry.revision();
-  const TargetId id = record.id;
-  const TargetPhase phase = record.phase;
-  const AnnounceResult result =
-      self.registry.Announce(std::move(record), Runtime::Now());
-  if (self.registry.revision() != before) {
-    LogLine("target_announced")
-        .Add("target", id)
-        .Add("phase", static_cast<int>(phase))
-        .Add("result", static_cast<int>(result))
-        .Info();
-    self.hub->Wake();
-  }
-  const bool is_held =
-      result == AnnounceResult::kFull || self.HoldDeparture(id, deadline);
-  return is_held ? result : AnnounceResult::kNotHeld;
-}
-
 std::optional<Endpoint> ControlHost::NearerHost(const ZoneId& zone,
                                                 const TargetId& target) const {
   const State& self = *this->state;
@@ -309,23 +288,6 @@
                   .port = self.options.settings.control_address->port};
 }
 
-AnnounceResult ControlHost::SignOff(const TargetId& id,
-                                    uint64_t started_ms,
-                                    uint64_t sequence,
-                                    TimePoint deadline) {
-  State& self = *this->state;
-  const AnnounceResult result =
-      self.registry.Deregister(id, started_ms, sequence, Runtime::Now());
-  LogLine("target_signed_off")
-      .Add("target", id)
-      .Add("result", static_cast<int>(result))
-      .Info();
-  self.hub->Wake();
-  const bool is_held =
-      result == AnnounceResult::kFull || self.HoldDeparture(id, deadline);
-  return is_held ? result : AnnounceResult::kNotHeld;
-}
-
 bool ControlHost::PutRouting(uint64_t number,
                              std::string text,
                              TimePoint deadline) {
--- a/knapweedroad/edge/control_host_departures.cc
+++ b/knapweedroad/edge/control_host_targets.cc
@@ -1,4 +1,4 @@
-// How a control host keeps that targets leave, and are gone.
+// What targets tell a control host, and how it keeps that they leave.
 
 #include <optional>
 #include <string>
@@ -76,4 +76,42 @@
   return DepartureReply{.holder = this->replica->id()};
 }
 
+AnnounceResult ControlHost::Announce(TargetRecord record, TimePoint deadline) {
+  State& self = *this->state;
+  ++self.announcements;
+  const uint64_t before = self.registry.revision();
+  const TargetId id = record.id;
+  const TargetPhase phase = record.phase;
+  const AnnounceResult result =
+      self.registry.Announce(std::move(record), Runtime::Now());
+  if (self.registry.revision() != before) {
+    LogLine("target_announced")
+        .Add("target", id)
+        .Add("phase", static_cast<int>(phase))
+        .Add("result", static_cast<int>(result))
+        .Info();
+    self.hub->Wake();
+  }
+  const bool is_held =
+      result == AnnounceResult::kFull || self.HoldDeparture(id, deadline);
+  return is_held ? result : AnnounceResult::kNotHeld;
+}
+
+AnnounceResult ControlHost::SignOff(const TargetId& id,
+                                    uint64_t started_ms,
+                                    uint64_t sequence,
+                                    TimePoint deadline) {
+  State& self = *this->state;
+  const AnnounceResult result =
+      self.registry.Deregister(id, started_ms, sequence, Runtime::Now());
+  LogLine("target_signed_off")
+      .Add("target", id)
+      .Add("result", static_cast<int>(result))
+      .Info();
+  self.hub->Wake();
+  const bool is_held =
+      result == AnnounceResult::kFull || self.HoldDeparture(id, deadline);
+  return is_held ? result : AnnounceResult::kNotHeld;
+}
+
 }  // namespace knapweedroad
--- a/knapweedroad/net/endless_message_test.cc
+++ b/knapweedroad/net/endless_message_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "knapweedroad/net/endless_sender.h"
 #include "knapweedroad/net/http_message.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/peer_server.h"
@@ -27,41 +28,33 @@
 constexpr size_t kMostHeld = 40 << 20;
 constexpr size_t kConnections = 32;
 
-// Sends `begin` and then `bytes` more; reads only what `is_cut` needs.
-struct Sender {
-  Sender(Runtime& runtime, uint16_t port, std::string begin, size_t bytes)
-      : socket(runtime.io()), next(std::move(begin)), left(bytes) {
-    this->socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
-    this->Send();
-  }
-
-  void Send() {
-    boost::asio::async_write(
-        this->socket, boost::asio::buffer(this->next),
-        [this](const boost::system::error_code& error, size_t) {
-          this->is_cut = static_cast<bool>(error);
-          const size_t count = std::min<size_t>(this->left, 64 << 10);
-          this->left -= count;
-          if (!this->is_cut && count > 0) {
-            this->next.assign(count, 'b');
-            this->Send();
-          }
-        });
-  }
-
-  tcp::socket socket;
-  std::string next;
-  size_t left = 0;
-  bool is_cut = false;
-};
-
 std::string FrameOf(size_t body_bytes) {
   return EncodeBytes(
       FrameHeader{.type = PeerMessageType::kPull,
                   .body_bytes = static_cast<uint32_t>(body_bytes)});
 }
 
-using Senders = std::vector<std::unique_ptr<Sender>>;
+PeerServerOptions Answering(size_t reply_bytes) {
+  return {.endpoint = {"127.0.0.1", 0},
+          .handler = [reply_bytes](PeerMessageType, const std::string&) {
+            return tl::expected<std::string, std::string>(
+                std::string(reply_bytes, 'r'));
+          }};
+}
+
+using Senders = std::vector<std::unique_ptr<EndlessSender>>;
+
+std::unique_ptr<EndlessSender> Start(Runtime& runtime,
+                                     uint16_t port,
+                                     const std::string& begin,
+                                     size_t bytes) {
+  tcp::socket socket(runtime.io());
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  auto sender =
+      std::make_unique<EndlessSender>(std::move(socket), begin, bytes);
+  sender->Send();
+  return sender;
+}
 
 size_t CountCut(const Senders& senders) {
   size_t cut = 0;
@@ -75,17 +68,13 @@
 // 16 MB, and together they take all memory.
 Test(endless_message, frames_of_many_hosts_share_one_budget, .timeout = 60) {
   Runtime runtime;
-  PeerServer server(runtime,
-                    {.endpoint = {"127.0.0.1", 0},
-                     .handler = [](PeerMessageType, const std::string&) {
-                       return tl::expected<std::string, std::string>("");
-                     }});
+  PeerServer server(runtime, Answering(0));
   const uint16_t port = server.Start().value();
   Senders senders;
   size_t most = 0;
   for (size_t i = 0; i < kConnections; ++i) {
-    senders.push_back(std::make_unique<Sender>(
-        runtime, port, FrameOf(kMaxFrameBody), kMaxFrameBody - 1));
+    senders.push_back(
+        Start(runtime, port, FrameOf(kMaxFrameBody), kMaxFrameBody - 1));
   }
   for (int i = 0; i < 300; ++i) {
     Runtime::SleepFor(10ms);
@@ -98,13 +87,9 @@
 // A length that lies takes memory before any byte of the body has come.
 Test(endless_message, a_frame_takes_memory_as_it_comes, .timeout = 60) {
   Runtime runtime;
-  PeerServer server(runtime,
-                    {.endpoint = {"127.0.0.1", 0},
-                     .handler = [](PeerMessageType, const std::string&) {
-                       return tl::expected<std::string, std::string>("");
-                     }});
+  PeerServer server(runtime, Answering(0));
   const uint16_t port = server.Start().value();
-  Sender sender(runtime, port, FrameOf(kMaxFrameBody), 0);
+  const auto sender = Start(runtime, port, FrameOf(kMaxFrameBody), 0);
   Runtime::SleepFor(200ms);
   cr_expect(runtime.frame_budget().used_bytes() < (1 << 20));
 }
@@ -112,28 +97,20 @@
 // A host asks again and again and reads no reply.
 Test(endless_message, a_host_that_reads_no_reply_is_cut, .timeout = 60) {
   Runtime runtime;
-  size_t answered = 0;
-  constexpr size_t kReply = 1 << 20;
-  PeerServer server(runtime,
-                    {.endpoint = {"127.0.0.1", 0},
-                     .handler = [&](PeerMessageType, const std::string&) {
-                       ++answered;
-                       return tl::expected<std::string, std::string>(
-                           std::string(kReply, 'r'));
-                     }});
+  PeerServer server(runtime, Answering(1 << 20));
   const uint16_t port = server.Start().value();
   std::string calls;
   for (int i = 0; i < 500; ++i) {
     calls += FrameOf(0);
   }
-  Sender sender(runtime, port, calls, 0);
+  const auto sender = Start(runtime, port, calls, 0);
   for (int i = 0; i < 100; ++i) {
     Runtime::SleepFor(10ms);
   }
   boost::system::error_code error;
-  boost::asio::write(sender.socket, boost::asio::buffer(FrameOf(0)), error);
+  boost::asio::write(sender->socket, boost::asio::buffer(FrameOf(0)), error);
   Runtime::SleepFor(50ms);
-  boost::asio::write(sender.socket, boost::asio::buffer(FrameOf(0)), error);
+  boost::asio::write(sender->socket, boost::asio::buffer(FrameOf(0)), error);
   cr_expect(static_cast<bool>(error));
 }
 
@@ -149,10 +126,10 @@
   const uint16_t port = server.Start().value();
   Senders senders;
   for (size_t i = 0; i < kConnections; ++i) {
-    senders.push_back(std::make_unique<Sender>(
-        runtime, port,
-        "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 8388608\r\n\r\n",
-        (8 << 20) - 1));
+    senders.push_back(
+        Start(runtime, port,
+              "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 8388608\r\n\r\n",
+              (8 << 20) - 1));
   }
   Runtime::SleepFor(3s);
   size_t refused = 0;
--- a/knapweedroad/net/http_test.cc
+++ b/knapweedroad/net/http_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "knapweedroad/net/endless_sender.h"
 #include "knapweedroad/net/http_client.h"
 #include "knapweedroad/net/http_server.h"
 #include "knapweedroad/net/runtime.h"
@@ -185,31 +186,6 @@
   cr_assert(abandoned);
 }
 
-// Sends `begin`, and then one piece again and again until the peer closes.
-struct EndlessSender {
-  EndlessSender(tcp::socket connection, const std::string& begin)
-      : socket(std::move(connection)), next(begin) {}
-
-  void Send() {
-    boost::asio::async_write(
-        this->socket, boost::asio::buffer(this->next),
-        [this](const boost::system::error_code& error, size_t count) {
-          this->sent += count;
-          this->is_cut = static_cast<bool>(error);
-          if (!this->is_cut) {
-            this->next.assign(kPieceBytes, 'b');
-            this->Send();
-          }
-        });
-  }
-
-  static constexpr size_t kPieceBytes = 16 << 10;
-  tcp::socket socket;
-  std::string next;
-  size_t sent = 0;
-  bool is_cut = false;
-};
-
 // What sockets hold, and slack.
 constexpr size_t kMostSent = 16 << 20;
 
